Rehearse in memory where a process is granted no file sockets

The slow first answers also drove the module's pressure to its top: single gateways refused all they got for 2 to 12 s.

Checked: the platform grants sockets of the internet protocol alone, so Rehearsal.play() failed at its first bind and the real clients met interpreted code. A rehearsal on one loop in memory does not work: there a write is read within the call, and HostPool sees an answer before its send has returned; 400 requests took 41 s.

Fix: Rehearsal asks once whether file sockets can be had, and plays in memory otherwise, the far sides on an event loop of their own.

--- a/src/main/java/cinderhollow/net/ClientServer.java
+++ b/src/main/java/cinderhollow/net/ClientServer.java
@@ -95,16 +95,18 @@
 
     /** Starts to listen; the future fails where the address can't be had. */
     ChannelFuture listen(SocketAddress address) {
-        ChannelFuture bound = new ServerBootstrap().group(loop).channel(transport.server())
-                .option(ChannelOption.SO_BACKLOG, BACKLOG)
-                .childHandler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel channel) {
-                        Connection connection = new Connection(channel);
-                        channel.pipeline().addLast(connection.decoder, new HttpResponseEncoder(), connection.assembler,
-                                connection);
-                    }
-                }).bind(address);
+        ServerBootstrap listening = new ServerBootstrap().group(loop).channel(transport.server());
+        if (transport != Transport.MEMORY) {
+            listening.option(ChannelOption.SO_BACKLOG, BACKLOG);
+        }
+        ChannelFuture bound = listening.childHandler(new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                Connection connection = new Connection(channel);
+                channel.pipeline().addLast(connection.decoder, new HttpResponseEncoder(), connection.assembler,
+                        connection);
+            }
+        }).bind(address);
         acceptor = bound.channel();
         return bound;
     }
--- a/src/main/java/cinderhollow/net/Rehearsal.java
+++ b/src/main/java/cinderhollow/net/Rehearsal.java
@@ -13,13 +13,18 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
+import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.local.LocalAddress;
+import io.netty.channel.local.LocalIoHandler;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
 import java.net.SocketAddress;
+import java.net.StandardProtocolFamily;
 import java.net.UnixDomainSocketAddress;
+import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -31,7 +36,7 @@
 import java.util.concurrent.TimeoutException;
 
 /**
- * Made-up requests through a gateway of its own, over sockets in the file system, before the real one listens.
+ * Made-up requests through a gateway of its own, over sockets that nobody else can reach, before the real one listens.
  * Guards against a cold start under load: code that is not yet compiled costs so much that the first seconds'
  * clients are answered late, and the module learns from these answers that all hosts are slow. Nothing of the
  * rehearsal outlives it, and no client or host ever sees it.
@@ -44,21 +49,26 @@
     private static final byte[] NOTHING = { };
     /** A gateway is wanted soon after its start: what isn't warm by then has to do. */
     static final long LONGEST_MILLIS = 4_000;
-    private static final long END_MILLIS = 500;
+    private static final long END_MILLIS = 500, QUIET_MILLIS = 20;
 
     private final EventLoop loop;
+    private final EventLoop farSides;
     private final GatewayConfig config;
+    private final Transport transport;
     private final SocketAddress stage;
     private final SocketAddress hosts;
     private final CompletableFuture<Void> done = new CompletableFuture<>();
     private int asked;
     private int answered;
 
-    private Rehearsal(EventLoop loop, GatewayConfig config, Path folder) {
+    private Rehearsal(EventLoop loop, EventLoop farSides, GatewayConfig config, Transport transport, SocketAddress stage,
+                      SocketAddress hosts) {
         this.loop = loop;
+        this.farSides = farSides;
         this.config = config;
-        stage = UnixDomainSocketAddress.of(folder.resolve("stage"));
-        hosts = UnixDomainSocketAddress.of(folder.resolve("hosts"));
+        this.transport = transport;
+        this.stage = stage;
+        this.hosts = hosts;
     }
 
     /**
@@ -66,20 +76,8 @@
      * fails costs only its gain.
      */
     static boolean run(GatewayConfig config, long longestMillis) {
-        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         try {
-            // Of its own making: the library's names for such folders come out of a slow source of chance.
-            Path folder = Files.createDirectory(Path.of(System.getProperty("java.io.tmpdir"),
-                    "rehearsal-" + ProcessHandle.current().pid() + "-" + System.nanoTime()));
-            try {
-                new Rehearsal(group.next(), config, folder).play().get(longestMillis, TimeUnit.MILLISECONDS);
-                return true;
-            } finally {
-                group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).await(END_MILLIS);
-                Files.deleteIfExists(folder.resolve("stage"));
-                Files.deleteIfExists(folder.resolve("hosts"));
-                Files.deleteIfExists(folder);
-            }
+            return hasFileSockets() ? inFiles(config, longestMillis) : inMemory(config, longestMillis);
         } catch (TimeoutException e) {
             System.err.println("cinderhollow: the rehearsal was cut short");
         } catch (InterruptedException e) {
@@ -90,10 +88,57 @@
         return false;
     }
 
+    /** Some platforms grant a process sockets of the internet protocol and no others. */
+    private static boolean hasFileSockets() {
+        try (SocketChannel probe = SocketChannel.open(StandardProtocolFamily.UNIX)) {
+            return probe.isOpen();
+        } catch (IOException | UnsupportedOperationException e) {
+            return false;
+        }
+    }
+
+    private static boolean inFiles(GatewayConfig config, long longestMillis)
+            throws IOException, InterruptedException, ExecutionException, TimeoutException {
+        // Of its own making: the library's names for such folders come out of a slow source of chance.
+        Path folder = Files.createDirectory(Path.of(System.getProperty("java.io.tmpdir"),
+                "rehearsal-" + ProcessHandle.current().pid() + "-" + System.nanoTime()));
+        try {
+            return play(config, longestMillis, NioIoHandler.newFactory(), Transport.FILES,
+                    UnixDomainSocketAddress.of(folder.resolve("stage")),
+                    UnixDomainSocketAddress.of(folder.resolve("hosts")));
+        } finally {
+            Files.deleteIfExists(folder.resolve("stage"));
+            Files.deleteIfExists(folder.resolve("hosts"));
+            Files.deleteIfExists(folder);
+        }
+    }
+
+    /** Leaves the sockets themselves cold, and warms all that stands on them. */
+    static boolean inMemory(GatewayConfig config, long longestMillis)
+            throws InterruptedException, ExecutionException, TimeoutException {
+        return play(config, longestMillis, LocalIoHandler.newFactory(), Transport.MEMORY,
+                new LocalAddress("rehearsal-stage"), new LocalAddress("rehearsal-hosts"));
+    }
+
+    private static boolean play(GatewayConfig config, long longestMillis, IoHandlerFactory io, Transport transport,
+                                SocketAddress stage, SocketAddress hosts)
+            throws InterruptedException, ExecutionException, TimeoutException {
+        // In memory a write on one loop would be read within the call: the far sides have a loop of their own, and
+        // as each tells the other of its end, neither may end at once.
+        boolean twoLoops = transport == Transport.MEMORY;
+        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(twoLoops ? 2 : 1, io);
+        try {
+            new Rehearsal(group.next(), group.next(), config, transport, stage, hosts).play().get(longestMillis, TimeUnit.MILLISECONDS);
+            return true;
+        } finally {
+            group.shutdownGracefully(twoLoops ? QUIET_MILLIS : 0, QUIET_MILLIS, TimeUnit.MILLISECONDS).await(END_MILLIS);
+        }
+    }
+
     private CompletableFuture<Void> play() {
         // Guards against compiling for one kind of sockets alone, which the first of the other kind would undo.
         new NioSocketChannel().unsafe().closeForcibly();
-        ServerBootstrap listener = new ServerBootstrap().group(loop).channel(Transport.FILES.server());
+        ServerBootstrap listener = new ServerBootstrap().group(farSides).channel(transport.server());
         listener.childHandler(new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel channel) {
@@ -101,9 +146,9 @@
             }
         }).bind(hosts).addListener(bound -> {
             if (bound.isSuccess()) {
-                Gateway.start(loop, setting(), Transport.FILES, line -> { }).whenComplete((gateway, fault) -> {
+                Gateway.start(loop, setting(), transport, line -> { }).whenComplete((gateway, fault) -> {
                     if (fault == null) {
-                        clients();
+                        farSides.execute(this::clients);
                     } else {
                         done.completeExceptionally(fault);
                     }
@@ -127,7 +172,7 @@
     }
 
     private void clients() {
-        Bootstrap dial = new Bootstrap().group(loop).channel(Transport.FILES.client())
+        Bootstrap dial = new Bootstrap().group(farSides).channel(transport.client())
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
@@ -148,6 +193,9 @@
 
         @Override
         protected final void channelRead0(ChannelHandlerContext ctx, ByteBuf bytes) {
+            if (!bytes.isReadable()) {
+                return; // where there are no sockets between, a write of nothing arrives as such
+            }
             first = first == NONE ? bytes.getByte(bytes.readerIndex()) : first;
             int last = bytes.getByte(bytes.writerIndex() - 1);
             if (isWhole(first, last, bytes)) {
--- a/src/main/java/cinderhollow/net/Transport.java
+++ b/src/main/java/cinderhollow/net/Transport.java
@@ -2,6 +2,8 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.ServerChannel;
+import io.netty.channel.local.LocalChannel;
+import io.netty.channel.local.LocalServerChannel;
 import io.netty.channel.socket.nio.NioDomainSocketChannel;
 import io.netty.channel.socket.nio.NioServerDomainSocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -13,4 +15,7 @@
 
     /** Sockets in the file system, which nothing outside this machine can reach. */
     static final Transport FILES = new Transport(NioServerDomainSocketChannel.class, NioDomainSocketChannel.class);
+
+    /** No sockets at all: both ends lie in this process, and its event loop has to be of the same kind. */
+    static final Transport MEMORY = new Transport(LocalServerChannel.class, LocalChannel.class);
 }
--- a/src/test/java/cinderhollow/net/RehearsalTest.java
+++ b/src/test/java/cinderhollow/net/RehearsalTest.java
@@ -33,6 +33,11 @@
         assertEquals(before, folders());
     }
 
+    @Test
+    void isPlayedInMemoryWhereAProcessHasNoFileSockets() throws Exception {
+        assertTrue(Rehearsal.inMemory(config(), GatewayFixture.PATIENCE_MILLIS * 6));
+    }
+
     @Test
     void isCutShortWhereItTakesTooLong() throws Exception {
         List<Path> before = folders();
