Keep each gateway to its portion of the fleet while samples are sparse

A gateway gets about 65 requests a second, so one sample for a host in a tick, and knows of a fourteenth of what a host holds: each draws blindly over all 60, hosts crowd by chance, more than half of the answers take half their aim, and the pressure rises and sheds.

At fault: draw() in Choice spreads over all ready servers however seldom it meets them. Now portionGate() holds a gateway to its portion while a tick has under SHRINK_SAMPLES samples for each server. cutPortions() cuts the list, in an order that the ids alone decide, into stretches of equal capacity hint, one for each gateway; border servers belong to both in part. While the portion has no room, the rest of the fleet is drawn on. Shares, step and draws are as before; with more samples the gate is 1.

--- a/src/main/java/cinderhollow/Choice.java
+++ b/src/main/java/cinderhollow/Choice.java
@@ -3,6 +3,7 @@
 import cinderhollow.Protocol.*;
 import cinderhollow.State.*;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -59,6 +60,10 @@
     private static final double ZONES_OPEN = 1, CALM = 0.9;
     /** The least part of its share that another zone's server gets, and the least that is admitted. */
     private static final double LEAST_CROSSING = 1e-3, LEAST_ADMITTED = 0.05;
+    /** The part of its share that a server of another gateway's portion gets: it is drawn on when none of the own is free. */
+    private static final double LEAST_REACH = 1e-3;
+    /** So much time has to be seen before arrivals tell a rate. */
+    private static final long LEAST_SEEN_NANOS = 50_000_000L;
     /** How often held and overdue requests are looked at; short against any aim. */
     private static final long SWEEP_NANOS = 10_000_000L;
     /** Time-outs this near to each other, in parts of the deadline, are one: the way here takes some time. */
@@ -260,7 +265,7 @@
             double cold = coldGate(s);
             limits += s.limit * cold;
             double gates = Math.max(0, roomGate(s, cold)) * healthGate(s) * classGate(r.kind, s)
-                    * zoneGate(s) * cold;
+                    * zoneGate(s) * portionGate(s) * cold;
             double weight = gates > 0 && maySend(r, s) ? s.share * gates : 0;
             sum += weight;
             drawn = weight > 0 && random.nextDouble() * sum < weight ? s : drawn;
@@ -276,6 +281,45 @@
         return near(s) ? 1 : Math.max(LEAST_CROSSING, Math.min(1, pressure));
     }
 
+    /**
+     * Guards against sparse samples and blind crowding on a large fleet: where a gateway meets each server less often
+     * than a step needs, every one of many gateways would spread thin over all, and none would know what a server
+     * holds. Each then keeps to a portion of the fleet's capacity, and goes beyond while that has no room.
+     */
+    private double portionGate(Server s) {
+        return sparse() ? Math.max(LEAST_REACH, s.portion) : 1;
+    }
+
+    /** Fewer samples of a server in a tick than make a mean of its own; before the first tick's end, by what has come. */
+    private boolean sparse() {
+        double seconds = Math.max(LEAST_SEEN_NANOS, now - tickStart) / SECOND_NANOS;
+        double rate = warmRate > 0 ? warmRate : arrivals / (seconds * Math.max(1, ready.size()));
+        return rate * TICK_NANOS < SHRINK_SAMPLES * SECOND_NANOS;
+    }
+
+    /**
+     * Cuts the ready servers, in an order by chance that is the same at all gateways, into one stretch of equal
+     * capacity for each gateway. A server on a border belongs to both sides in part.
+     */
+    private void cutPortions() {
+        List<Server> order = new ArrayList<>(ready);
+        order.sort(Comparator.<Server>comparingLong(s -> mixed(s.info.id())).thenComparing(s -> s.info.id()));
+        double capacity = order.stream().mapToDouble(s -> s.info.capacityHint()).sum();
+        double from = capacity * settings.gatewayNumber() / settings.gateways();
+        double to = from + capacity / settings.gateways();
+        double at = 0;
+        for (Server s : order) {
+            double next = at + s.info.capacityHint();
+            s.portion = Math.max(0, Math.min(to, next) - Math.max(from, at)) / Math.max(Double.MIN_NORMAL, next - at);
+            at = next;
+        }
+    }
+
+    /** A number by chance that only the id decides. */
+    private static long mixed(String id) {
+        return new SplittableRandom(id.hashCode()).nextLong();
+    }
+
     private boolean near(Server s) {
         return s.info.zone().equals(settings.zone());
     }
@@ -662,6 +706,7 @@
         servers.values().removeIf(s -> !s.ready);
         ready.clear();
         ready.addAll(servers.values());
+        cutPortions();
         leastPressure = ready.stream().allMatch(this::near) ? CALM : 0;
         normalise();
         dispatch();
--- a/src/main/java/cinderhollow/State.java
+++ b/src/main/java/cinderhollow/State.java
@@ -18,6 +18,8 @@
         String likes;
         boolean ready;
         double share;
+        /** The part of it that is this gateway's own, from 0 to 1. */
+        double portion;
         /** Latencies in this tick, as multiples of their classes' means. */
         Pool tick = new Pool();
         double latency;
--- /dev/null
+++ b/src/test/java/cinderhollow/PortionTest.java
@@ -0,0 +1,96 @@
+package cinderhollow;
+
+import static cinderhollow.Fleet.MS;
+import static cinderhollow.Fleet.READ;
+import static cinderhollow.Fleet.STEP;
+import static cinderhollow.Fleet.settings;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cinderhollow.Protocol.ListKind;
+import cinderhollow.Protocol.Outcome;
+import cinderhollow.Protocol.Readiness;
+import cinderhollow.Protocol.ServerInfo;
+import cinderhollow.Protocol.Settings;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** How the gateways of a large fleet divide its servers while each meets them seldom. */
+class PortionTest {
+    private static final int GATEWAYS = 4, SERVERS = 24, LARGE = 6;
+    private static final double LARGE_HINT = 9;
+
+    private static Fleet gateway(int number) {
+        Settings one = settings(false, GATEWAYS, List.of(), List.of(READ));
+        Settings numbered = new Settings(GATEWAYS, number, one.zone(), false, one.resolutionNanos(), one.classes(),
+                one.tenants(), one.overShareWorth(), one.allowed(), one.rules());
+        Fleet fleet = new Fleet(numbered, 7 + number).with(SERVERS);
+        return fleet;
+    }
+
+    /** The servers drawn in a second by requests that are answered before the next comes, the rate being known. */
+    private static Set<String> drawnOneByOne(Fleet fleet, long apartNanos) {
+        aTick(fleet, apartNanos);
+        return aTick(fleet, apartNanos);
+    }
+
+    private static Set<String> aTick(Fleet fleet, long apartNanos) {
+        Set<String> drawn = new HashSet<>();
+        for (long end = fleet.now + Fleet.SECOND; fleet.now < end; fleet.now += apartNanos) {
+            drawn.add(fleet.serve(READ, Outcome.SERVED, 10 * MS));
+        }
+        fleet.fire(STEP);
+        fleet.host.take();
+        return drawn;
+    }
+
+    @Test
+    void whereSamplesAreSparseEachGatewayKeepsToItsPortionAndNoServerIsLeftOut() {
+        Set<String> together = new HashSet<>();
+        int drawn = 0;
+        for (int i = 0; i < GATEWAYS; i++) {
+            Set<String> portion = drawnOneByOne(gateway(i), 16 * MS);
+            drawn += portion.size();
+            together.addAll(portion);
+        }
+        assertEquals(SERVERS, together.size());
+        // Six servers each and those on the borders twice; chance reaches beyond with one request in some hundred.
+        assertTrue(drawn <= SERVERS + 2 * GATEWAYS, "drawn in all: " + drawn);
+    }
+
+    @Test
+    void whereSamplesAreManyAllServersAreDrawn() {
+        assertEquals(SERVERS, drawnOneByOne(gateway(0), 2 * MS).size());
+    }
+
+    @Test
+    void goesBeyondItsPortionWhileThatHasNoRoom() {
+        Fleet fleet = gateway(0);
+        int portion = drawnOneByOne(gateway(0), 16 * MS).size();
+        Set<String> drawn = new HashSet<>();
+        for (int i = 0; i < portion + 2; i++) {
+            fleet.ask(READ);
+            drawn.add(fleet.sentTo());
+        }
+        assertTrue(drawn.size() > portion, drawn + " where " + portion + " are its own");
+    }
+
+    @Test
+    void portionsAreOfEqualCapacityAndNotOfEqualNumber() {
+        List<ServerInfo> list = new ArrayList<>();
+        for (int i = 0; i < SERVERS; i++) {
+            list.add(new ServerInfo("s" + i, "a", "k", 0, Readiness.READY, i < LARGE ? LARGE_HINT : 1, 0));
+        }
+        double part = (LARGE * LARGE_HINT + SERVERS - LARGE) / GATEWAYS;
+        for (int i = 0; i < GATEWAYS; i++) {
+            Fleet fleet = gateway(i);
+            fleet.list(ListKind.WHOLE, list);
+            double capacity = drawnOneByOne(fleet, 16 * MS).stream()
+                    .mapToDouble(id -> Integer.parseInt(id.substring(1)) < LARGE ? LARGE_HINT : 1).sum();
+            assertTrue(capacity >= part && capacity <= part + 2 * LARGE_HINT, "capacity " + capacity + " of " + part);
+        }
+    }
+}
