Give a cold server's budget and a doubtful one's trials to its portion's gateway

Checked: with portions, a started host is drawn on by its own gateway almost alone, but coldBudget() still gave each gateway a fourteenth of what all may send: about 0.5 requests a second for a host that bears five or more. In the same way send() put the next trial of a doubtful host 14 s away, so that a host that had recovered, or was wrongly taken for silent, stayed out.

Fix: part() says what of the sum of all gateways' sends is this gateway's: its portion where samples are sparse, else an equal part as before. The budget is the fleet's times that part, and a trial time is divided by it. The sum over all gateways is the same as before.

--- a/src/main/java/cinderhollow/Choice.java
+++ b/src/main/java/cinderhollow/Choice.java
@@ -290,6 +290,11 @@
         return sparse() ? Math.max(LEAST_REACH, s.portion) : 1;
     }
 
+    /** What this gateway may take of what all together may send to the server: its portion, else an equal part. */
+    private double part(Server s) {
+        return sparse() ? s.portion : 1.0 / settings.gateways();
+    }
+
     /** Fewer samples of a server in a tick than make a mean of its own; before the first tick's end, by what has come. */
     private boolean sparse() {
         double seconds = Math.max(LEAST_SEEN_NANOS, now - tickStart) / SECOND_NANOS;
@@ -410,7 +415,8 @@
         if (gate >= 1) {
             return 1;
         }
-        double perNano = COLD_SAFETY * rules.overloadFactor() * gate * warmRate() / SECOND_NANOS;
+        double fleetRate = warmRate() * settings.gateways();
+        double perNano = COLD_SAFETY * rules.overloadFactor() * gate * fleetRate * part(s) / SECOND_NANOS;
         return s.cold.refill(now, perNano, Math.max(1, perNano * rules.overloadForNanos() / 2));
     }
 
@@ -427,7 +433,7 @@
         s.inFlight++;
         inFlight++;
         s.cold.tokens--;
-        s.trialAt = now + (long) Math.min(FAILURE_MEMORY_NANOS, TRIAL_NANOS * settings.gateways());
+        s.trialAt = now + (long) Math.min(FAILURE_MEMORY_NANOS, TRIAL_NANOS / Math.max(part(s), Double.MIN_NORMAL));
         if (s.classes.containsKey(r.kind)) {
             s.classes.get(r.kind).trialAt = s.trialAt;
         }
--- a/src/test/java/cinderhollow/PortionTest.java
+++ b/src/test/java/cinderhollow/PortionTest.java
@@ -13,8 +13,11 @@
 import cinderhollow.Protocol.ServerInfo;
 import cinderhollow.Protocol.Settings;
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 
@@ -93,4 +96,53 @@
             assertTrue(capacity >= part && capacity <= part + 2 * LARGE_HINT, "capacity " + capacity + " of " + part);
         }
     }
+
+    /** How many of a second's sparse requests each gateway sends to a server that has just started. */
+    private static int sentToCold(int gateway) {
+        Fleet fleet = gateway(gateway);
+        drawnOneByOne(fleet, 16 * MS);
+        fleet.list(ListKind.CHANGES, Fleet.server("s0", "a", Readiness.READY, fleet.now));
+        int sent = 0;
+        for (long end = fleet.now + 2 * Fleet.SECOND; fleet.now < end; fleet.now += 16 * MS) {
+            sent += "s0".equals(fleet.serve(READ, Outcome.SERVED, 10 * MS)) ? 1 : 0;
+        }
+        return sent;
+    }
+
+    @Test
+    void aColdServersBudgetIsItsOwnGateways() {
+        int together = 0;
+        int most = 0;
+        for (int i = 0; i < GATEWAYS; i++) {
+            int sent = sentToCold(i);
+            together += sent;
+            most = Math.max(most, sent);
+        }
+        // A warm one gets 10 a second from all; half of 2.5 times a fifth of that is 2.6, and more as it warms.
+        assertTrue(most >= 4, "its own gateway sent " + most + " of " + together);
+        assertTrue(together <= 8, "sent in all: " + together);
+    }
+
+    @Test
+    void aDoubtfulServerIsTriedByItsOwnGatewayOnceInATrialTime() {
+        Fleet fleet = new Fleet(settings(false, GATEWAYS, List.of(), List.of(READ)), 7).with(SERVERS);
+        drawnOneByOne(fleet, 16 * MS);
+        Map<String, Integer> counts = new HashMap<>();
+        for (int i = 0; i < 60; i++) {
+            fleet.now += 16 * MS;
+            counts.merge(fleet.serve(READ, Outcome.SERVED, 10 * MS), 1, Integer::sum);
+        }
+        String own = Collections.max(counts.entrySet(), Map.Entry.comparingByValue()).getKey();
+        int trials = 0;
+        for (long end = fleet.now + 8 * Fleet.SECOND; fleet.now < end; fleet.now += 16 * MS) {
+            String id = fleet.ask(READ);
+            String server = fleet.sentTo();
+            boolean fails = own.equals(server) && fleet.now < end - 4 * Fleet.SECOND;
+            trials += own.equals(server) && fleet.now >= end - 4 * Fleet.SECOND ? 1 : 0;
+            fleet.end(id, 0, server, fails ? Outcome.ERROR : Outcome.SERVED, 10 * MS, true);
+            fleet.host.take();
+        }
+        // Trials a second apart, of which the first few that are served free it; four gateways' time would allow one.
+        assertTrue(trials >= 3, "trials in four seconds: " + trials);
+    }
 }
