Split cold budgets and trials half by portion, half by equal parts

ColdBankTest is right: a started host whose portion's gateway is gone got nothing from any other, however full these were, and a release kills most gateways at once. ChoiceTest's rare silent host was tried again after 1 s, too soon.

Fix: part() takes half of the sum by portion and half by equal parts, so the sum over all gateways stays what it was and each host has some from all.

--- a/src/main/java/cinderhollow/Choice.java
+++ b/src/main/java/cinderhollow/Choice.java
@@ -290,9 +290,13 @@
         return sparse() ? Math.max(LEAST_REACH, s.portion) : 1;
     }
 
-    /** What this gateway may take of what all together may send to the server: its portion, else an equal part. */
+    /**
+     * What this gateway may take of what all together may send to the server: an equal part or, where samples are
+     * sparse, half of it by portion. The other half guards against leaving out a server whose gateway is gone.
+     */
     private double part(Server s) {
-        return sparse() ? s.portion : 1.0 / settings.gateways();
+        double equal = 1.0 / settings.gateways();
+        return sparse() ? (s.portion + equal) / 2 : equal;
     }
 
     /** Fewer samples of a server in a tick than make a mean of its own; before the first tick's end, by what has come. */
@@ -433,7 +437,7 @@
         s.inFlight++;
         inFlight++;
         s.cold.tokens--;
-        s.trialAt = now + (long) Math.min(FAILURE_MEMORY_NANOS, TRIAL_NANOS / Math.max(part(s), Double.MIN_NORMAL));
+        s.trialAt = now + (long) Math.min(FAILURE_MEMORY_NANOS, TRIAL_NANOS / part(s));
         if (s.classes.containsKey(r.kind)) {
             s.classes.get(r.kind).trialAt = s.trialAt;
         }
