Tell the other gateways what is out where, and pass over crowded hosts

Each gateway's portion is then three hosts, so it goes beyond it for most requests and there draws blindly; hosts choke at four in flight, the pressure rises to its top and 80 of 85 are shed.

Checked: logs of a tick name shedding alone as the cause (none hopeless, none held).

Design: where the settings allow messages and samples are sparse, a gateway tells all others, at most every 20 ms and only on a change or after 250 ms, how many requests it has out at which server (five bytes for each). In Choice, crowdGate() lets a server's weight fall with what others have out there and closes it at three, the number that LEAST_IN_FLIGHT names. Each message replaces the sender's last; half a second of silence forgets it.

--- a/src/main/java/cinderhollow/Choice.java
+++ b/src/main/java/cinderhollow/Choice.java
@@ -3,6 +3,7 @@
 import cinderhollow.Protocol.*;
 import cinderhollow.State.*;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Iterator;
@@ -62,6 +63,10 @@
     private static final double LEAST_CROSSING = 1e-3, LEAST_ADMITTED = 0.05;
     /** The part of its share that a server of another gateway's portion gets: it is drawn on when none of the own is free. */
     private static final double LEAST_REACH = 1e-3;
+    /** With each request that others have out at a server, it is so much less likely to be drawn. */
+    private static final double CROWDED = 0.25;
+    /** Messages are so far apart at least, and what hasn't changed is said again after so long. */
+    private static final long TELL_NANOS = 20_000_000L, REPEAT_NANOS = 250_000_000L;
     /** So much time has to be seen before arrivals tell a rate. */
     private static final long LEAST_SEEN_NANOS = 50_000_000L;
     /** How often held and overdue requests are looked at; short against any aim. */
@@ -85,6 +90,10 @@
     private final List<Server> ready = new ArrayList<>();
     private final Map<String, Request> open = new LinkedHashMap<>();
     private final LinkedHashSet<Request> held = new LinkedHashSet<>();
+    private final Map<Integer, Server> byCode = new HashMap<>();
+    private final Map<Integer, Heard> peers = new LinkedHashMap<>();
+    private byte[] told = { };
+    private long toldAt;
     private double total = 1, lateness, warmRate, extra = MOST_EXTRA, pressure, leastPressure, bestValue;
     private int inFlight, inDoubt, arrivals, refusals, failedAsks;
     private long now, tickStart, endsAt = Long.MAX_VALUE;
@@ -133,6 +142,8 @@
             conclude(open.get(e.id()));
         } else if (event instanceof StreamStarted e && open.containsKey(e.id())) {
             open.get(e.id()).streaming = true;
+        } else if (event instanceof PeerSaid e) {
+            heard(e);
         } else if (event instanceof Ending e) {
             endsAt = now + e.answerWithinNanos();
         }
@@ -265,7 +276,7 @@
             double cold = coldGate(s);
             limits += s.limit * cold;
             double gates = Math.max(0, roomGate(s, cold)) * healthGate(s) * classGate(r.kind, s)
-                    * zoneGate(s) * portionGate(s) * cold;
+                    * zoneGate(s) * portionGate(s) * crowdGate(s) * cold;
             double weight = gates > 0 && maySend(r, s) ? s.share * gates : 0;
             sum += weight;
             drawn = weight > 0 && random.nextDouble() * sum < weight ? s : drawn;
@@ -290,6 +301,51 @@
         return sparse() ? Math.max(LEAST_REACH, s.portion) : 1;
     }
 
+    /** Guards against sending where other gateways' requests already wait: falls with what they said is out there. */
+    private double crowdGate(Server s) {
+        if (s.elsewhere == 0 || !sparse()) {
+            return 1;
+        }
+        return s.elsewhere >= LEAST_IN_FLIGHT ? 0 : Math.pow(CROWDED, s.elsewhere);
+    }
+
+    /** Tells the other gateways what is out at which server, when that has changed, and anew after a while. */
+    private void tellPeers() {
+        if (!settings.allowed().peers() || !sparse() || now < toldAt + TELL_NANOS) {
+            return;
+        }
+        byte[] counts = InFlightReport.write(ready);
+        if (now >= toldAt + REPEAT_NANOS || !Arrays.equals(counts, told)) {
+            told = counts;
+            toldAt = now;
+            actions.tellAll(counts);
+        }
+    }
+
+    private void heard(PeerSaid e) {
+        forget(peers.remove(e.gateway()));
+        Heard heard = new Heard(now, InFlightReport.read(e.body(), byCode));
+        heard.counts().forEach((s, n) -> s.elsewhere += n);
+        peers.put(e.gateway(), heard);
+    }
+
+    private static void forget(Heard old) {
+        if (old != null) {
+            old.counts().forEach((s, n) -> s.elsewhere -= n);
+        }
+    }
+
+    /** Guards against believing for ever what a gateway said that has died since. */
+    private void forgetSilentPeers() {
+        peers.values().removeIf(heard -> {
+            boolean old = now - heard.at() > 2 * REPEAT_NANOS;
+            if (old) {
+                forget(heard);
+            }
+            return old;
+        });
+    }
+
     /**
      * What this gateway may take of what all together may send to the server: an equal part or, where samples are
      * sparse, half of it by portion. The other half guards against leaving out a server whose gateway is gone.
@@ -581,6 +637,8 @@
     }
 
     private void sweep() {
+        tellPeers();
+        forgetSilentPeers();
         ready.forEach(this::listen);
         bestValue = kinds.values().stream().mapToDouble(k -> k.spec.worth() / k.latency).max().orElse(0);
         inDoubt = (int) ready.stream().filter(this::doubtful).count();
@@ -716,6 +774,8 @@
         servers.values().removeIf(s -> !s.ready);
         ready.clear();
         ready.addAll(servers.values());
+        byCode.clear();
+        ready.forEach(s -> byCode.put(InFlightReport.code(s.info.id()), s));
         cutPortions();
         leastPressure = ready.stream().allMatch(this::near) ? CALM : 0;
         normalise();
--- /dev/null
+++ b/src/main/java/cinderhollow/InFlightReport.java
@@ -0,0 +1,53 @@
+package cinderhollow;
+
+import cinderhollow.State.Server;
+import java.nio.ByteBuffer;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The message in which a gateway tells the others how many requests it has out at which server: a byte for the
+ * form, then four bytes that stand for a server's id and one for the count. It decides nothing.
+ */
+final class InFlightReport {
+    private static final byte FORM = 1;
+    private static final int ENTRY = Integer.BYTES + 1, MOST_BYTES = 256, MOST_COUNT = 255;
+
+    private InFlightReport() { }
+
+    /** What stands for a server in a message. Where two have the same, their counts are told as one of theirs. */
+    static int code(String id) {
+        return id.hashCode();
+    }
+
+    static byte[] write(List<Server> servers) {
+        ByteBuffer message = ByteBuffer.allocate(MOST_BYTES);
+        message.put(FORM);
+        for (Server s : servers) {
+            if (s.inFlight > 0 && message.remaining() >= ENTRY) {
+                message.putInt(code(s.info.id())).put((byte) Math.min(MOST_COUNT, s.inFlight));
+            }
+        }
+        byte[] bytes = new byte[message.position()];
+        message.flip().get(bytes);
+        return bytes;
+    }
+
+    /** The counts of the servers that are known here; a message of another form tells nothing. */
+    static Map<Server, Integer> read(byte[] bytes, Map<Integer, Server> byCode) {
+        Map<Server, Integer> counts = new LinkedHashMap<>();
+        if (bytes.length == 0 || bytes[0] != FORM || (bytes.length - 1) % ENTRY != 0) {
+            return counts;
+        }
+        ByteBuffer message = ByteBuffer.wrap(bytes, 1, bytes.length - 1);
+        while (message.hasRemaining()) {
+            Server s = byCode.get(message.getInt());
+            int count = Byte.toUnsignedInt(message.get());
+            if (s != null) {
+                counts.merge(s, count, Integer::sum);
+            }
+        }
+        return counts;
+    }
+}
--- a/src/main/java/cinderhollow/Protocol.java
+++ b/src/main/java/cinderhollow/Protocol.java
@@ -51,7 +51,7 @@
     record Tenant(String name, double quotaPerSecond) { }
 
     /** What a gateway may do. */
-    record Allowed(int maxAttempts, boolean cancel) { }
+    record Allowed(int maxAttempts, boolean cancel, boolean peers) { }
 
     /** The figures of the four rules. */
     record Rules(long answerSlackNanos, long drainGraceNanos, long askWithinNanos, double coldFrom,
--- a/src/main/java/cinderhollow/SettingsReader.java
+++ b/src/main/java/cinderhollow/SettingsReader.java
@@ -84,7 +84,8 @@
     }
 
     private Allowed allowed() {
-        return new Allowed((int) number("allowed.max_attempts", 1), flag("allowed.may_cancel", false));
+        return new Allowed((int) number("allowed.max_attempts", 1), flag("allowed.may_cancel", false),
+                flag("allowed.peers", false));
     }
 
     private Rules rules() {
--- a/src/main/java/cinderhollow/State.java
+++ b/src/main/java/cinderhollow/State.java
@@ -25,6 +25,8 @@
         double latency;
         boolean sampled;
         int inFlight;
+        /** What other gateways said that they have out here. */
+        int elsewhere;
         double limit;
         double lateness;
         double failures;
@@ -130,6 +132,9 @@
     /** A tenant's part of its share at this gateway, and what of it is left. */
     record Quota(double perSecond, Bucket bucket) { }
 
+    /** What another gateway last said that it has out, and when. */
+    record Heard(long at, Map<Server, Integer> counts) { }
+
     /** Tokens that come at a rate up to a most. */
     final class Bucket {
         double tokens;
--- a/src/main/java/cinderhollow/net/Gateway.java
+++ b/src/main/java/cinderhollow/net/Gateway.java
@@ -10,6 +10,7 @@
 import cinderhollow.Protocol.ListReceived;
 import cinderhollow.Protocol.LoadReport;
 import cinderhollow.Protocol.Outcome;
+import cinderhollow.Protocol.PeerSaid;
 import cinderhollow.Protocol.RequestArrived;
 import cinderhollow.Protocol.RequestClass;
 import cinderhollow.Protocol.TimerFired;
@@ -59,6 +60,8 @@
     private final HostPool hosts;
     private final Discovery discovery;
     private final ClientServer clients;
+    /** Null where the configuration names no other gateways. */
+    private final Peers peers;
     private long last = Long.MIN_VALUE;
     private boolean deciding;
     private boolean askedForList;
@@ -77,6 +80,8 @@
                 Discovery.SILENCE_MILLIS, new Watcher());
         clients = new ClientServer(loop, transport, clock, connections / 2, new Requests());
         choice = new Choice(config.settings(), config.seed(), this);
+        peers = config.peers() == null ? null : new Peers(loop, config.peers(), config.settings().gatewayNumber(),
+                (gateway, body) -> tell(new PeerSaid(gateway, body)), log);
     }
 
     /** Starts a gateway; the future ends when it listens, or tells why it can't. */
@@ -163,6 +168,9 @@
             loop.schedule(this::endWhenIdle, END_CHECK_MILLIS, TimeUnit.MILLISECONDS);
         } else {
             discovery.close();
+            if (peers != null) {
+                peers.close();
+            }
             ended.complete(null);
         }
     }
@@ -241,6 +249,13 @@
         discovery.watch();
     }
 
+    @Override
+    public void tellAll(byte[] body) {
+        if (peers != null) {
+            peers.tellAll(body);
+        }
+    }
+
     @Override
     public void log(String line) {
         log.accept(line);
--- a/src/main/java/cinderhollow/net/GatewayConfig.java
+++ b/src/main/java/cinderhollow/net/GatewayConfig.java
@@ -16,9 +16,11 @@
  * @param sockets the descriptors that the process may hold
  * @param dialTimeoutNanos how long a connection to a host may take to come up
  * @param idleNanos when at the latest a host closes a connection that stands idle
+ * @param peers the other gateways' addresses, or null where there are none
  */
 record GatewayConfig(SocketAddress listen, SocketAddress discovery, long seed, int sockets,
-                     long dialTimeoutNanos, long idleNanos, Settings settings, EndpointList known) {
+                     long dialTimeoutNanos, long idleNanos, Settings settings, EndpointList known,
+                     Peers.Addresses peers) {
     private static final int USUAL_SOCKETS = 1024;
 
     /** Reads both; whatever is wrong ends as an {@link IllegalArgumentException} with one plain line. */
@@ -53,7 +55,7 @@
         return new GatewayConfig(listen, discovery, seed(json.field("seed").text()),
                 json.field("limits").field("sockets").number(USUAL_SOCKETS).intValue(),
                 settings.number("allowed.dial_timeout_ns"), settings.number("allowed.conn_idle_ns"),
-                settings.read(), known(json.field("known")));
+                settings.read(), known(json.field("known")), Peers.Addresses.read(json));
     }
 
     /** A gateway that never had a list starts with an empty one. */
--- a/src/main/java/cinderhollow/net/Rehearsal.java
+++ b/src/main/java/cinderhollow/net/Rehearsal.java
@@ -173,7 +173,7 @@
                     1, 0), hosts));
         }
         return new GatewayConfig(stage, hosts, config.seed(), config.sockets(), config.dialTimeoutNanos(),
-                config.idleNanos(), config.settings(), new EndpointList(0, true, endpoints));
+                config.idleNanos(), config.settings(), new EndpointList(0, true, endpoints), null);
     }
 
     private void clients() {
--- a/src/test/java/cinderhollow/Fleet.java
+++ b/src/test/java/cinderhollow/Fleet.java
@@ -18,7 +18,7 @@
             5, 0, false);
     static final RequestClass FILE = new RequestClass("file", Effect.KEYED, Group.ZONE, 5 * SECOND, 500 * MS,
             2 * SECOND, 2, 0, false);
-    static final Allowed ALL_ALLOWED = new Allowed(4, true);
+    static final Allowed ALL_ALLOWED = new Allowed(4, true, true);
     static final Rules RULES = new Rules(20 * MS, 250 * MS, 10 * SECOND, 0.2, WARM_UP, 2.5, 1500 * MS);
 
     final Recorder host = new Recorder();
--- a/src/test/java/cinderhollow/QuickStartTest.java
+++ b/src/test/java/cinderhollow/QuickStartTest.java
@@ -61,7 +61,7 @@
     void aGatewayEmbedsChoiceInAFewLines() {
         RequestClass read = new RequestClass("read", Effect.SAFE, Group.ALL, 0, 300 * MS, 1000 * MS, 1, 0, false);
         Settings settings = new Settings(1, 0, "zone-a", false, MS, List.of(read), List.of(), 1,
-                new Allowed(3, true),
+                new Allowed(3, true, true),
                 new Rules(20 * MS, 250 * MS, 10_000 * MS, 0.2, 20_000 * MS, 2.5, 1000 * MS));
         Host host = new Host();
         Choice choice = new Choice(settings, 42, host);
--- a/src/test/java/cinderhollow/Recorder.java
+++ b/src/test/java/cinderhollow/Recorder.java
@@ -10,6 +10,8 @@
     record Action(String what, String id, String server, long number) { }
 
     final List<Action> actions = new ArrayList<>();
+    /** The messages that went to the other gateways, in their order. */
+    final List<byte[]> told = new ArrayList<>();
 
     private void add(String what, String id, String server, long number) {
         actions.add(new Action(what, id, server, number));
@@ -54,6 +56,7 @@
     @Override
     public void tellAll(byte[] body) {
         add("tellAll", null, null, body.length);
+        told.add(body);
     }
 
     @Override
