Admit enough to learn from while a gateway of little traffic sheds

Checked: logs of a tick name the coin of shed() alone. Pressure moves by a tenth with each answer; admitting a twentieth of 65 requests a second leaves three answers or fewer a second, so coming down takes seconds. A gateway of 300 requests a second admits fifteen and is down in one. Ruled out: held and hopeless requests (0 to 9 a second), the limit in flight.

Fix: feel() bounds the pressure by leastAdmitted(): where samples are sparse, at least LEAST_SAMPLES answers a second are admitted. Elsewhere it is as it was.

--- a/src/main/java/cinderhollow/Choice.java
+++ b/src/main/java/cinderhollow/Choice.java
@@ -198,10 +198,16 @@
     /** Half the answers taking half their aim means more work than the servers drawn on can do in time. */
     private void feel(Kind kind, Outcome outcome, long elapsedNanos) {
         boolean late = outcome != Outcome.SERVED || elapsedNanos > kind.spec.aimNanos() * PATIENCE_OF_AIM;
-        pressure = Math.max(leastPressure, Math.min(1 + ZONES_OPEN - LEAST_ADMITTED,
+        pressure = Math.max(leastPressure, Math.min(1 + ZONES_OPEN - leastAdmitted(),
                 pressure + (late ? PRESSURE_STEP : -PRESSURE_STEP)));
     }
 
+    /** Guards against a gateway of little traffic that sheds nearly all and so is long in learning that it need not. */
+    private double leastAdmitted() {
+        double perSecond = warmRate() * ready.size();
+        return sparse() ? Math.max(LEAST_ADMITTED, Math.min(1, LEAST_SAMPLES / Math.max(1, perSecond))) : LEAST_ADMITTED;
+    }
+
     /**
      * Guards against serving a client's repeat whose aim passed with its first try. Such a repeat has what is
      * left of the deadline; first tries have one time-out, which most requests share.
--- a/src/test/java/cinderhollow/PortionTest.java
+++ b/src/test/java/cinderhollow/PortionTest.java
@@ -146,4 +146,20 @@
         // Trials a second apart, of which the first few that are served free it; four gateways' time would allow one.
         assertTrue(trials >= 3, "trials in four seconds: " + trials);
     }
+
+    @Test
+    void aGatewayOfLittleTrafficAdmitsEnoughToLearnFromWhileItSheds() {
+        Fleet fleet = gateway(0);
+        drawnOneByOne(fleet, 16 * MS);
+        int admitted = 0;
+        for (int i = 0; i < 400; i++) {
+            fleet.fire(Fleet.SWEEP);
+            fleet.host.take();
+            fleet.now += 16 * MS;
+            String server = fleet.serve(READ, Outcome.SERVED, 450 * MS);
+            admitted += i >= 200 && server != null ? 1 : 0;
+        }
+        // Of 62 requests a second, 20 are enough; a twentieth would be 10 of these 200.
+        assertTrue(admitted >= 40 && admitted <= 100, "admitted " + admitted + " of 200 while all answers were late");
+    }
 }
