--- /dev/null
+++ b/src/main/java/tinworks/channel/HostListVersion.java
@@ -0,0 +1,12 @@
+package tinworks.channel;
+
+/** How new a list of hosts is: the term of the leader that fetched it, and a count within the term. */
+public record HostListVersion(long term, long count) implements Comparable<HostListVersion> {
+    /** Before the first list. */
+    public static final HostListVersion NONE = new HostListVersion(0, 0);
+
+    @Override
+    public int compareTo(HostListVersion other) {
+        return term != other.term ? Long.compare(term, other.term) : Long.compare(count, other.count);
+    }
+}
--- /dev/null
+++ b/src/main/java/tinworks/channel/Signal.java
@@ -0,0 +1,65 @@
+package tinworks.channel;
+
+import java.util.List;
+import tinworks.raft.Member;
+import tinworks.raft.Message;
+
+/** What one process of the system says to another. */
+public sealed interface Signal {
+    /** Which part a process plays. */
+    enum Part { CORE, EDGE }
+
+    /**
+     * The first thing on a connection, from both sides.
+     *
+     * @param id who it is, for as long as its disk or else its process lives
+     * @param address where a core machine takes connections of this kind; empty at an edge
+     */
+    record Hello(Part part, long id, String address, String node, String zone) implements Signal { }
+
+    /** Shows that the sender lives. */
+    record Ping() implements Signal { }
+
+    /** A message of the agreement. */
+    record Agreement(long from, long to, Message message) implements Signal { }
+
+    /** A core machine that isn't a voter asks to be sent the log. */
+    record Join(Member member) implements Signal { }
+
+    /** An edge that a core machine hears. */
+    record Edge(long id, String zone) { }
+
+    /**
+     * What a core machine has: newer versions may be pulled from it.
+     *
+     * @param fresh it hears a leader, so it isn't behind for long
+     * @param leads it is the leader
+     * @param cores the addresses of all core machines that the sender knows of
+     */
+    record Announce(long rev, HostListVersion hosts, boolean fresh, boolean leads, List<String> cores, List<Edge> edges)
+            implements Signal {
+        /** Keeps its own lists. */
+        public Announce {
+            cores = List.copyOf(cores);
+            edges = List.copyOf(edges);
+        }
+    }
+
+    /** Asks for the configuration. */
+    record PullConfiguration() implements Signal { }
+
+    /** A version of the configuration, as the operator sent it. */
+    record ConfigurationBody(long rev, byte[] body) implements Signal { }
+
+    /** Asks for the list of hosts. */
+    record PullHosts() implements Signal { }
+
+    /** The list of hosts. */
+    record Hosts(HostList list) implements Signal { }
+
+    /** A caller's request that only the leader can answer. {@code body} is a command, or empty for a read. */
+    record Call(long number, boolean read, byte[] body) implements Signal { }
+
+    /** The answer to a {@link Call}: an HTTP status and a body. */
+    record CallAnswer(long number, int status, byte[] body) implements Signal { }
+}
--- /dev/null
+++ b/src/main/java/tinworks/channel/SignalCodec.java
@@ -0,0 +1,337 @@
+package tinworks.channel;
+
+import java.nio.BufferUnderflowException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import tinworks.channel.Signal.Agreement;
+import tinworks.channel.Signal.Announce;
+import tinworks.channel.Signal.Call;
+import tinworks.channel.Signal.CallAnswer;
+import tinworks.channel.Signal.ConfigurationBody;
+import tinworks.channel.Signal.Edge;
+import tinworks.channel.Signal.Hello;
+import tinworks.channel.Signal.Hosts;
+import tinworks.channel.Signal.Join;
+import tinworks.channel.Signal.Part;
+import tinworks.channel.Signal.Ping;
+import tinworks.channel.Signal.PullConfiguration;
+import tinworks.channel.Signal.PullHosts;
+import tinworks.raft.Entry;
+import tinworks.raft.Member;
+import tinworks.raft.Members;
+import tinworks.raft.Message;
+import tinworks.raft.Message.Append;
+import tinworks.raft.Message.AppendReply;
+import tinworks.raft.Message.HandOver;
+import tinworks.raft.Message.Install;
+import tinworks.raft.Message.VoteReply;
+import tinworks.raft.Message.VoteRequest;
+import tinworks.raft.Snapshot;
+
+/**
+ * The bytes of a {@link Signal}: one byte for its kind, then its fields in order, big-endian. A text or a run of bytes
+ * stands behind its length (4 bytes), a list behind its count (4 bytes), a flag is one byte. A {@link Hello} begins
+ * with {@link #MAGIC} and {@link #VERSION}.
+ */
+public final class SignalCodec {
+    /** The first four bytes of a Hello: {@code TWCH}. */
+    static final int MAGIC = 0x54574348;
+    /** Raised whenever the bytes change; a connection between two versions is closed at its Hello. */
+    static final short VERSION = 1;
+    /** The longest frame: a configuration of the longest body, and what stands round it. */
+    static final int LONGEST = 16 << 20;
+    private static final int LONGEST_TEXT = 4_096;
+
+    private static final byte HELLO = 1, PING = 2, AGREEMENT = 3, JOIN = 4, ANNOUNCE = 5, PULL_CONFIGURATION = 6,
+            CONFIGURATION = 7, PULL_HOSTS = 8, HOSTS = 9, CALL = 10, CALL_ANSWER = 11;
+    private static final byte VOTE_REQUEST = 1, VOTE_REPLY = 2, APPEND = 3, APPEND_REPLY = 4, INSTALL = 5, HAND_OVER = 6;
+    private static final Entry.Kind[] KINDS = Entry.Kind.values();
+    private static final Part[] PARTS = Part.values();
+
+    private SignalCodec() { }
+
+    /** Bytes that are no signal. */
+    public static final class Malformed extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        Malformed(String what) {
+            super(what);
+        }
+    }
+
+    /** A signal as bytes, ready to be read. */
+    public static ByteBuffer write(Signal signal) {
+        Writer out = new Writer();
+        if (signal instanceof Hello s) {
+            out.one(HELLO).four(MAGIC).two(VERSION).one((byte) s.part().ordinal()).eight(s.id()).text(s.address())
+                    .text(s.node()).text(s.zone());
+        } else if (signal instanceof Ping) {
+            out.one(PING);
+        } else if (signal instanceof Agreement s) {
+            out.one(AGREEMENT).eight(s.from()).eight(s.to());
+            writeMessage(out, s.message());
+        } else if (signal instanceof Join s) {
+            out.one(JOIN).eight(s.member().id()).text(s.member().address());
+        } else if (signal instanceof Announce s) {
+            writeAnnounce(out, s);
+        } else if (signal instanceof PullConfiguration) {
+            out.one(PULL_CONFIGURATION);
+        } else if (signal instanceof ConfigurationBody s) {
+            out.one(CONFIGURATION).eight(s.rev()).bytes(s.body());
+        } else if (signal instanceof PullHosts) {
+            out.one(PULL_HOSTS);
+        } else if (signal instanceof Hosts s) {
+            writeHosts(out, s.list());
+        } else if (signal instanceof Call s) {
+            out.one(CALL).eight(s.number()).flag(s.read()).bytes(s.body());
+        } else if (signal instanceof CallAnswer s) {
+            out.one(CALL_ANSWER).eight(s.number()).four(s.status()).bytes(s.body());
+        }
+        return out.done();
+    }
+
+    /** The signal that the rest of a buffer holds, no more and no less. */
+    public static Signal read(ByteBuffer bytes) throws Malformed {
+        Reader in = new Reader(bytes);
+        try {
+            Signal signal = read(in);
+            if (bytes.hasRemaining()) {
+                throw new Malformed(bytes.remaining() + " bytes left over");
+            }
+            return signal;
+        } catch (BufferUnderflowException e) {
+            throw new Malformed("cut short");
+        } catch (IllegalArgumentException e) {
+            throw new Malformed(e.getMessage());
+        }
+    }
+
+    private static Signal read(Reader in) throws Malformed {
+        byte kind = in.one();
+        return switch (kind) {
+            case HELLO -> readHello(in);
+            case PING -> new Ping();
+            case AGREEMENT -> new Agreement(in.eight(), in.eight(), readMessage(in));
+            case JOIN -> new Join(new Member(in.eight(), in.text()));
+            case ANNOUNCE -> readAnnounce(in);
+            case PULL_CONFIGURATION -> new PullConfiguration();
+            case CONFIGURATION -> new ConfigurationBody(in.eight(), in.bytes());
+            case PULL_HOSTS -> new PullHosts();
+            case HOSTS -> readHosts(in);
+            case CALL -> new Call(in.eight(), in.flag(), in.bytes());
+            case CALL_ANSWER -> new CallAnswer(in.eight(), in.four(), in.bytes());
+            default -> throw new Malformed("no signal of kind " + kind);
+        };
+    }
+
+    private static Hello readHello(Reader in) throws Malformed {
+        if (in.four() != MAGIC) {
+            throw new Malformed("not a Hello of this system");
+        }
+        short version = in.two();
+        if (version != VERSION) {
+            throw new Malformed("version " + version + ", spoken here is " + VERSION);
+        }
+        return new Hello(in.among(PARTS), in.eight(), in.text(), in.text(), in.text());
+    }
+
+    private static void writeAnnounce(Writer out, Announce s) {
+        out.one(ANNOUNCE).eight(s.rev()).eight(s.hosts().term()).eight(s.hosts().count()).flag(s.fresh()).flag(s.leads());
+        out.four(s.cores().size());
+        s.cores().forEach(out::text);
+        out.four(s.edges().size());
+        s.edges().forEach(edge -> out.eight(edge.id()).text(edge.zone()));
+    }
+
+    private static Announce readAnnounce(Reader in) throws Malformed {
+        long rev = in.eight();
+        HostListVersion version = new HostListVersion(in.eight(), in.eight());
+        boolean fresh = in.flag();
+        boolean leads = in.flag();
+        List<String> cores = new ArrayList<>();
+        for (int i = in.count(Integer.BYTES); i > 0; i--) {
+            cores.add(in.text());
+        }
+        List<Edge> edges = new ArrayList<>();
+        for (int i = in.count(Long.BYTES + Integer.BYTES); i > 0; i--) {
+            edges.add(new Edge(in.eight(), in.text()));
+        }
+        return new Announce(rev, version, fresh, leads, cores, edges);
+    }
+
+    private static void writeHosts(Writer out, HostList list) {
+        out.one(HOSTS).eight(list.version().term()).eight(list.version().count()).four(list.hosts().size());
+        for (HostList.Host host : list.hosts()) {
+            out.text(host.id()).text(host.service()).text(host.address()).text(host.zone()).four(host.slots())
+                    .flag(host.draining()).eight(host.warmupMs());
+        }
+    }
+
+    private static Hosts readHosts(Reader in) throws Malformed {
+        HostListVersion version = new HostListVersion(in.eight(), in.eight());
+        List<HostList.Host> hosts = new ArrayList<>();
+        for (int i = in.count(5 * Integer.BYTES + 1 + Long.BYTES); i > 0; i--) {
+            hosts.add(new HostList.Host(in.text(), in.text(), in.text(), in.text(), in.four(), in.flag(), in.eight()));
+        }
+        return new Hosts(new HostList(version, hosts));
+    }
+
+    private static void writeMessage(Writer out, Message message) {
+        if (message instanceof VoteRequest m) {
+            out.one(VOTE_REQUEST).eight(m.term()).flag(m.pre()).eight(m.lastIndex()).eight(m.lastTerm()).flag(m.handedOver());
+        } else if (message instanceof VoteReply m) {
+            out.one(VOTE_REPLY).eight(m.term()).flag(m.pre()).flag(m.granted());
+        } else if (message instanceof Append m) {
+            out.one(APPEND).eight(m.term()).eight(m.previousIndex()).eight(m.previousTerm()).eight(m.commit())
+                    .eight(m.round()).four(m.entries().size());
+            m.entries().forEach(e -> out.eight(e.index()).eight(e.term()).one((byte) e.kind().ordinal()).bytes(e.body()));
+        } else if (message instanceof AppendReply m) {
+            out.one(APPEND_REPLY).eight(m.term()).flag(m.taken()).eight(m.index()).eight(m.round());
+        } else if (message instanceof Install m) {
+            out.one(INSTALL).eight(m.term()).eight(m.round()).eight(m.snapshot().index()).eight(m.snapshot().term())
+                    .bytes(Members.write(m.snapshot().members())).bytes(m.snapshot().state());
+        } else if (message instanceof HandOver m) {
+            out.one(HAND_OVER).eight(m.term());
+        }
+    }
+
+    private static Message readMessage(Reader in) throws Malformed {
+        byte kind = in.one();
+        long term = in.eight();
+        return switch (kind) {
+            case VOTE_REQUEST -> new VoteRequest(term, in.flag(), in.eight(), in.eight(), in.flag());
+            case VOTE_REPLY -> new VoteReply(term, in.flag(), in.flag());
+            case APPEND -> new Append(term, in.eight(), in.eight(), in.eight(), in.eight(), readEntries(in));
+            case APPEND_REPLY -> new AppendReply(term, in.flag(), in.eight(), in.eight());
+            case INSTALL -> readInstall(in, term);
+            case HAND_OVER -> new HandOver(term);
+            default -> throw new Malformed("no message of kind " + kind);
+        };
+    }
+
+    private static List<Entry> readEntries(Reader in) throws Malformed {
+        List<Entry> entries = new ArrayList<>();
+        for (int i = in.count(2 * Long.BYTES + 1 + Integer.BYTES); i > 0; i--) {
+            entries.add(new Entry(in.eight(), in.eight(), in.among(KINDS), in.bytes()));
+        }
+        return entries;
+    }
+
+    private static Install readInstall(Reader in, long term) throws Malformed {
+        long round = in.eight();
+        long index = in.eight();
+        long itsTerm = in.eight();
+        return new Install(term, new Snapshot(index, itsTerm, Members.read(in.bytes()), in.bytes()), round);
+    }
+
+    /** A buffer that grows. */
+    private static final class Writer {
+        private ByteBuffer buffer = ByteBuffer.allocate(256);
+
+        private ByteBuffer room(int bytes) {
+            if (buffer.remaining() < bytes) {
+                buffer = ByteBuffer.allocate(Math.max(2 * buffer.capacity(), buffer.position() + bytes))
+                        .put(buffer.flip());
+            }
+            return buffer;
+        }
+
+        Writer one(byte value) {
+            room(1).put(value);
+            return this;
+        }
+
+        Writer flag(boolean value) {
+            return one((byte) (value ? 1 : 0));
+        }
+
+        Writer two(short value) {
+            room(Short.BYTES).putShort(value);
+            return this;
+        }
+
+        Writer four(int value) {
+            room(Integer.BYTES).putInt(value);
+            return this;
+        }
+
+        Writer eight(long value) {
+            room(Long.BYTES).putLong(value);
+            return this;
+        }
+
+        Writer bytes(byte[] value) {
+            four(value.length);
+            room(value.length).put(value);
+            return this;
+        }
+
+        Writer text(String value) {
+            return bytes(value.getBytes(StandardCharsets.UTF_8));
+        }
+
+        ByteBuffer done() {
+            return buffer.flip();
+        }
+    }
+
+    /** Reads with every length checked against what is there, before anything is made of that size. */
+    private record Reader(ByteBuffer buffer) {
+        byte one() {
+            return buffer.get();
+        }
+
+        boolean flag() throws Malformed {
+            byte value = buffer.get();
+            if (value != 0 && value != 1) {
+                throw new Malformed("a flag of " + value);
+            }
+            return value == 1;
+        }
+
+        short two() {
+            return buffer.getShort();
+        }
+
+        int four() {
+            return buffer.getInt();
+        }
+
+        long eight() {
+            return buffer.getLong();
+        }
+
+        <T> T among(T[] values) throws Malformed {
+            int at = buffer.get();
+            if (at < 0 || at >= values.length) {
+                throw new Malformed("no value of number " + at);
+            }
+            return values[at];
+        }
+
+        /** A count of things that take so many bytes each at least. */
+        int count(int leastBytes) throws Malformed {
+            int count = buffer.getInt();
+            if (count < 0 || count > buffer.remaining() / leastBytes) {
+                throw new Malformed("a count of " + count);
+            }
+            return count;
+        }
+
+        byte[] bytes() throws Malformed {
+            byte[] value = new byte[count(1)];
+            buffer.get(value);
+            return value;
+        }
+
+        String text() throws Malformed {
+            byte[] value = bytes();
+            if (value.length > LONGEST_TEXT) {
+                throw new Malformed("a text of " + value.length + " bytes");
+            }
+            return new String(value, StandardCharsets.UTF_8);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/tinworks/control/Agreement.java
@@ -0,0 +1,216 @@
+package tinworks.control;
+
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.h2.mvstore.MVStoreException;
+import tinworks.config.ConfigurationHistory;
+import tinworks.config.ConfigurationHistory.Verdict;
+import tinworks.raft.Entry;
+import tinworks.raft.Message;
+import tinworks.raft.Output;
+import tinworks.raft.Raft;
+import tinworks.store.CoreStore;
+
+/**
+ * Drives one {@link Raft}: time and messages in, writes to the disk on a thread of their own, and then messages and
+ * applied commands out, in the order that {@link Output} asks for. All methods belong to the event loop.
+ */
+final class Agreement {
+    /** What the agreement needs of the machine around it. */
+    interface Owner {
+        /** Sends a message to the member of this id; it may be lost. */
+        void send(long to, Message message);
+
+        /** Something was applied, or the role changed. */
+        void changed();
+
+        /** A line for the operators. */
+        void log(String line);
+    }
+
+    private static final int MOST_ENTRIES = 64;
+    private static final long RETRY_MILLIS = 200;
+
+    private final EventLoop loop;
+    private final Raft raft;
+    private final CoreStore store;
+    private final Owner owner;
+    private final ConfigurationHistory history = new ConfigurationHistory();
+    private final ExecutorService disk = Executors.newSingleThreadExecutor(work -> new Thread(work, "disk"));
+    private final Map<Long, Proposal> proposals = new HashMap<>();
+    private final Map<Long, Consumer<Boolean>> reads = new HashMap<>();
+    private long appliedIndex;
+    private int writing;
+    private Raft.Role lastRole = Raft.Role.FOLLOWER;
+    private volatile boolean closed;
+
+    private record Proposal(long term, Consumer<Verdict> told) { }
+
+    Agreement(EventLoop loop, Raft raft, CoreStore store, Owner owner) {
+        this.loop = loop;
+        this.raft = raft;
+        this.store = store;
+        this.owner = owner;
+        pump();
+    }
+
+    Raft raft() {
+        return raft;
+    }
+
+    ConfigurationHistory history() {
+        return history;
+    }
+
+    void tick() {
+        raft.tick(now());
+        pump();
+    }
+
+    void receive(long from, Message message) {
+        raft.receive(now(), from, message);
+        pump();
+    }
+
+    /** Proposes a command; the verdict follows, or null where it is open what becomes of it. */
+    void propose(byte[] command, Consumer<Verdict> told) {
+        long index = raft.propose(command);
+        if (index == 0) {
+            told.accept(null);
+            return;
+        }
+        proposals.put(index, new Proposal(raft.term(), told));
+        pump();
+    }
+
+    /** Asks to read; told true once the applied state is as new as any acknowledged one. */
+    void read(Consumer<Boolean> told) {
+        long ticket = raft.read();
+        if (ticket == 0) {
+            told.accept(false);
+            return;
+        }
+        reads.put(ticket, told);
+        pump();
+    }
+
+    /** Does what has come up since the last call. */
+    void pump() {
+        Output output = raft.drain();
+        if (!output.isEmpty()) {
+            if (output.writes() || writing > 0) {
+                writing++;
+                disk.execute(() -> write(output));
+            } else {
+                carryOut(output);
+            }
+        }
+        if (raft.role() != lastRole) {
+            roleChanged();
+        }
+    }
+
+    /** Guards against a disk that is full or fails for a while: nothing is said of what isn't on it. */
+    private void write(Output output) {
+        boolean complained = false;
+        while (!closed) {
+            try {
+                store.write(output);
+                loop.execute(() -> {
+                    writing--;
+                    carryOut(output);
+                });
+                return;
+            } catch (MVStoreException | IllegalStateException e) {
+                if (!complained) {
+                    complained = true;
+                    String line = "the disk doesn't take the log, trying again: " + e.getMessage();
+                    loop.execute(() -> owner.log(line));
+                }
+                recover();
+            }
+        }
+    }
+
+    private void recover() {
+        try {
+            TimeUnit.MILLISECONDS.sleep(RETRY_MILLIS);
+            store.reopen();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            closed = true;
+        } catch (CoreStore.Damaged e) {
+            loop.execute(() -> owner.log("the store can't be opened again yet: " + e.getMessage()));
+        }
+    }
+
+    private void carryOut(Output output) {
+        raft.persisted(output);
+        for (Output.Envelope envelope : output.messages()) {
+            owner.send(envelope.to(), envelope.message());
+        }
+        if (output.restored() != null) {
+            history.load(output.restored().state());
+            appliedIndex = output.restored().index();
+        }
+        output.committed().forEach(this::apply);
+        output.reads().forEach(ticket -> {
+            Consumer<Boolean> told = reads.remove(ticket);
+            if (told != null) {
+                told.accept(true);
+            }
+        });
+        if (raft.length() > MOST_ENTRIES) {
+            raft.compact(appliedIndex, history.save());
+        }
+        if (output.restored() != null || !output.committed().isEmpty()) {
+            owner.changed();
+        }
+        pump();
+    }
+
+    private void apply(Entry entry) {
+        appliedIndex = entry.index();
+        Verdict verdict = entry.kind() == Entry.Kind.COMMAND ? history.apply(entry.body()) : null;
+        Proposal proposal = proposals.remove(entry.index());
+        if (proposal != null) {
+            proposal.told().accept(proposal.term() == entry.term() ? verdict : null);
+        }
+    }
+
+    private void roleChanged() {
+        lastRole = raft.role();
+        if (lastRole != Raft.Role.LEADER) {
+            List<Consumer<Boolean>> readers = new ArrayList<>(reads.values());
+            reads.clear();
+            readers.forEach(told -> told.accept(false));
+            List<Proposal> open = new ArrayList<>(proposals.values());
+            proposals.clear();
+            open.forEach(proposal -> proposal.told().accept(null));
+        }
+        owner.changed();
+    }
+
+    /** Ends the disk's thread once what it has begun is written, and closes the store. */
+    void close() {
+        closed = true;
+        disk.execute(store::close);
+        disk.shutdown();
+    }
+
+    /** Waits for the disk's end; not on the event loop. */
+    boolean awaitClosed(long millis) throws InterruptedException {
+        return disk.awaitTermination(millis, TimeUnit.MILLISECONDS);
+    }
+
+    static long now() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+}
--- /dev/null
+++ b/src/main/java/tinworks/control/Core.java
@@ -0,0 +1,112 @@
+package tinworks.control;
+
+import io.netty.channel.ChannelFuture;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.time.LocalDateTime;
+import java.time.format.DateTimeFormatter;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.zip.CRC32C;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import tinworks.node.BootSettings;
+import tinworks.node.NodeProcess;
+import tinworks.raft.HardState;
+import tinworks.raft.Member;
+import tinworks.raft.Snapshot;
+import tinworks.raft.Stored;
+import tinworks.store.CoreStore;
+
+/** The process of a core machine: its disk, its start and its end. */
+public final class Core {
+    private static final Logger LOG = LoggerFactory.getLogger(Core.class);
+    private static final long HAND_OVER_MILLIS = 150, CLOSE_MILLIS = 2_000;
+
+    private Core() { }
+
+    /** Runs until the process is asked to end. Bad settings end as an {@link IllegalArgumentException}. */
+    public static void run(NodeProcess process) {
+        BootSettings settings = process.settings();
+        if (settings.dataDir() == null) {
+            throw new IllegalArgumentException("datadir: a core machine needs a disk");
+        }
+        if (settings.ctl() == null) {
+            throw new IllegalArgumentException("listen.ctl: is missing");
+        }
+        try {
+            CoreStore store = open(settings.dataDir());
+            long id = identity(store, settings);
+            Stored stored = store.load();
+            CoreNode node = process.call(() -> new CoreNode(process.loop(), settings, store, id, stored));
+            List<ChannelFuture> bound = process.call(node::start);
+            process.awaitBound(bound);
+            process.onChange(node::changed);
+            process.onEnd(() -> end(process, node));
+        } catch (IOException | CoreStore.Damaged e) {
+            throw new IllegalArgumentException("datadir " + settings.dataDir() + ": " + e.getMessage(), e);
+        }
+    }
+
+    /** Opens the store; one that can't be trusted is set aside, and this machine begins anew as another member. */
+    private static CoreStore open(Path folder) throws IOException, CoreStore.Damaged {
+        CoreStore store = null;
+        try {
+            store = CoreStore.open(folder);
+            store.identity();
+            store.load();
+            return store;
+        } catch (CoreStore.Damaged e) {
+            if (store != null) {
+                store.close();
+            }
+            String date = LocalDateTime.now().format(DateTimeFormatter.ofPattern("yyyyMMdd-HHmmss"));
+            Path aside = CoreStore.setAside(folder, date);
+            LOG.error("the store can't be trusted and was set aside as {}; this machine begins empty: {}", aside, e.getMessage());
+            return CoreStore.open(folder);
+        }
+    }
+
+    /**
+     * Who this machine is. On a disk that was empty it is somebody new, who has voted for nobody; only when the whole
+     * system starts for the first time the seeds take ids that each of them can work out for all.
+     */
+    private static long identity(CoreStore store, BootSettings settings) throws CoreStore.Damaged {
+        long known = store.identity();
+        if (known != 0) {
+            return known;
+        }
+        boolean first = settings.bootstrap() && settings.seeds().contains(settings.innerAddress());
+        long id = first ? firstId(settings.innerAddress()) : newId(settings.innerAddress());
+        List<Member> voters = settings.seeds().stream().map(seed -> new Member(firstId(seed), seed)).toList();
+        store.found(id, HardState.NONE, first ? new Snapshot(0, 0, voters, new byte[0]) : Snapshot.NONE);
+        return id;
+    }
+
+    private static long firstId(String address) {
+        CRC32C sum = new CRC32C();
+        sum.update(address.getBytes(StandardCharsets.UTF_8));
+        return sum.getValue() + 1;
+    }
+
+    private static long newId(String address) {
+        long seed = System.nanoTime() ^ Long.rotateLeft(System.currentTimeMillis(), 32) ^ address.hashCode();
+        // Above all ids of a first start.
+        return new SplittableRandom(seed).nextLong() | 1L << 62 & Long.MAX_VALUE;
+    }
+
+    private static void end(NodeProcess process, CoreNode node) throws InterruptedException {
+        process.call(() -> {
+            node.retire();
+            return true;
+        });
+        TimeUnit.MILLISECONDS.sleep(HAND_OVER_MILLIS);
+        process.call(() -> {
+            node.close();
+            return true;
+        });
+        node.awaitClosed(CLOSE_MILLIS);
+    }
+}
--- /dev/null
+++ b/src/main/java/tinworks/edge/EdgeNode.java
@@ -0,0 +1,422 @@
+package tinworks.edge;
+
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import tinworks.channel.Conversation;
+import tinworks.channel.HostList;
+import tinworks.channel.HostList.Host;
+import tinworks.channel.Links;
+import tinworks.channel.Signal;
+import tinworks.channel.Signal.Announce;
+import tinworks.channel.Signal.ConfigurationBody;
+import tinworks.channel.Signal.Hello;
+import tinworks.channel.Signal.Hosts;
+import tinworks.channel.Signal.Part;
+import tinworks.channel.Signal.PullConfiguration;
+import tinworks.channel.Signal.PullHosts;
+import tinworks.config.Configuration;
+import tinworks.config.Configuration.Limits;
+import tinworks.config.Configuration.Route;
+import tinworks.config.Configuration.Split;
+import tinworks.config.Configuration.Type;
+import tinworks.config.ConfigurationReader;
+import tinworks.config.InvalidConfiguration;
+import tinworks.net.ClientServer;
+import tinworks.net.ClientServer.BadRequest;
+import tinworks.net.ClientServer.Reply;
+import tinworks.net.Forwarding;
+import tinworks.net.GatewayClock;
+import tinworks.net.HostPool;
+import tinworks.net.Transport;
+import tinworks.node.BootSettings;
+import tinworks.platform.HostPoller;
+import tinworks.policy.Protocol.Ending;
+import tinworks.policy.Protocol.ListKind;
+import tinworks.policy.Protocol.ListReceived;
+import tinworks.policy.Protocol.Readiness;
+import tinworks.policy.Protocol.Reconfigured;
+import tinworks.policy.Protocol.RequestArrived;
+import tinworks.policy.Protocol.RequestClass;
+import tinworks.policy.Protocol.ServerInfo;
+
+/**
+ * An edge gateway at work. It keeps a link to every core machine and pulls from whichever announces something newer;
+ * versions only rise. What it knows it goes on serving on, whether or not a core machine can be reached. All on one
+ * event loop.
+ */
+public final class EdgeNode implements Conversation.Listener, Forwarding.Owner {
+    private static final Logger LOG = LoggerFactory.getLogger(EdgeNode.class);
+    private static final String READYZ = "/-/readyz";
+    private static final int PROBES = 32, PROBE_HEAD = 4_096, LARGEST_ANSWER = 8 << 20, LARGEST_REQUEST = 8 << 20;
+    private static final long TICK_MILLIS = 250, PULL_AGAIN_MILLIS = 400, PLAIN_START_MILLIS = 3_000, ALONE_MILLIS = 3_000;
+    private static final long DIAL_NANOS = TimeUnit.MILLISECONDS.toNanos(400), HOST_IDLE_NANOS = TimeUnit.SECONDS.toNanos(9);
+    /** The platform asks once a second and takes a gateway out when it has missed twice. */
+    private static final long LAST_ANSWERS_MILLIS = 1_300, STOP_MILLIS = 2_700, END_MARGIN_MILLIS = 500, END_CHECK_MILLIS = 20;
+
+    private final EventLoop loop;
+    private final BootSettings settings;
+    private final long id;
+    private final GatewayClock clock = new GatewayClock();
+    private final SplittableRandom random;
+    private final Links links;
+    private final HostPoller poller;
+    private final HostPool hosts;
+    private final EdgeStyle style;
+    private final ClientServer clients;
+    private final ClientServer probes;
+    private final Map<String, Forwarding> services = new LinkedHashMap<>();
+    private final Map<String, Long> startedAt = new HashMap<>();
+    private final CompletableFuture<Void> ended = new CompletableFuture<>();
+    private final long startMillis = nowMillis();
+    private BootSettings current;
+    private Configuration configuration;
+    private RouteTable routes = RouteTable.EMPTY;
+    private HostList list = HostList.NONE;
+    private boolean listed;
+    private boolean upToDate;
+    private Set<String> cores = Set.of();
+    private int gateways = 1;
+    private long heardLeaderAt;
+    private long pulledConfigurationAt;
+    private long pulledHostsAt;
+    private boolean ending;
+
+    /** An edge that knows its settings alone. */
+    public EdgeNode(EventLoop loop, BootSettings settings, long id) {
+        this.loop = loop;
+        this.settings = settings;
+        this.id = id;
+        current = settings;
+        random = new SplittableRandom(id);
+        style = new EdgeStyle(id);
+        links = new Links(loop, new Hello(Part.EDGE, id, "", settings.node(), settings.zone()), this);
+        poller = new HostPoller(loop, clock, settings.provider(), id, this::polled, this::log);
+        int connections = settings.descriptors() / 2 - PROBES;
+        hosts = new HostPool(loop, Transport.TCP, clock,
+                new HostPool.Bounds(DIAL_NANOS, HOST_IDLE_NANOS, connections, LARGEST_ANSWER), style);
+        clients = new ClientServer(loop, Transport.TCP, clock, clientBounds(Limits.USUAL), new Requests());
+        probes = new ClientServer(loop, Transport.TCP, clock, new ClientServer.Bounds(PROBES, TimeUnit.SECONDS.toNanos(2),
+                TimeUnit.SECONDS.toNanos(5), PROBE_HEAD, PROBE_HEAD, READYZ), new Probes());
+        heardLeaderAt = startMillis;
+    }
+
+    private ClientServer.Bounds clientBounds(Limits limits) {
+        long body = Math.min(LARGEST_REQUEST, limits.bodyMaxBytes());
+        // Clients keep to the idle time too; whoever closes first at the same moment may lose a request.
+        return new ClientServer.Bounds(settings.descriptors() / 2 - PROBES, 2 * TimeUnit.MILLISECONDS.toNanos(limits.hdrMs()),
+                TimeUnit.MILLISECONDS.toNanos(limits.idleMs() * 5 / 4), limits.hdrBytes(), (int) body, null);
+    }
+
+    /** Starts to listen and to dial; on the event loop. */
+    public List<ChannelFuture> start() {
+        links.want(current.seeds());
+        tick();
+        return List.of(probes.listen(settings.readyz()), clients.listen(settings.http()));
+    }
+
+    /** Follows changed settings; on the event loop. */
+    public void changed(BootSettings changed) {
+        current = changed;
+        poller.moveTo(changed.provider());
+    }
+
+    /**
+     * Ends in good order: first it isn't ready any more and serves on, until the platform sends nobody; then its
+     * answers end their connections; then it takes nobody in and finishes what it has. On the event loop.
+     */
+    public CompletableFuture<Void> end() {
+        if (!ending) {
+            ending = true;
+            long within = settings.graceMillis() - END_MARGIN_MILLIS;
+            services.values().forEach(service -> service.tell(new Ending(TimeUnit.MILLISECONDS.toNanos(within))));
+            loop.schedule(clients::lastAnswers, Math.min(LAST_ANSWERS_MILLIS, within / 4), TimeUnit.MILLISECONDS);
+            loop.schedule(() -> {
+                clients.stopAccepting();
+                endWhenIdle();
+            }, Math.min(STOP_MILLIS, within / 2), TimeUnit.MILLISECONDS);
+        }
+        return ended;
+    }
+
+    private void endWhenIdle() {
+        if (clients.holdsAny()) {
+            loop.schedule(this::endWhenIdle, END_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+        } else {
+            links.close();
+            ended.complete(null);
+        }
+    }
+
+    private static long nowMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+
+    private void tick() {
+        loop.schedule(this::tick, TICK_MILLIS, TimeUnit.MILLISECONDS);
+        long now = nowMillis();
+        boolean alone = now - heardLeaderAt > ALONE_MILLIS;
+        Set<String> wanted = new TreeSet<>(cores);
+        if (cores.isEmpty() || alone) {
+            wanted.addAll(current.seeds());
+        }
+        links.want(wanted);
+        // Guards against hosts that come and go while nobody tells of them: then every edge looks for itself.
+        poller.turn(alone);
+    }
+
+    /** Whether clients may be sent here: with a configuration and a list, and once the newest version is known. */
+    boolean ready() {
+        boolean waited = nowMillis() - startMillis > PLAIN_START_MILLIS;
+        return configuration != null && listed && (upToDate || waited) && !ending;
+    }
+
+    // ---- what the core machines tell
+
+    @Override
+    public void opened(Conversation conversation) {
+        LOG.debug("linked with {}", conversation.peer().node());
+    }
+
+    @Override
+    public void closed(Conversation conversation) {
+        LOG.debug("no longer linked with {}", conversation.peer().node());
+    }
+
+    @Override
+    public void received(Conversation from, Signal signal) {
+        if (signal instanceof Announce s) {
+            heard(from, s);
+        } else if (signal instanceof ConfigurationBody s) {
+            configured(s);
+        } else if (signal instanceof Hosts s) {
+            if (s.list().version().compareTo(list.version()) > 0) {
+                list = s.list();
+                listed(list.hosts());
+            }
+        }
+    }
+
+    private void heard(Conversation from, Announce s) {
+        long now = nowMillis();
+        if (s.fresh()) {
+            heardLeaderAt = now;
+        }
+        if (s.leads()) {
+            cores = Set.copyOf(s.cores());
+            count(s.edges().size());
+        } else if (cores.isEmpty() && s.fresh()) {
+            cores = Set.copyOf(s.cores());
+        }
+        long rev = configuration == null ? 0 : configuration.rev();
+        if (s.rev() > rev && now - pulledConfigurationAt > PULL_AGAIN_MILLIS) {
+            pulledConfigurationAt = now;
+            from.send(new PullConfiguration());
+        }
+        upToDate |= s.fresh() && s.rev() > 0 && s.rev() <= rev;
+        if (s.hosts().compareTo(list.version()) > 0 && now - pulledHostsAt > PULL_AGAIN_MILLIS) {
+            pulledHostsAt = now;
+            from.send(new PullHosts());
+        }
+    }
+
+    private void count(int edges) {
+        if (edges > 0 && edges != gateways) {
+            gateways = edges;
+            reconfigure();
+        }
+    }
+
+    private void configured(ConfigurationBody body) {
+        pulledConfigurationAt = 0;
+        if (configuration != null && body.rev() <= configuration.rev() || body.rev() == 0) {
+            return;
+        }
+        try {
+            configuration = ConfigurationReader.read(body.body());
+            routes = new RouteTable(configuration.routes());
+            upToDate = true;
+            clients.rebound(clientBounds(configuration.limits()));
+            Set<String> mutating = new HashSet<>();
+            configuration.routes().stream().filter(r -> r.type() == Type.MUTATING)
+                    .forEach(r -> mutating.add(ServiceSettings.className(r)));
+            style.mutating(mutating);
+            reconfigure();
+            LOG.info("configuration {} with {} routes", configuration.rev(), configuration.routes().size());
+        } catch (InvalidConfiguration e) {
+            LOG.error("can't read the configuration {}: {}", body.rev(), e.getMessage());
+        }
+    }
+
+    private void reconfigure() {
+        if (configuration == null) {
+            return;
+        }
+        for (String service : configuration.services().keySet()) {
+            List<RequestClass> classes = ServiceSettings.classes(configuration, service);
+            Forwarding known = services.get(service);
+            if (known != null) {
+                known.tell(new Reconfigured(classes, gateways));
+            } else if (!classes.isEmpty()) {
+                Forwarding made = new Forwarding(loop, clock, ServiceSettings.settings(classes, gateways, settings.zone()),
+                        random.nextLong(), hosts, style, this);
+                services.put(service, made);
+                made.tell(new ListReceived(ListKind.WHOLE, servers(service)));
+            }
+        }
+        for (Map.Entry<String, Forwarding> entry : List.copyOf(services.entrySet())) {
+            if (!configuration.services().containsKey(entry.getKey())) {
+                entry.getValue().tell(new Reconfigured(List.of(), gateways));
+            }
+        }
+    }
+
+    // ---- the hosts
+
+    /** An own look at the platform's list, while no core machine tells of it. */
+    private void polled(List<Host> found) {
+        listed(found);
+    }
+
+    private void listed(List<Host> found) {
+        boolean first = !listed;
+        listed = true;
+        long now = clock.nanos();
+        Set<String> ids = new HashSet<>();
+        List<HostPool.Place> places = new ArrayList<>();
+        for (Host host : found) {
+            ids.add(host.id());
+            long warm = Math.min(ServiceSettings.WARM_UP_NANOS, TimeUnit.MILLISECONDS.toNanos(host.warmupMs()));
+            startedAt.putIfAbsent(host.id(), warm <= 0 ? 0 : now + warm - ServiceSettings.WARM_UP_NANOS);
+            places.add(new HostPool.Place(host.id(), address(host.address()), startedAt.get(host.id()), !host.draining(), false));
+        }
+        startedAt.keySet().retainAll(ids);
+        lastFound = found;
+        hosts.update(places, true);
+        services.forEach((service, forwarding) -> forwarding.tell(new ListReceived(ListKind.WHOLE, servers(service))));
+        if (first) {
+            LOG.info("{} hosts", found.size());
+        }
+    }
+
+    private List<Host> lastFound = List.of();
+
+    private List<ServerInfo> servers(String service) {
+        List<ServerInfo> servers = new ArrayList<>();
+        for (Host host : lastFound) {
+            if (host.service().equals(service)) {
+                servers.add(new ServerInfo(host.id(), host.zone(), "", 0, host.draining() ? Readiness.DRAINING : Readiness.READY,
+                        host.slots(), startedAt.get(host.id())));
+            }
+        }
+        return servers;
+    }
+
+    private static InetSocketAddress address(String text) {
+        int colon = text.lastIndexOf(':');
+        return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+    }
+
+    // ---- Forwarding.Owner
+
+    @Override
+    public void subscribe() {
+        // The list comes by itself.
+    }
+
+    @Override
+    public void tellAll(byte[] body) {
+        // Settings without messages between gateways never ask for one.
+    }
+
+    @Override
+    public void log(String line) {
+        LOG.info(line);
+    }
+
+    // ---- clients
+
+    private final class Probes implements ClientServer.Listener {
+        @Override
+        public boolean ready() {
+            return EdgeNode.this.ready();
+        }
+
+        @Override
+        public void requested(FullHttpRequest request, long at, Reply reply) throws BadRequest {
+            throw new BadRequest(HttpResponseStatus.NOT_FOUND, "only " + READYZ + " is asked here");
+        }
+    }
+
+    private final class Requests implements ClientServer.Listener {
+        @Override
+        public boolean ready() {
+            return EdgeNode.this.ready();
+        }
+
+        @Override
+        public void requested(FullHttpRequest request, long arrivedAt, Reply reply) throws BadRequest {
+            if (configuration == null) {
+                style.refused(reply, TimeUnit.MILLISECONDS.toNanos(200));
+                return;
+            }
+            Route route = routes.find(request.headers().get(HttpHeaderNames.HOST), request.uri());
+            if (route == null) {
+                throw new BadRequest(HttpResponseStatus.NOT_FOUND, "no route");
+            }
+            List<String> ids = request.headers().getAll(EdgeStyle.ID);
+            if (ids.size() != 1 || ids.get(0).isEmpty()) {
+                throw new BadRequest(HttpResponseStatus.BAD_REQUEST, "wanted one " + EdgeStyle.ID);
+            }
+            long now = clock.nanos();
+            long left = TimeUnit.MILLISECONDS.toNanos(Math.min(route.timeoutMs(), deadline(request, route))) - (now - arrivedAt);
+            if (left <= 0) {
+                style.refused(reply, 0);
+                return;
+            }
+            Forwarding service = services.get(draw(route));
+            service.begin(now, new RequestArrived(ids.get(0), ServiceSettings.className(route), null, null, left, 0, false),
+                    request, reply);
+        }
+
+        private long deadline(FullHttpRequest request, Route route) throws BadRequest {
+            String text = request.headers().get(EdgeStyle.DEADLINE);
+            if (text == null) {
+                return route.timeoutMs();
+            }
+            try {
+                return Math.max(0, (long) Double.parseDouble(text));
+            } catch (NumberFormatException e) {
+                throw new BadRequest(HttpResponseStatus.BAD_REQUEST, "can't read " + EdgeStyle.DEADLINE);
+            }
+        }
+
+        private String draw(Route route) {
+            double sum = route.split().stream().mapToDouble(Split::weight).sum();
+            double at = route.split().size() == 1 ? 0 : random.nextDouble() * sum;
+            for (Split part : route.split()) {
+                at -= part.weight();
+                if (at < 0 && part.weight() > 0) {
+                    return part.service();
+                }
+            }
+            return route.split().stream().filter(part -> part.weight() > 0).findFirst().orElseThrow().service();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/tinworks/edge/EdgeStyle.java
@@ -0,0 +1,143 @@
+package tinworks.edge;
+
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import tinworks.net.ClientServer.Reply;
+import tinworks.net.Forwarding;
+import tinworks.net.HostPool;
+import tinworks.net.HostPool.Answer;
+import tinworks.policy.Protocol.LoadReport;
+import tinworks.policy.Protocol.Outcome;
+
+/** How requests and answers look in the system's protocol. */
+final class EdgeStyle implements Forwarding.Style, HostPool.Dialect {
+    static final String ID = "Attempt-Id", DEADLINE = "Deadline-Ms";
+    private static final String WANT = "Want-Host", SEAL = "Origin-Seal", NOT_RUN = "Not-Run";
+    /** Headers between two neighbours only, or made anew. */
+    private static final Set<String> NOT_PASSED_ON = Set.of("connection", "keep-alive", "proxy-connection", "te",
+            "trailer", "transfer-encoding", "upgrade", "expect", "content-length");
+    /** Statuses that promise that the request has not run. */
+    private static final Set<Integer> PROMISES = Set.of(408, 421, 429, 503);
+    /**
+     * Hosts forget connections that rest, without a word, and what is sent on one then may have run as far as
+     * anyone here can tell. A request that must not run twice goes on one that has hardly rested, or on a new one.
+     */
+    private static final long HARDLY_RESTED_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
+    /** Where there is nothing to wait for, tries are spread a little. */
+    private static final long LEAST_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(40);
+
+    private final SplittableRandom random;
+    private Set<String> mutating = Set.of();
+
+    EdgeStyle(long seed) {
+        random = new SplittableRandom(seed);
+    }
+
+    /** The classes whose requests must not run twice. */
+    void mutating(Set<String> classes) {
+        mutating = Set.copyOf(classes);
+    }
+
+    @Override
+    public FullHttpRequest forHost(FullHttpRequest request, String host, long timeoutNanos) {
+        DefaultFullHttpRequest copy = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, request.method(), request.uri(),
+                request.content().retainedDuplicate());
+        copyEndToEnd(request.headers(), copy.headers());
+        copy.headers().set(DEADLINE, Math.max(1, TimeUnit.NANOSECONDS.toMillis(timeoutNanos)));
+        copy.headers().set(WANT, host);
+        if (request.content().isReadable() || !request.method().equals(HttpMethod.GET)) {
+            copy.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, request.content().readableBytes());
+        }
+        return copy;
+    }
+
+    private static void copyEndToEnd(HttpHeaders from, HttpHeaders to) {
+        Set<String> named = namedByConnection(from);
+        for (Map.Entry<String, String> header : from) {
+            String name = header.getKey().toLowerCase(Locale.ROOT);
+            if (!NOT_PASSED_ON.contains(name) && !named.contains(name)) {
+                to.add(header.getKey(), header.getValue());
+            }
+        }
+    }
+
+    /** What the Connection header itself names concerns one connection only. */
+    private static Set<String> namedByConnection(HttpHeaders headers) {
+        List<String> values = headers.getAll(HttpHeaderNames.CONNECTION);
+        if (values.isEmpty()) {
+            return Set.of();
+        }
+        Set<String> named = new HashSet<>();
+        for (String value : values) {
+            for (String name : value.split(",")) {
+                named.add(name.trim().toLowerCase(Locale.ROOT));
+            }
+        }
+        return named;
+    }
+
+    @Override
+    public long restedNanos(String requestClass) {
+        return mutating.contains(requestClass) ? HARDLY_RESTED_NANOS : Long.MAX_VALUE;
+    }
+
+    @Override
+    public void served(Reply reply, Answer answer) {
+        HttpHeaders headers = new DefaultHttpHeaders();
+        copyEndToEnd(answer.head().headers(), headers);
+        reply.write(answer.head().status(), headers, answer.body().retain(), 0);
+    }
+
+    /** Guards against all who were refused in one moment coming back in another. */
+    @Override
+    public void refused(Reply reply, long pauseNanos) {
+        long pause = Math.max(pauseNanos, LEAST_PAUSE_NANOS);
+        reply.plain(HttpResponseStatus.SERVICE_UNAVAILABLE, "not run: come back later",
+                pause + random.nextLong(pause));
+    }
+
+    /** Guards against a status that promises that the request has not run, where it may have. */
+    @Override
+    public void failed(Reply reply, Answer last) {
+        if (last != null && !PROMISES.contains(last.head().status().code()) && last.head().status().code() >= 300) {
+            served(reply, last);
+        } else {
+            HttpHeaders none = new DefaultHttpHeaders();
+            reply.write(HttpResponseStatus.BAD_GATEWAY, none, Unpooled.EMPTY_BUFFER, 0);
+        }
+    }
+
+    /** Guards against a success that isn't the host's own whole answer to this very request. */
+    @Override
+    public Outcome outcome(String request, HttpResponse head, boolean framed) {
+        int status = head.status().code();
+        HttpHeaders headers = head.headers();
+        if (headers.contains(NOT_RUN) || status == HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
+            return status == HttpResponseStatus.MISDIRECTED_REQUEST.code() ? Outcome.CONNECT_FAILED : Outcome.FULL;
+        }
+        boolean success = status >= 200 && status < 300;
+        boolean whole = framed && headers.contains(SEAL) && !headers.contains(HttpHeaderNames.CONTENT_ENCODING);
+        String echoed = headers.get(ID);
+        return success && whole && (echoed == null || echoed.equals(request)) ? Outcome.SERVED : Outcome.ERROR;
+    }
+
+    @Override
+    public LoadReport load(HttpHeaders headers) {
+        return null;
+    }
+}
--- /dev/null
+++ b/src/main/java/tinworks/edge/ServiceSettings.java
@@ -0,0 +1,57 @@
+package tinworks.edge;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import tinworks.config.Configuration;
+import tinworks.config.Configuration.Route;
+import tinworks.config.Configuration.Type;
+import tinworks.policy.Protocol.Allowed;
+import tinworks.policy.Protocol.Effect;
+import tinworks.policy.Protocol.Group;
+import tinworks.policy.Protocol.RequestClass;
+import tinworks.policy.Protocol.Rules;
+import tinworks.policy.Protocol.Settings;
+
+/** The decision module's settings for one service, made from the operator's routes. */
+final class ServiceSettings {
+    /** A fresh host is slow at first; the list tells for how long, at most this. */
+    static final long WARM_UP_NANOS = TimeUnit.SECONDS.toNanos(3);
+    private static final double COLD_FROM = 0.5, LATE_WORTH = 0.5;
+    /** The cold rule of the earlier protocol isn't one here: a fresh host is slow and not to be spared. */
+    private static final double NO_COLD_BUDGET = 1e9;
+    private static final int MOST_TRIES = 32, NO_NUMBER = -1;
+    private static final int MIDDLE_PRIO = 2;
+
+    private ServiceSettings() { }
+
+    /** The module's name for a route. */
+    static String className(Route route) {
+        return route.domain() + route.prefix();
+    }
+
+    /** The classes of the routes that may go to a service. */
+    static List<RequestClass> classes(Configuration configuration, String service) {
+        List<RequestClass> classes = new ArrayList<>();
+        for (Route route : configuration.routes()) {
+            if (route.split().stream().anyMatch(part -> part.service().equals(service) && part.weight() > 0)) {
+                classes.add(requestClass(route));
+            }
+        }
+        return classes;
+    }
+
+    private static RequestClass requestClass(Route route) {
+        long timeout = TimeUnit.MILLISECONDS.toNanos(route.timeoutMs());
+        return new RequestClass(className(route), route.type() == Type.MUTATING ? Effect.UNSAFE : Effect.SAFE, Group.ALL, 0,
+                TimeUnit.MILLISECONDS.toNanos(route.targetMs()), timeout, Math.pow(2, MIDDLE_PRIO - route.prio()),
+                LATE_WORTH, false, route.tries(), timeout);
+    }
+
+    /** What a service's module starts with. */
+    static Settings settings(List<RequestClass> classes, int gateways, String zone) {
+        Rules rules = new Rules(0, 0, Long.MAX_VALUE, COLD_FROM, WARM_UP_NANOS, NO_COLD_BUDGET, TimeUnit.SECONDS.toNanos(1));
+        return new Settings(gateways, NO_NUMBER, zone, false, TimeUnit.MILLISECONDS.toNanos(1), classes, List.of(), 1,
+                new Allowed(MOST_TRIES, true, false), rules);
+    }
+}
--- a/src/main/java/tinworks/net/Json.java
+++ b/src/main/java/tinworks/json/Json.java
@@ -1,4 +1,4 @@
-package tinworks.net;
+package tinworks.json;
 
 import com.fasterxml.jackson.jr.ob.JSON;
 import java.io.IOException;
@@ -9,19 +9,19 @@
  * A value of a JSON text, as the library's plain maps, lists, strings, numbers and flags; null where there is
  * none. The library is Jackson's small one: the large one's tree costs a start as much CPU as the Java runtime.
  */
-record Json(Object value) {
+public record Json(Object value) {
     /** Reads one text; what can't be read is an {@link IOException}. */
-    static Json read(String text) throws IOException {
+    public static Json read(String text) throws IOException {
         return new Json(JSON.std.anyFrom(text));
     }
 
     /** A field, with no value where this is no object or lacks it. */
-    Json field(String name) {
+    public Json field(String name) {
         return new Json(fields().get(name));
     }
 
     /** A field that has to be there. */
-    Json required(String name) {
+    public Json required(String name) {
         Json field = field(name);
         if (field.value == null) {
             throw new IllegalArgumentException("the JSON text lacks " + name);
@@ -30,36 +30,36 @@
     }
 
     /** The fields of an object, none of anything else. */
-    Map<?, ?> fields() {
+    public Map<?, ?> fields() {
         return value instanceof Map<?, ?> fields ? fields : Map.of();
     }
 
     /** The entries of an array, none of anything else. */
-    List<Json> entries() {
+    public List<Json> entries() {
         return value instanceof List<?> list ? list.stream().map(Json::new).toList() : List.of();
     }
 
-    boolean isObject() {
+    public boolean isObject() {
         return value instanceof Map;
     }
 
-    boolean isArray() {
+    public boolean isArray() {
         return value instanceof List;
     }
 
-    boolean isText() {
+    public boolean isText() {
         return value instanceof String;
     }
 
-    boolean isTrue() {
+    public boolean isTrue() {
         return Boolean.TRUE.equals(value);
     }
 
-    String text() {
+    public String text() {
         return value == null ? "" : value.toString();
     }
 
-    Number number(Number absent) {
+    public Number number(Number absent) {
         return value instanceof Number number ? number : absent;
     }
 }
--- /dev/null
+++ b/src/main/java/tinworks/json/package-info.java
@@ -0,0 +1,2 @@
+/** Reading JSON texts, for every part that is told something in JSON. */
+package tinworks.json;
--- a/src/main/java/tinworks/net/AnswerReader.java
+++ b/src/main/java/tinworks/net/AnswerReader.java
@@ -38,11 +38,12 @@
         void spoilt();
     }
 
-    /** The longest body that the protocol knows. */
-    static final int LARGEST_BODY = 64 * 1024;
+    /** The longest body that the earlier protocol knows. */
+    static final int USUAL_BODY = 64 * 1024;
 
     private final Decoder decoder = new Decoder();
     private final Listener listener;
+    private final int largestBody;
     private HttpResponse head;
     private CompositeByteBuf body;
     private boolean framed;
@@ -50,8 +51,9 @@
     private boolean surplus;
     private boolean spoilt;
 
-    AnswerReader(Listener listener) {
+    AnswerReader(Listener listener, int largestBody) {
         this.listener = listener;
+        this.largestBody = largestBody;
     }
 
     /** What stands before this reader on the connection. */
@@ -80,7 +82,7 @@
             // Guards against gathering what is said to have gigabytes, and against a switch that nobody asked for.
             spoilt = !response.protocolVersion().equals(HttpVersion.HTTP_1_1)
                     && !response.protocolVersion().equals(HttpVersion.HTTP_1_0)
-                    || HttpUtil.getContentLength(response, 0L) > LARGEST_BODY
+                    || HttpUtil.getContentLength(response, 0L) > largestBody
                     || response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS);
             framed = response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
                     || HttpUtil.isTransferEncodingChunked(response);
@@ -89,7 +91,7 @@
             body = ctx.alloc().compositeBuffer();
         }
         if (part instanceof HttpContent content) {
-            spoilt = body.readableBytes() + content.content().readableBytes() > LARGEST_BODY;
+            spoilt = body.readableBytes() + content.content().readableBytes() > largestBody;
             if (!spoilt) {
                 body.addComponent(true, content.content().retain());
             }
--- /dev/null
+++ b/src/main/java/tinworks/net/BalancerStyle.java
@@ -0,0 +1,59 @@
+package tinworks.net;
+
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import tinworks.net.ClientServer.Reply;
+import tinworks.net.HostPool.Answer;
+import tinworks.policy.Protocol.LoadReport;
+import tinworks.policy.Protocol.Outcome;
+
+/** How requests and answers look in the earlier protocol. */
+final class BalancerStyle implements Forwarding.Style, HostPool.Dialect {
+    static final BalancerStyle INSTANCE = new BalancerStyle();
+
+    private BalancerStyle() { }
+
+    @Override
+    public FullHttpRequest forHost(FullHttpRequest request, String host, long timeoutNanos) {
+        return RequestReader.forHost(request, timeoutNanos);
+    }
+
+    @Override
+    public long restedNanos(String requestClass) {
+        return Long.MAX_VALUE;
+    }
+
+    @Override
+    public void served(Reply reply, Answer answer) {
+        reply.served(answer.body());
+    }
+
+    @Override
+    public void refused(Reply reply, long pauseNanos) {
+        reply.plain(HttpResponseStatus.SERVICE_UNAVAILABLE, "refused: trying again is harmless", pauseNanos);
+    }
+
+    @Override
+    public void failed(Reply reply, Answer last) {
+        reply.plain(HttpResponseStatus.BAD_GATEWAY, "failed: it may have run", 0);
+    }
+
+    /** Guards against a break that passes for the end of a body: only a framed 200 is a whole one. */
+    @Override
+    public Outcome outcome(String request, HttpResponse head, boolean framed) {
+        HttpResponseStatus status = head.status();
+        if (status.equals(HttpResponseStatus.OK)) {
+            return framed ? Outcome.SERVED : Outcome.ERROR;
+        }
+        boolean turnedAway = status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
+                || status.equals(HttpResponseStatus.GATEWAY_TIMEOUT);
+        return turnedAway && "1".equals(head.headers().get("X-Not-Processed")) ? Outcome.FULL : Outcome.ERROR;
+    }
+
+    @Override
+    public LoadReport load(HttpHeaders headers) {
+        return LoadReports.read(headers.getAll("X-Server-Load"));
+    }
+}
--- a/src/main/java/tinworks/net/ClientServer.java
+++ b/src/main/java/tinworks/net/ClientServer.java
@@ -13,6 +13,8 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -34,9 +36,10 @@
 import java.util.concurrent.TimeUnit;
 
 /** The side that clients see: takes in requests, and writes one answer to each. */
-final class ClientServer {
+public final class ClientServer {
     /** What the gateway makes of requests. Each is told on the event loop. */
-    interface Listener {
+    public interface Listener {
+        /** What {@link Bounds#readyPath} is answered with. */
         boolean ready();
 
         /**
@@ -47,20 +50,38 @@
     }
 
     /** A request that can't be taken in. */
-    static final class BadRequest extends Exception {
+    public static final class BadRequest extends Exception {
         private static final long serialVersionUID = 1L;
 
         private final transient HttpResponseStatus status;
 
-        BadRequest(HttpResponseStatus status, String line) {
+        /** Answered with this status and a plain line. */
+        public BadRequest(HttpResponseStatus status, String line) {
             super(line);
             this.status = status;
         }
     }
 
+    /**
+     * What clients may take.
+     *
+     * @param connections the most at a time
+     * @param arrivalNanos how long a request may take to arrive, from the connect or its first byte
+     * @param idleNanos how long a connection may stand idle, 0 for as long as there is room
+     * @param headBytes the longest head of a request
+     * @param bodyBytes the longest body
+     * @param readyPath where {@link Listener#ready} is asked for, or null
+     */
+    public record Bounds(int connections, long arrivalNanos, long idleNanos, int headBytes, int bodyBytes,
+                         String readyPath) {
+        /** Those of the earlier protocol, whose requests arrive in less time than any client waits. */
+        static Bounds usual(int connections) {
+            return new Bounds(connections, TimeUnit.SECONDS.toNanos(2), 0, 8_192, AnswerReader.USUAL_BODY, "/ready");
+        }
+    }
+
     private static final int BACKLOG = 512, MOST_PIPELINED = 16;
-    /** A request has so long to arrive, from the connect or its first byte: longer than any client waits. */
-    private static final long ARRIVAL_NANOS = TimeUnit.SECONDS.toNanos(2);
+    private static final int LONGEST_LINE = 4_096;
     private static final long SWEEP_MILLIS = 200;
     /** Who connects to ask does so within this time. */
     private static final long YOUNG_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
@@ -72,7 +93,6 @@
     private final Transport transport;
     private final GatewayClock clock;
     private final Listener listener;
-    private final int mostConnections;
     private final Set<Connection> connections = new LinkedHashSet<>();
     /** Those that have asked and have no request open, the longest idle first. */
     private final Set<Connection> idle = new LinkedHashSet<>();
@@ -80,21 +100,23 @@
     private final Set<Connection> due = new LinkedHashSet<>();
     /** Those that have been told what is wrong and are about to be closed. */
     private final Set<Connection> lingering = new LinkedHashSet<>();
+    private Bounds bounds;
     private Channel acceptor;
     private boolean ending;
     private boolean rechecking;
 
-    ClientServer(EventLoop loop, Transport transport, GatewayClock clock, int mostConnections, Listener listener) {
+    /** A server that doesn't listen yet. */
+    public ClientServer(EventLoop loop, Transport transport, GatewayClock clock, Bounds bounds, Listener listener) {
         this.loop = loop;
         this.transport = transport;
         this.clock = clock;
-        this.mostConnections = mostConnections;
+        this.bounds = bounds;
         this.listener = listener;
         loop.scheduleWithFixedDelay(this::endOverdue, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     /** Starts to listen; the future fails where the address can't be had. */
-    ChannelFuture listen(SocketAddress address) {
+    public ChannelFuture listen(SocketAddress address) {
         ServerBootstrap listening = new ServerBootstrap().group(loop).channel(transport.server());
         if (transport != Transport.MEMORY) {
             listening.option(ChannelOption.SO_BACKLOG, BACKLOG);
@@ -112,12 +134,22 @@
     }
 
     /** Where it listens; of use where the port was left to the system. */
-    InetSocketAddress address() {
+    public InetSocketAddress address() {
         return (InetSocketAddress) acceptor.localAddress();
     }
 
+    /** From now on these hold; the longest head and body for connections that come from now on. */
+    public void rebound(Bounds changed) {
+        bounds = changed;
+    }
+
+    /** From now on each answer ends its connection. */
+    public void lastAnswers() {
+        ending = true;
+    }
+
     /** Takes in no more, closes what stands idle, and from now on each answer ends its connection. */
-    void stopAccepting() {
+    public void stopAccepting() {
         ending = true;
         acceptor.close();
         List.copyOf(idle).forEach(Connection::drop);
@@ -125,7 +157,7 @@
     }
 
     /** Whether a client still waits for an answer, or for the rest of one. */
-    boolean holdsAny() {
+    public boolean holdsAny() {
         return !connections.isEmpty();
     }
 
@@ -135,14 +167,14 @@
      * wait in the backlog.
      */
     private void bound() {
-        while (connections.size() > mostConnections) {
+        while (connections.size() > bounds.connections()) {
             Connection spared = leastUseful();
             if (spared == null) {
                 break;
             }
             spared.drop();
         }
-        boolean room = connections.size() <= mostConnections;
+        boolean room = connections.size() <= bounds.connections();
         acceptor.config().setAutoRead(room);
         if (!room && !due.isEmpty() && !rechecking) {
             rechecking = true;
@@ -172,7 +204,7 @@
      * It could do harm where connecting is slow or dear and more clients than half the places come back often.
      */
     private boolean crowded() {
-        return connections.size() > mostConnections / 2;
+        return connections.size() > bounds.connections() / 2;
     }
 
     /** Guards against clients that say nothing, or send so slowly that their request never comes whole. */
@@ -181,7 +213,11 @@
         while (crowded() && !idle.isEmpty() && idle.iterator().next().idleSince <= unused) {
             idle.iterator().next().drop();
         }
-        long before = clock.nanos() - ARRIVAL_NANOS;
+        while (bounds.idleNanos() > 0 && !idle.isEmpty()
+                && idle.iterator().next().idleSince <= clock.nanos() - bounds.idleNanos()) {
+            idle.iterator().next().drop();
+        }
+        long before = clock.nanos() - bounds.arrivalNanos();
         for (Connection connection : List.copyOf(due)) {
             if (connection.dueSince <= before) {
                 connection.overdue();
@@ -190,7 +226,7 @@
     }
 
     /** The way back to the client of one request. Only the first answer goes out. */
-    final class Reply {
+    public final class Reply {
         private final Connection connection;
         private final boolean keepAlive;
         private Runnable left = () -> { };
@@ -202,12 +238,12 @@
         }
 
         /** What to do when the client leaves before its answer. */
-        void onLeft(Runnable action) {
+        public void onLeft(Runnable action) {
             left = action;
         }
 
         /** Whether the client has its answer, or has gone. */
-        boolean isDone() {
+        public boolean isDone() {
             return done;
         }
 
@@ -217,17 +253,23 @@
         }
 
         /** A plain line; {@code pauseNanos} tells when to come back, 0 for no advice. */
-        void plain(HttpResponseStatus status, String line, long pauseNanos) {
+        public void plain(HttpResponseStatus status, String line, long pauseNanos) {
             write(status, Unpooled.copiedBuffer(line + "\n", StandardCharsets.UTF_8), pauseNanos);
         }
 
         private void write(HttpResponseStatus status, ByteBuf body, long pauseNanos) {
+            write(status, EmptyHttpHeaders.INSTANCE, body, pauseNanos);
+        }
+
+        /** An answer with headers of its own; the body is the reply's from here on. */
+        public void write(HttpResponseStatus status, HttpHeaders headers, ByteBuf body, long pauseNanos) {
             if (done) {
                 body.release();
                 return;
             }
             done = true;
             DefaultFullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
+            answer.headers().add(headers);
             answer.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
             if (pauseNanos > 0) {
                 answer.headers().set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f",
@@ -243,8 +285,9 @@
     private record Arrived(FullHttpRequest request, long at) { }
 
     private static final class Decoder extends HttpRequestDecoder {
-        Decoder() {
-            super(new HttpDecoderConfig());
+        Decoder(int headBytes) {
+            super(new HttpDecoderConfig().setMaxHeaderSize(headBytes)
+                    .setMaxInitialLineLength(Math.max(LONGEST_LINE, headBytes / 2)));
         }
 
         boolean holdsBytes() {
@@ -254,8 +297,8 @@
 
     private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> {
         private final Channel channel;
-        private final Decoder decoder = new Decoder();
-        private final RequestAssembler assembler = new RequestAssembler(this::isFree);
+        private final Decoder decoder = new Decoder(bounds.headBytes());
+        private final RequestAssembler assembler = new RequestAssembler(this::isFree, bounds.bodyBytes());
         /** Requests that came before the one ahead had its answer. */
         private final ArrayDeque<Arrived> pipelined = new ArrayDeque<>();
         private Reply open;
@@ -342,7 +385,7 @@
             FullHttpRequest request = arrived.request;
             asked = true;
             boolean readable = request.decoderResult().isSuccess();
-            boolean probes = request.uri().equals("/ready");
+            boolean probes = request.uri().equals(bounds.readyPath());
             // Guards against probes that take clients' places: each comes on a connection of its own.
             Reply reply = new Reply(this, readable && !probes && HttpUtil.isKeepAlive(request));
             open = reply;
--- a/src/main/java/tinworks/net/EndpointList.java
+++ b/src/main/java/tinworks/net/EndpointList.java
@@ -1,5 +1,6 @@
 package tinworks.net;
 
+import tinworks.json.Json;
 import tinworks.policy.Protocol.Readiness;
 import tinworks.policy.Protocol.ServerInfo;
 import java.net.InetSocketAddress;
@@ -34,6 +35,12 @@
         return endpoints.stream().map(Endpoint::info).toList();
     }
 
+    /** The same for the pool of connections. */
+    List<HostPool.Place> places() {
+        return endpoints.stream().map(e -> new HostPool.Place(e.info().id(), e.address(), e.info().startedAtNanos(),
+                e.info().readiness() == Readiness.READY, e.gone())).toList();
+    }
+
     private static Endpoint endpoint(Json entry) {
         Readiness readiness = readiness(entry.required("status").text());
         ServerInfo info = new ServerInfo(entry.required("name").text(), entry.field("zone").text(),
--- /dev/null
+++ b/src/main/java/tinworks/net/Forwarding.java
@@ -0,0 +1,249 @@
+package tinworks.net;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import tinworks.net.ClientServer.BadRequest;
+import tinworks.net.ClientServer.Reply;
+import tinworks.net.HostPool.Answer;
+import tinworks.policy.Choice;
+import tinworks.policy.Protocol.Actions;
+import tinworks.policy.Protocol.AttemptEnded;
+import tinworks.policy.Protocol.ClientLeft;
+import tinworks.policy.Protocol.Event;
+import tinworks.policy.Protocol.LoadReport;
+import tinworks.policy.Protocol.Outcome;
+import tinworks.policy.Protocol.RequestArrived;
+import tinworks.policy.Protocol.Settings;
+import tinworks.policy.Protocol.TimerFired;
+
+/**
+ * A decision module at work: owns it, its timers and the requests that it decides about, and carries out what it
+ * decides. Everything runs on one event loop thread.
+ *
+ * <p>Events wait in a queue while the module is at work, so that nothing an action causes re-enters it.
+ */
+public final class Forwarding implements Actions {
+    /** What of the module's actions isn't about requests. */
+    public interface Owner {
+        /** The module wants the list of hosts, and changes to it. */
+        void subscribe();
+
+        /** The module has a message for all other gateways. */
+        void tellAll(byte[] body);
+
+        /** A line for the operators. */
+        void log(String line);
+    }
+
+    /** How requests go to hosts, and answers to clients. */
+    public interface Style {
+        /** A copy of a client's request for a host, with what is left of its time. */
+        FullHttpRequest forHost(FullHttpRequest request, String host, long timeoutNanos);
+
+        /** How long a connection may have rested to carry a request of this class. */
+        long restedNanos(String requestClass);
+
+        /** A host's answer goes to the client. */
+        void served(Reply reply, Answer answer);
+
+        /** The request is given up, and trying again is harmless, best after the pause (0: no advice). */
+        void refused(Reply reply, long pauseNanos);
+
+        /** The request failed and may have run; {@code last} is a host's last whole answer, or null. */
+        void failed(Reply reply, Answer last);
+    }
+
+    private final EventLoop loop;
+    private final GatewayClock clock;
+    private final HostPool hosts;
+    private final Style style;
+    private final Owner owner;
+    private final Choice choice;
+    private final Map<String, OpenRequest> open = new HashMap<>();
+    private final ArrayDeque<Stamped> events = new ArrayDeque<>();
+    private long last = Long.MIN_VALUE;
+    private boolean deciding;
+
+    private record Stamped(long at, Event event) { }
+
+    /** A module with these settings; the hosts are the caller's to keep in step with the lists that it tells. */
+    public Forwarding(EventLoop loop, GatewayClock clock, Settings settings, long seed, HostPool hosts, Style style,
+                      Owner owner) {
+        this.loop = loop;
+        this.clock = clock;
+        this.hosts = hosts;
+        this.style = style;
+        this.owner = owner;
+        choice = new Choice(settings, seed, this);
+    }
+
+    /** Takes on a request, which from here on gets one answer. */
+    public void begin(long at, RequestArrived arrived, FullHttpRequest request, Reply reply) throws BadRequest {
+        if (open.containsKey(arrived.id())) {
+            throw new BadRequest(HttpResponseStatus.CONFLICT, "a request with this id is open");
+        }
+        OpenRequest r = new OpenRequest(arrived, request.retain(), reply);
+        open.put(r.id, r);
+        reply.onLeft(r::clientLeft);
+        tell(at, arrived);
+    }
+
+    /** How many requests are open. */
+    public int open() {
+        return open.size();
+    }
+
+    /** Tells the module of something now. */
+    public void tell(Event event) {
+        tell(clock.nanos(), event);
+    }
+
+    /** The one way into the module. Its times never go back, even where events are stamped earlier. */
+    private void tell(long at, Event event) {
+        events.add(new Stamped(at, event));
+        if (deciding) {
+            return;
+        }
+        deciding = true;
+        try {
+            for (Stamped next = events.poll(); next != null; next = events.poll()) {
+                last = Math.max(last, next.at);
+                decide(next.event);
+            }
+        } finally {
+            deciding = false;
+        }
+    }
+
+    /** Guards against one request's fault ending the process. */
+    private void decide(Event event) {
+        try {
+            choice.on(last, event);
+        } catch (RuntimeException e) {
+            log("fault in the decision on " + event.getClass().getSimpleName() + ": " + e);
+            if (event instanceof RequestArrived arrived && open.containsKey(arrived.id())) {
+                fail(arrived.id());
+            }
+        }
+    }
+
+    @Override
+    public void send(String request, String server, long timeoutNanos) {
+        open.get(request).send(server, timeoutNanos);
+    }
+
+    @Override
+    public void refuse(String request, long pauseNanos) {
+        OpenRequest r = open.get(request);
+        if (r != null) {
+            style.refused(r.reply, pauseNanos);
+            r.forgetIfOver();
+        }
+    }
+
+    @Override
+    public void fail(String request) {
+        OpenRequest r = open.get(request);
+        if (r != null) {
+            style.failed(r.reply, r.lastAnswer);
+            r.forgetIfOver();
+        }
+    }
+
+    @Override
+    public void cancel(String request, int attempt) {
+        OpenRequest r = open.get(request);
+        if (r != null) {
+            r.attempts.get(attempt).cancel();
+        }
+    }
+
+    @Override
+    public void setTimer(long delayNanos, long token) {
+        loop.schedule(() -> tell(new TimerFired(token)), delayNanos, TimeUnit.NANOSECONDS);
+    }
+
+    @Override
+    public void subscribe() {
+        owner.subscribe();
+    }
+
+    @Override
+    public void tellAll(byte[] body) {
+        owner.tellAll(body);
+    }
+
+    @Override
+    public void log(String line) {
+        owner.log(line);
+    }
+
+    /** A request that is owed its answer, or whose attempts have not all ended. */
+    private final class OpenRequest implements HostPool.Listener {
+        private final String id;
+        private final String requestClass;
+        private final FullHttpRequest request;
+        private final Reply reply;
+        private final List<HostPool.Attempt> attempts = new ArrayList<>(1);
+        private final List<String> servers = new ArrayList<>(1);
+        private int outstanding;
+        /** A whole answer that did not serve, kept in case that none does. */
+        private Answer lastAnswer;
+
+        OpenRequest(RequestArrived arrived, FullHttpRequest request, Reply reply) {
+            id = arrived.id();
+            requestClass = arrived.requestClass();
+            this.request = request;
+            this.reply = reply;
+        }
+
+        void send(String server, long timeoutNanos) {
+            outstanding++;
+            servers.add(server);
+            attempts.add(hosts.send(server, id, style.forHost(request, server, timeoutNanos), timeoutNanos,
+                    style.restedNanos(requestClass), this));
+        }
+
+        @Override
+        public void ended(HostPool.Attempt attempt, Outcome outcome, long at, LoadReport load, Answer answer) {
+            int number = attempts.indexOf(attempt);
+            outstanding--;
+            if (outcome == Outcome.SERVED) {
+                style.served(reply, answer);
+            } else if (outcome == Outcome.ERROR) {
+                keep(answer);
+            }
+            forgetIfOver();
+            tell(at, new AttemptEnded(id, number, servers.get(number), outcome, attempt.elapsed(at), reply.isDone(),
+                    load));
+        }
+
+        private void keep(Answer answer) {
+            if (lastAnswer != null) {
+                lastAnswer.body().release();
+            }
+            ByteBuf body = answer == null ? null : answer.body().retain();
+            lastAnswer = answer == null ? null : new Answer(answer.head(), body);
+        }
+
+        void clientLeft() {
+            forgetIfOver();
+            tell(new ClientLeft(id));
+        }
+
+        private void forgetIfOver() {
+            if (reply.isDone() && outstanding == 0 && open.remove(id, this)) {
+                request.release();
+                keep(null);
+            }
+        }
+    }
+}
--- a/src/main/java/tinworks/net/Gateway.java
+++ b/src/main/java/tinworks/net/Gateway.java
@@ -1,29 +1,17 @@
 package tinworks.net;
 
-import tinworks.policy.Choice;
-import tinworks.policy.Protocol.Actions;
-import tinworks.policy.Protocol.AttemptEnded;
-import tinworks.policy.Protocol.ClientLeft;
 import tinworks.policy.Protocol.Ending;
 import tinworks.policy.Protocol.Event;
 import tinworks.policy.Protocol.ListKind;
 import tinworks.policy.Protocol.ListReceived;
-import tinworks.policy.Protocol.LoadReport;
-import tinworks.policy.Protocol.Outcome;
 import tinworks.policy.Protocol.PeerSaid;
-import tinworks.policy.Protocol.RequestArrived;
 import tinworks.policy.Protocol.RequestClass;
-import tinworks.policy.Protocol.TimerFired;
 import tinworks.net.ClientServer.BadRequest;
 import tinworks.net.ClientServer.Reply;
-import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -33,12 +21,10 @@
 import java.util.function.ToLongFunction;
 
 /**
- * One real gateway: owns the decision module, its clock and timers, and the open requests, and carries out
- * what the module decides. Everything runs on one event loop thread.
- *
- * <p>Events wait in a queue while the module is at work, so that nothing an action causes re-enters it.
+ * One real gateway of the earlier protocol: clients, hosts, the watch on the list and messages to other gateways
+ * round one {@link Forwarding}. Everything runs on one event loop thread.
  */
-final class Gateway implements Actions {
+final class Gateway implements Forwarding.Owner {
     /** The platform kills no sooner than the longest deadline and so much more after it asked for an end. */
     private static final long KILLED_AFTER_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
     /** Of that time, what is left for a signal that comes late and for this process's own stalls. */
@@ -53,33 +39,28 @@
     private final GatewayClock clock = new GatewayClock();
     private final GatewayConfig config;
     private final Map<String, RequestClass> classes = new HashMap<>();
-    private final Map<String, OpenRequest> open = new HashMap<>();
-    private final ArrayDeque<Stamped> events = new ArrayDeque<>();
     private final CompletableFuture<Void> ended = new CompletableFuture<>();
-    private final Choice choice;
+    private final Forwarding forwarding;
     private final HostPool hosts;
     private final Discovery discovery;
     private final ClientServer clients;
     /** Null where the configuration names no other gateways. */
     private final Peers peers;
-    private long last = Long.MIN_VALUE;
-    private boolean deciding;
     private boolean askedForList;
     private boolean ending;
 
-    private record Stamped(long at, Event event) { }
-
     private Gateway(EventLoop loop, GatewayConfig config, Transport transport, Consumer<String> log) {
         this.loop = loop;
         this.log = log;
         this.config = config;
         config.settings().classes().forEach(c -> classes.put(c.name(), c));
         int connections = Math.max(2, config.sockets() - OTHER_DESCRIPTORS);
-        hosts = new HostPool(loop, transport, clock, config.dialTimeoutNanos(), config.idleNanos(), connections / 2);
+        hosts = new HostPool(loop, transport, clock, new HostPool.Bounds(config.dialTimeoutNanos(), config.idleNanos(),
+                connections / 2, AnswerReader.USUAL_BODY), BalancerStyle.INSTANCE);
         discovery = new Discovery(loop, transport, config.discovery(), config.known().index(),
                 Discovery.SILENCE_MILLIS, new Watcher());
-        clients = new ClientServer(loop, transport, clock, connections / 2, new Requests());
-        choice = new Choice(config.settings(), config.seed(), this);
+        clients = new ClientServer(loop, transport, clock, ClientServer.Bounds.usual(connections / 2), new Requests());
+        forwarding = new Forwarding(loop, clock, config.settings(), config.seed(), hosts, BalancerStyle.INSTANCE, this);
         peers = config.peers() == null ? null : new Peers(loop, config.peers(), config.settings().gatewayNumber(),
                 (gateway, body) -> tell(new PeerSaid(gateway, body)), log);
     }
@@ -99,7 +80,7 @@
         CompletableFuture<Gateway> opened = new CompletableFuture<>();
         loop.execute(() -> {
             Gateway gateway = new Gateway(loop, config, transport, log);
-            gateway.hosts.update(config.known());
+            gateway.hosts.update(config.known().places(), config.known().snapshot());
             gateway.tell(new ListReceived(ListKind.CACHED, config.known().servers()));
             opened.complete(gateway);
         });
@@ -176,72 +157,7 @@
     }
 
     private void tell(Event event) {
-        tell(clock.nanos(), event);
-    }
-
-    /** The one way into the module. Its times never go back, even where events are stamped earlier. */
-    private void tell(long at, Event event) {
-        events.add(new Stamped(at, event));
-        if (deciding) {
-            return;
-        }
-        deciding = true;
-        try {
-            for (Stamped next = events.poll(); next != null; next = events.poll()) {
-                last = Math.max(last, next.at);
-                decide(next.event);
-            }
-        } finally {
-            deciding = false;
-        }
-    }
-
-    /** Guards against one request's fault ending the process. */
-    private void decide(Event event) {
-        try {
-            choice.on(last, event);
-        } catch (RuntimeException e) {
-            log("fault in the decision on " + event.getClass().getSimpleName() + ": " + e);
-            if (event instanceof RequestArrived arrived && open.containsKey(arrived.id())) {
-                fail(arrived.id());
-            }
-        }
-    }
-
-    @Override
-    public void send(String request, String server, long timeoutNanos) {
-        open.get(request).send(server, timeoutNanos);
-    }
-
-    @Override
-    public void refuse(String request, long pauseNanos) {
-        conclude(request, HttpResponseStatus.SERVICE_UNAVAILABLE, "refused: trying again is harmless", pauseNanos);
-    }
-
-    @Override
-    public void fail(String request) {
-        conclude(request, HttpResponseStatus.BAD_GATEWAY, "failed: it may have run", 0);
-    }
-
-    private void conclude(String request, HttpResponseStatus status, String line, long pauseNanos) {
-        OpenRequest r = open.get(request);
-        if (r != null) {
-            r.reply.plain(status, line, pauseNanos);
-            r.forgetIfOver();
-        }
-    }
-
-    @Override
-    public void cancel(String request, int attempt) {
-        OpenRequest r = open.get(request);
-        if (r != null) {
-            r.attempts.get(attempt).cancel();
-        }
-    }
-
-    @Override
-    public void setTimer(long delayNanos, long token) {
-        loop.schedule(() -> tell(new TimerFired(token)), delayNanos, TimeUnit.NANOSECONDS);
+        forwarding.tell(event);
     }
 
     @Override
@@ -265,7 +181,7 @@
         @Override
         public void listed(EndpointList list) {
             askedForList = true;
-            hosts.update(list);
+            hosts.update(list.places(), list.snapshot());
             tell(new ListReceived(list.snapshot() ? ListKind.WHOLE : ListKind.CHANGES, list.servers()));
         }
 
@@ -289,59 +205,7 @@
         @Override
         public void requested(FullHttpRequest request, long arrivedAt, Reply reply) throws BadRequest {
             long at = clock.nanos();
-            RequestArrived arrived = RequestReader.read(request, classes, at - arrivedAt);
-            if (open.containsKey(arrived.id())) {
-                throw new BadRequest(HttpResponseStatus.CONFLICT, "a request with this id is open");
-            }
-            OpenRequest r = new OpenRequest(arrived.id(), request.retain(), reply);
-            open.put(r.id, r);
-            reply.onLeft(r::clientLeft);
-            tell(at, arrived);
-        }
-    }
-
-    /** A request that is owed its answer, or whose attempts have not all ended. */
-    private final class OpenRequest implements HostPool.Listener {
-        private final String id;
-        private final FullHttpRequest request;
-        private final Reply reply;
-        private final List<HostPool.Attempt> attempts = new ArrayList<>(1);
-        private final List<String> servers = new ArrayList<>(1);
-        private int outstanding;
-
-        OpenRequest(String id, FullHttpRequest request, Reply reply) {
-            this.id = id;
-            this.request = request;
-            this.reply = reply;
-        }
-
-        void send(String server, long timeoutNanos) {
-            outstanding++;
-            servers.add(server);
-            attempts.add(hosts.send(server, RequestReader.forHost(request, timeoutNanos), timeoutNanos, this));
-        }
-
-        @Override
-        public void ended(HostPool.Attempt attempt, Outcome outcome, long at, LoadReport load, ByteBuf body) {
-            int number = attempts.indexOf(attempt);
-            outstanding--;
-            if (outcome == Outcome.SERVED) {
-                reply.served(body);
-            }
-            forgetIfOver();
-            tell(at, new AttemptEnded(id, number, servers.get(number), outcome, attempt.elapsed(at), reply.isDone(),
-                    load));
-        }
-
-        void clientLeft() {
-            forgetIfOver();
-            tell(new ClientLeft(id));
-        }
-
-        private void forgetIfOver() {
-            if (reply.isDone() && outstanding == 0 && open.remove(id, this)) {
-                request.release();
-            }
+            forwarding.begin(at, RequestReader.read(request, classes, at - arrivedAt), request, reply);
         }
     }
 }
--- a/src/main/java/tinworks/net/GatewayClock.java
+++ b/src/main/java/tinworks/net/GatewayClock.java
@@ -7,10 +7,11 @@
  * when a host started, so its figures are this clock's own, and stay equal from one list to the next, which
  * a conversion with two clocks at each list would not grant.
  */
-final class GatewayClock {
+public final class GatewayClock {
     private final long offset = TimeUnit.MILLISECONDS.toNanos(System.currentTimeMillis()) - System.nanoTime();
 
-    long nanos() {
+    /** Nanoseconds, never going back. */
+    public long nanos() {
         return System.nanoTime() + offset;
     }
 
--- a/src/main/java/tinworks/net/GatewayConfig.java
+++ b/src/main/java/tinworks/net/GatewayConfig.java
@@ -1,5 +1,6 @@
 package tinworks.net;
 
+import tinworks.json.Json;
 import tinworks.policy.Protocol.Settings;
 import tinworks.policy.SettingsReader;
 import java.io.IOException;
--- a/src/main/java/tinworks/net/HostPool.java
+++ b/src/main/java/tinworks/net/HostPool.java
@@ -2,8 +2,6 @@
 
 import tinworks.policy.Protocol.LoadReport;
 import tinworks.policy.Protocol.Outcome;
-import tinworks.policy.Protocol.Readiness;
-import tinworks.net.EndpointList.Endpoint;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -12,9 +10,9 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.concurrent.Future;
 import java.net.SocketAddress;
@@ -31,45 +29,74 @@
  * Kept-alive connections to the hosts, and the attempts on them. A connection carries one request at a time.
  * Nothing is ever sent a second time here: an attempt whose connection breaks has ended.
  */
-final class HostPool {
+public final class HostPool {
     /** Told once for each attempt, on the event loop, never from within {@link #send} or a cancel. */
-    interface Listener {
-        /** {@code body} is there for a served attempt alone, and is the listener's for the call's length. */
-        void ended(Attempt attempt, Outcome outcome, long atNanos, LoadReport load, ByteBuf body);
+    public interface Listener {
+        /** {@code answer} is there where a whole one came, and is the listener's for the call's length. */
+        void ended(Attempt attempt, Outcome outcome, long atNanos, LoadReport load, Answer answer);
     }
 
+    /** A host's whole answer. */
+    public record Answer(HttpResponse head, ByteBuf body) { }
+
+    /** How hosts say what became of a request. */
+    public interface Dialect {
+        /** What a whole answer to the request of this id means; {@code framed} says that its head told its length. */
+        Outcome outcome(String request, HttpResponse head, boolean framed);
+
+        /** The host's account of its load, or null. */
+        LoadReport load(HttpHeaders headers);
+    }
+
+    /** One host and where it is; {@code startedAt} in the clock's time, 0 where the start is long ago. */
+    public record Place(String id, SocketAddress address, long startedAt, boolean ready, boolean gone) { }
+
+    /**
+     * What connections may cost.
+     *
+     * @param idleNanos when at the latest a host closes a connection that stands idle
+     * @param connections the most to all hosts
+     * @param answerBytes the longest body of an answer
+     */
+    public record Bounds(long dialTimeoutNanos, long idleNanos, int connections, int answerBytes) { }
+
     /** Guards against a request that crosses the host's own closing of an idle connection. */
     private static final double IDLE_PART = 2.0 / 3;
     private static final long SWEEP_MILLIS = 500;
+    private static final String TIMEOUT = "timeout=";
+    private static final int MOST_DIGITS = 6;
 
     private final EventLoop loop;
     private final GatewayClock clock;
-    private final int mostConnections;
-    private final long idleNanos;
+    private final Bounds bounds;
+    private final Dialect dialect;
     private final Bootstrap bootstrap;
     private final Map<String, Host> hosts = new HashMap<>();
     private int connections;
 
-    HostPool(EventLoop loop, Transport transport, GatewayClock clock, long dialTimeoutNanos, long idleNanos,
-             int mostConnections) {
+    /** A pool that knows no host yet. */
+    public HostPool(EventLoop loop, Transport transport, GatewayClock clock, Bounds bounds, Dialect dialect) {
         this.loop = loop;
         this.clock = clock;
-        this.mostConnections = mostConnections;
-        this.idleNanos = (long) (idleNanos * IDLE_PART);
+        this.bounds = bounds;
+        this.dialect = dialect;
         bootstrap = new Bootstrap().group(loop).channel(transport.client())
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS,
-                        (int) Math.max(1, TimeUnit.NANOSECONDS.toMillis(dialTimeoutNanos)));
+                        (int) Math.max(1, TimeUnit.NANOSECONDS.toMillis(bounds.dialTimeoutNanos())));
         loop.scheduleWithFixedDelay(this::retireIdle, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    /** Takes in a list before the module is told of it, so that each host it names has an address. */
-    void update(EndpointList list) {
+    /**
+     * Takes in a list before the module is told of it, so that each host it names has an address; one that is
+     * {@code whole} names all that there are.
+     */
+    public void update(List<Place> places, boolean whole) {
         Set<String> named = new HashSet<>();
-        for (Endpoint endpoint : list.endpoints()) {
-            named.add(endpoint.info().id());
-            update(endpoint);
+        for (Place place : places) {
+            named.add(place.id());
+            update(place);
         }
-        if (list.snapshot()) {
+        if (whole) {
             for (String name : List.copyOf(hosts.keySet())) {
                 if (!named.contains(name)) {
                     hosts.remove(name).keepConnections(false);
@@ -78,34 +105,40 @@
         }
     }
 
-    private void update(Endpoint endpoint) {
-        String name = endpoint.info().id();
+    private void update(Place place) {
+        String name = place.id();
         Host old = hosts.get(name);
-        if (endpoint.gone()) {
+        if (place.gone()) {
             hosts.remove(name);
-        } else if (old == null || !old.is(endpoint)) {
-            hosts.put(name, new Host(endpoint));
+        } else if (old == null || !old.is(place)) {
+            hosts.put(name, new Host(place));
         } else {
-            old.keepConnections(endpoint.info().readiness() == Readiness.READY);
+            old.keepConnections(place.ready());
             return;
         }
         if (old != null) {
             old.keepConnections(false);
-            if (!endpoint.gone()) {
-                old.breakBefore(endpoint.info().startedAtNanos());
+            if (!place.gone()) {
+                old.breakBefore(place.startedAt());
             }
         }
     }
 
-    /** Starts an attempt. The request is this method's to release. */
-    Attempt send(String host, FullHttpRequest request, long timeoutNanos, Listener listener) {
-        Attempt attempt = new Attempt(request, clock.nanos(), listener);
+    /**
+     * Starts an attempt. The request is this method's to release.
+     *
+     * @param id the request's id, for the {@link Dialect}
+     * @param restedNanos how long a connection may have rested to be trusted with this request
+     */
+    public Attempt send(String host, String id, FullHttpRequest request, long timeoutNanos, long restedNanos,
+                        Listener listener) {
+        Attempt attempt = new Attempt(id, request, clock.nanos(), listener);
         attempt.timer = loop.schedule(attempt::timedOut, Math.max(0, timeoutNanos), TimeUnit.NANOSECONDS);
         Host target = hosts.get(host);
-        Connection idle = target == null ? null : target.takeIdle();
+        Connection idle = target == null ? null : target.takeIdle(restedNanos);
         if (idle != null) {
             idle.carry(attempt);
-        } else if (target != null && (connections < mostConnections || closeOneIdle())) {
+        } else if (target != null && (connections < bounds.connections() || closeOneIdle())) {
             target.dial(attempt);
         } else {
             loop.execute(() -> attempt.end(Outcome.CONNECT_FAILED, null, null));
@@ -114,13 +147,12 @@
     }
 
     /** Connections that are open or on their way. */
-    int connections() {
+    public int connections() {
         return connections;
     }
 
     private void retireIdle() {
-        long before = clock.nanos() - idleNanos;
-        hosts.values().forEach(host -> host.closeIdle(before));
+        hosts.values().forEach(host -> host.closeIdle(clock.nanos() - host.idleNanos));
     }
 
     private boolean closeOneIdle() {
@@ -142,26 +174,42 @@
         private final ArrayDeque<Connection> idle = new ArrayDeque<>();
         private final Set<Connection> all = new HashSet<>();
         private boolean keeps;
+        /** Shorter than the usual where the host itself has told a shorter time. */
+        private long idleNanos = (long) (bounds.idleNanos() * IDLE_PART);
 
-        Host(Endpoint endpoint) {
-            address = endpoint.address();
-            startedAt = endpoint.info().startedAtNanos();
-            keeps = endpoint.info().readiness() == Readiness.READY;
+        Host(Place place) {
+            address = place.address();
+            startedAt = place.startedAt();
+            keeps = place.ready();
         }
 
-        boolean is(Endpoint endpoint) {
-            return address.equals(endpoint.address()) && startedAt == endpoint.info().startedAtNanos();
+        boolean is(Place place) {
+            return address.equals(place.address()) && startedAt == place.startedAt();
         }
 
         /** The latest used, so that the others come of age; one that the host has closed is passed over. */
-        Connection takeIdle() {
-            Connection connection = idle.pollLast();
+        Connection takeIdle(long restedNanos) {
+            Connection connection = idle.peekLast();
             while (connection != null
                     && (!connection.channel.isActive() || clock.nanos() - connection.idleSince > idleNanos)) {
-                connection.channel.close();
-                connection = idle.pollLast();
+                idle.pollLast().channel.close();
+                connection = idle.peekLast();
+            }
+            return connection != null && clock.nanos() - connection.idleSince <= restedNanos ? idle.pollLast() : null;
+        }
+
+        /** Guards against a request that crosses the closing that this host has announced. */
+        void told(String keepAlive) {
+            int at = keepAlive == null ? -1 : keepAlive.indexOf("timeout=");
+            if (at >= 0) {
+                int end = at + TIMEOUT.length();
+                long seconds = 0;
+                for (int digits = 0; end < keepAlive.length() && Character.digit(keepAlive.charAt(end), 10) >= 0
+                        && digits < MOST_DIGITS; digits++) {
+                    seconds = seconds * 10 + Character.digit(keepAlive.charAt(end++), 10);
+                }
+                idleNanos = (long) (Math.min(bounds.idleNanos(), TimeUnit.SECONDS.toNanos(seconds)) * IDLE_PART);
             }
-            return connection;
         }
 
         void dial(Attempt attempt) {
@@ -172,7 +220,7 @@
             ChannelFuture dial = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel channel) {
-                    AnswerReader reader = new AnswerReader(connection);
+                    AnswerReader reader = new AnswerReader(connection, bounds.answerBytes());
                     channel.pipeline().addLast(reader.decoder(), new HttpRequestEncoder(), reader);
                 }
             }).connect(address);
@@ -258,11 +306,11 @@
                 return; // called off within this very read, and closed
             }
             attempt = null;
+            host.told(head.headers().get("Keep-Alive"));
             // A free connection first: the module may send again at once.
             release(clean && framed && HttpUtil.isKeepAlive(head) && answered.written);
-            Outcome outcome = outcome(head, framed);
-            answered.end(outcome, LoadReports.read(head.headers().getAll("X-Server-Load")),
-                    outcome == Outcome.SERVED ? body : null);
+            answered.end(dialect.outcome(answered.id, head, framed), dialect.load(head.headers()),
+                    framed ? new Answer(head, body) : null);
         }
 
         @Override
@@ -275,17 +323,6 @@
             }
         }
 
-        /** Guards against a break that passes for the end of a body: only a framed 200 is a whole one. */
-        private Outcome outcome(HttpResponse head, boolean framed) {
-            HttpResponseStatus status = head.status();
-            if (status.equals(HttpResponseStatus.OK)) {
-                return framed ? Outcome.SERVED : Outcome.ERROR;
-            }
-            boolean turnedAway = status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
-                    || status.equals(HttpResponseStatus.GATEWAY_TIMEOUT);
-            return turnedAway && "1".equals(head.headers().get("X-Not-Processed")) ? Outcome.FULL : Outcome.ERROR;
-        }
-
         private void release(boolean reusable) {
             if (reusable && host.keeps && channel.isActive()) {
                 idleSince = clock.nanos();
@@ -309,7 +346,8 @@
     }
 
     /** One send of a request to a host. */
-    final class Attempt {
+    public final class Attempt {
+        private final String id;
         private final Listener listener;
         private final long sentAt;
         private FullHttpRequest request;
@@ -319,18 +357,20 @@
         private boolean written;
         private boolean ended;
 
-        private Attempt(FullHttpRequest request, long sentAt, Listener listener) {
+        private Attempt(String id, FullHttpRequest request, long sentAt, Listener listener) {
+            this.id = id;
             this.request = request;
             this.sentAt = sentAt;
             this.listener = listener;
         }
 
-        long elapsed(long at) {
+        /** How long it had been out at a time. */
+        public long elapsed(long at) {
             return Math.max(0, at - sentAt);
         }
 
         /** Stops waiting. */
-        void cancel() {
+        public void cancel() {
             loop.execute(() -> {
                 abandon();
                 end(Outcome.CANCELLED, null, null);
@@ -353,7 +393,7 @@
             }
         }
 
-        private void end(Outcome outcome, LoadReport load, ByteBuf body) {
+        private void end(Outcome outcome, LoadReport load, Answer answer) {
             if (ended) {
                 return;
             }
@@ -363,7 +403,7 @@
                 request.release();
                 request = null;
             }
-            listener.ended(this, outcome, clock.nanos(), load, body);
+            listener.ended(this, outcome, clock.nanos(), load, answer);
         }
     }
 }
--- a/src/main/java/tinworks/net/Peers.java
+++ b/src/main/java/tinworks/net/Peers.java
@@ -1,5 +1,6 @@
 package tinworks.net;
 
+import tinworks.json.Json;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
--- a/src/main/java/tinworks/net/RequestAssembler.java
+++ b/src/main/java/tinworks/net/RequestAssembler.java
@@ -23,8 +23,8 @@
     private boolean amidst;
 
     /** Tells clients to go on with a body only while {@code free}: while no earlier request waits. */
-    RequestAssembler(BooleanSupplier free) {
-        super(AnswerReader.LARGEST_BODY);
+    RequestAssembler(BooleanSupplier free, int largestBody) {
+        super(largestBody);
         this.free = free;
     }
 
--- a/src/main/java/tinworks/net/Transport.java
+++ b/src/main/java/tinworks/net/Transport.java
@@ -10,8 +10,9 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 
 /** The kind of sockets that a gateway uses on all its sides. */
-record Transport(Class<? extends ServerChannel> server, Class<? extends Channel> client) {
-    static final Transport TCP = new Transport(NioServerSocketChannel.class, NioSocketChannel.class);
+public record Transport(Class<? extends ServerChannel> server, Class<? extends Channel> client) {
+    /** TCP. */
+    public static final Transport TCP = new Transport(NioServerSocketChannel.class, NioSocketChannel.class);
 
     /** Sockets in the file system, which nothing outside this machine can reach. */
     static final Transport FILES = new Transport(NioServerDomainSocketChannel.class, NioDomainSocketChannel.class);
--- /dev/null
+++ b/src/main/java/tinworks/node/NodeProcess.java
@@ -0,0 +1,118 @@
+package tinworks.node;
+
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.logging.Level;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** A process of the system: its settings and their changes, its event loop, its signals. */
+public final class NodeProcess {
+    /** What is to be done at the end, before the process goes. */
+    public interface Ending {
+        /** Returns when all is in order. */
+        void end() throws InterruptedException;
+    }
+
+    private static final Logger LOG = LoggerFactory.getLogger(NodeProcess.class);
+    private static final long WATCH_MILLIS = 2_500, LOOP_END_MILLIS = 50;
+    private static final String LEVEL = "TINWORKS_LOG";
+
+    private final Map<String, String> environment;
+    private final MultiThreadIoEventLoopGroup group;
+    private final EventLoop loop;
+    private BootSettings settings;
+
+    private NodeProcess(Map<String, String> environment, BootSettings settings) {
+        this.environment = environment;
+        this.settings = settings;
+        group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        loop = group.next();
+    }
+
+    /** A process with the settings that the environment names; bad ones are an {@link IllegalArgumentException}. */
+    public static NodeProcess start(Map<String, String> environment) {
+        // Guards against a search for logging libraries that aren't there, which costs a start as much as a list.
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
+        BootSettings settings = BootSettings.read(environment);
+        JsonLines.install(settings.node(), Level.parse(environment.getOrDefault(LEVEL, "INFO")));
+        return new NodeProcess(environment, settings);
+    }
+
+    /** The settings that it started with. */
+    public BootSettings settings() {
+        return settings;
+    }
+
+    /** The one event loop. */
+    public EventLoop loop() {
+        return loop;
+    }
+
+    /** Does something on the event loop and waits for what comes of it. */
+    public <T> T call(Callable<T> work) {
+        CompletableFuture<T> done = new CompletableFuture<>();
+        loop.execute(() -> {
+            try {
+                done.complete(work.call());
+            } catch (Exception e) {
+                done.completeExceptionally(e);
+            }
+        });
+        return done.join();
+    }
+
+    /** Waits until all addresses are taken; one that can't be had is an {@link IllegalArgumentException}. */
+    public void awaitBound(List<ChannelFuture> bound) {
+        for (ChannelFuture one : bound) {
+            one.awaitUninterruptibly();
+            if (!one.isSuccess()) {
+                throw new IllegalArgumentException("can't listen: " + one.cause().getMessage(), one.cause());
+            }
+        }
+    }
+
+    /** Tells of changed settings, on the event loop: after SIGHUP, and when the file has changed without a signal. */
+    public void onChange(Consumer<BootSettings> changed) {
+        sun.misc.Signal.handle(new sun.misc.Signal("HUP"), signal -> loop.execute(() -> reload(changed)));
+        loop.scheduleWithFixedDelay(() -> reload(changed), WATCH_MILLIS, WATCH_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void reload(Consumer<BootSettings> changed) {
+        try {
+            BootSettings read = BootSettings.read(environment);
+            if (!read.equals(settings)) {
+                settings = read;
+                LOG.info("the settings have changed");
+                changed.accept(read);
+            }
+        } catch (IllegalArgumentException e) {
+            LOG.warn("kept the old settings: {}", e.getMessage());
+        }
+    }
+
+    /** What SIGTERM does. */
+    public void onEnd(Ending ending) {
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            try {
+                ending.end();
+                group.shutdownGracefully(0, LOOP_END_MILLIS, TimeUnit.MILLISECONDS).await(LOOP_END_MILLIS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            } catch (CompletionException e) {
+                LOG.error("did not end in order", e);
+            }
+        }, "end"));
+    }
+}
--- /dev/null
+++ b/src/main/java/tinworks/platform/HostPoller.java
@@ -0,0 +1,172 @@
+package tinworks.platform;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import tinworks.channel.HostList.Host;
+import tinworks.json.Json;
+import tinworks.net.GatewayClock;
+import tinworks.net.HostPool;
+import tinworks.net.HostPool.Answer;
+import tinworks.net.HostPool.Place;
+import tinworks.net.Transport;
+import tinworks.policy.Protocol.LoadReport;
+import tinworks.policy.Protocol.Outcome;
+
+/**
+ * Fetches the platform's list, page by page, again and again while it is on: once a second, and after a failure or a
+ * 429 after a pause that grows and is drawn by chance. All on one event loop.
+ */
+public final class HostPoller {
+    private static final String PLATFORM = "platform";
+    private static final long PERIOD_MILLIS = 1_000, LONGEST_PAUSE_MILLIS = 4_000, TIMEOUT_MILLIS = 1_500;
+    private static final int MOST_PAGES = 1_000, LARGEST_PAGE = 4 << 20;
+    /** A host that ends within so short a time would be reused before anyone can see it. */
+    private static final long IDLE_NANOS = TimeUnit.SECONDS.toNanos(20);
+
+    private final EventLoop loop;
+    private final Consumer<List<Host>> listener;
+    private final Consumer<String> log;
+    private final HostPool pool;
+    private final GatewayClock clock;
+    private final SplittableRandom random;
+    private InetSocketAddress address;
+    private long moves = 1;
+    private List<Host> gathered = new ArrayList<>();
+    private int pages;
+    private int failures;
+    private boolean on;
+    private long run;
+
+    /** A poller that is off; the listener is told of each whole list, in the order of the hosts' ids. */
+    public HostPoller(EventLoop loop, GatewayClock clock, InetSocketAddress address, long seed,
+                      Consumer<List<Host>> listener, Consumer<String> log) {
+        this.loop = loop;
+        this.clock = clock;
+        this.listener = listener;
+        this.log = log;
+        random = new SplittableRandom(seed);
+        pool = new HostPool(loop, Transport.TCP, clock, new HostPool.Bounds(TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS),
+                IDLE_NANOS, 2, LARGEST_PAGE), new ListDialect());
+        moveTo(address);
+    }
+
+    /** From now on the list is fetched from this address. */
+    public void moveTo(InetSocketAddress changed) {
+        if (!changed.equals(address)) {
+            address = changed;
+            pool.update(List.of(new Place(PLATFORM, changed, moves++, true, false)), true);
+        }
+    }
+
+    /** Starts fetching at once, or stops. */
+    public void turn(boolean wanted) {
+        if (wanted != on) {
+            on = wanted;
+            run++;
+            if (on) {
+                failures = 0;
+                begin(run);
+            }
+        }
+    }
+
+    /** Whether it is on. */
+    public boolean isOn() {
+        return on;
+    }
+
+    private void begin(long itsRun) {
+        if (on && itsRun == run) {
+            gathered = new ArrayList<>();
+            pages = 0;
+            fetch(itsRun, "");
+        }
+    }
+
+    private void fetch(long itsRun, String cursor) {
+        String path = cursor.isEmpty() ? "/hosts" : "/hosts?cursor=" + URLEncoder.encode(cursor, StandardCharsets.UTF_8);
+        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path, Unpooled.EMPTY_BUFFER);
+        request.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
+        long started = clock.nanos();
+        pool.send(PLATFORM, "", request, TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS), Long.MAX_VALUE,
+                (attempt, outcome, at, load, answer) -> answered(itsRun, started, outcome, answer));
+    }
+
+    private void answered(long itsRun, long started, Outcome outcome, Answer answer) {
+        if (!on || itsRun != run) {
+            return;
+        }
+        if (outcome != Outcome.SERVED) {
+            failed(itsRun, answer == null ? outcome.toString() : answer.head().status().toString());
+            return;
+        }
+        try {
+            String next = page(Json.read(answer.body().toString(StandardCharsets.UTF_8)));
+            if (!next.isEmpty() && ++pages < MOST_PAGES) {
+                fetch(itsRun, next);
+                return;
+            }
+        } catch (IOException | IllegalArgumentException e) {
+            failed(itsRun, "can't be read: " + e.getMessage());
+            return;
+        }
+        failures = 0;
+        gathered.sort(Comparator.comparing(Host::id));
+        listener.accept(gathered);
+        long passed = TimeUnit.NANOSECONDS.toMillis(clock.nanos() - started);
+        loop.schedule(() -> begin(itsRun), Math.max(1, PERIOD_MILLIS - passed), TimeUnit.MILLISECONDS);
+    }
+
+    /** Guards against many callers coming back at the same moment when the platform is late or says 429. */
+    private void failed(long itsRun, String why) {
+        failures++;
+        if (failures == 1) {
+            log.accept("the platform's list: " + why);
+        }
+        long pause = Math.min(LONGEST_PAUSE_MILLIS, PERIOD_MILLIS / 4 << Math.min(failures, 5));
+        loop.schedule(() -> begin(itsRun), pause / 2 + random.nextLong(pause), TimeUnit.MILLISECONDS);
+    }
+
+    /** Takes in one page and returns where the next is, empty where there is none. */
+    private String page(Json page) {
+        if (!page.field("hosts").isArray()) {
+            throw new IllegalArgumentException("no hosts in it");
+        }
+        for (Json entry : page.field("hosts").entries()) {
+            gathered.add(new Host(entry.required("id").text(), entry.required("svc").text(), entry.required("addr").text(),
+                    entry.field("az").text(), entry.field("slots").number(1).intValue(),
+                    !entry.field("status").text().equals("ready"), entry.field("warmupMs").number(0).longValue()));
+        }
+        return page.field("nextCursor").text();
+    }
+
+    private static final class ListDialect implements HostPool.Dialect {
+        @Override
+        public Outcome outcome(String request, HttpResponse head, boolean framed) {
+            return framed && head.status().equals(HttpResponseStatus.OK) ? Outcome.SERVED : Outcome.ERROR;
+        }
+
+        @Override
+        public LoadReport load(HttpHeaders headers) {
+            return null;
+        }
+    }
+}
--- a/src/main/java/tinworks/policy/Choice.java
+++ b/src/main/java/tinworks/policy/Choice.java
@@ -95,7 +95,7 @@
     private byte[] told = { };
     private long toldAt;
     private double total = 1, lateness, warmRate, extra = MOST_EXTRA, pressure, leastPressure, bestValue;
-    private int inFlight, inDoubt, arrivals, refusals, failedAsks;
+    private int gateways, inFlight, inDoubt, arrivals, refusals, failedAsks;
     private long now, tickStart, endsAt = Long.MAX_VALUE;
     private boolean started, sweeping;
 
@@ -104,13 +104,12 @@
         this.settings = settings;
         this.actions = actions;
         rules = settings.rules();
+        gateways = settings.gateways();
         random = new SplittableRandom(seed);
         sweepNanos = Math.max(settings.resolutionNanos(), SWEEP_NANOS);
-        for (RequestClass c : settings.classes()) {
-            kinds.put(c.name(), new Kind(c, c.aimNanos() * BUDGET_OF_AIM));
-        }
+        takeClasses(settings.classes());
         for (Tenant t : settings.tenants()) {
-            double part = t.quotaPerSecond() / settings.gateways();
+            double part = t.quotaPerSecond() / gateways;
             quotas.put(t.name(), new Quota(part, new Bucket(part, 0)));
         }
     }
@@ -144,11 +143,32 @@
             open.get(e.id()).streaming = true;
         } else if (event instanceof PeerSaid e) {
             heard(e);
+        } else if (event instanceof Reconfigured e) {
+            reconfigured(e);
         } else if (event instanceof Ending e) {
             endsAt = now + e.answerWithinNanos();
         }
     }
 
+    private void takeClasses(List<RequestClass> classes) {
+        Map<String, Kind> known = new HashMap<>(kinds);
+        kinds.clear();
+        for (RequestClass c : classes) {
+            Kind kind = known.getOrDefault(c.name(), new Kind(c, c.aimNanos() * BUDGET_OF_AIM));
+            kind.spec = c;
+            kinds.put(c.name(), kind);
+        }
+    }
+
+    /** A new version in the middle of a tick: shares, samples and limits stay as they are. */
+    private void reconfigured(Reconfigured e) {
+        takeClasses(e.classes());
+        gateways = e.gateways();
+        cutPortions();
+        dispatch();
+        sweepLater();
+    }
+
     private void timer(long token) {
         if (token == STEP_TOKEN) {
             step();
@@ -289,7 +309,7 @@
         }
         total = limits;
         // Guards against holding back chance crowding: a part of the traffic crowds more than the whole.
-        double chance = CHANCE_DEVIATIONS * Math.sqrt(limits) * (1 - 1.0 / settings.gateways());
+        double chance = CHANCE_DEVIATIONS * Math.sqrt(limits) * (1 - 1.0 / gateways);
         return inFlight > 0 && inFlight >= limits + chance ? null : drawn;
     }
 
@@ -357,12 +377,15 @@
      * sparse, half of it by portion. The other half guards against leaving out a server whose gateway is gone.
      */
     private double part(Server s) {
-        double equal = 1.0 / settings.gateways();
+        double equal = 1.0 / gateways;
         return sparse() ? (s.portion + equal) / 2 : equal;
     }
 
     /** Fewer samples of a server in a tick than make a mean of its own; before the first tick's end, by what has come. */
     private boolean sparse() {
+        if (settings.gatewayNumber() < 0) {
+            return false;
+        }
         double seconds = Math.max(LEAST_SEEN_NANOS, now - tickStart) / SECOND_NANOS;
         double rate = warmRate > 0 ? warmRate : arrivals / (seconds * Math.max(1, ready.size()));
         return rate * TICK_NANOS < SHRINK_SAMPLES * SECOND_NANOS;
@@ -373,11 +396,14 @@
      * capacity for each gateway. A server on a border belongs to both sides in part.
      */
     private void cutPortions() {
+        if (settings.gatewayNumber() < 0) {
+            return;
+        }
         List<Server> order = new ArrayList<>(ready);
         order.sort(Comparator.<Server>comparingLong(s -> mixed(s.info.id())).thenComparing(s -> s.info.id()));
         double capacity = order.stream().mapToDouble(s -> s.info.capacityHint()).sum();
-        double from = capacity * settings.gatewayNumber() / settings.gateways();
-        double to = from + capacity / settings.gateways();
+        double from = capacity * settings.gatewayNumber() / gateways;
+        double to = from + capacity / gateways;
         double at = 0;
         for (Server s : order) {
             double next = at + s.info.capacityHint();
@@ -447,13 +473,17 @@
     /** The one guard that every send passes: drains, further tries, effects, the cold budget. */
     private boolean maySend(Request r, Server s) {
         if (!s.ready || r.concluded || r.streaming || now >= r.deadline
-                || r.attempts.size() >= Math.min(settings.allowed().maxAttempts(), Long.SIZE - 1)
+                || r.attempts.size() >= mostAttempts(r)
                 || r.outstanding > 0 || coldBudget(s) < 1) {
             return false;
         }
         return effectAllows(r, s) && r.attempts.stream().noneMatch(a -> a.server() == s);
     }
 
+    private int mostAttempts(Request r) {
+        return Math.min(Math.min(settings.allowed().maxAttempts(), r.kind.spec.tries()), Long.SIZE - 1);
+    }
+
     private boolean effectAllows(Request r, Server s) {
         RequestClass c = r.kind.spec;
         Attempt first = r.firstThatMayRun();
@@ -481,7 +511,7 @@
         if (gate >= 1) {
             return 1;
         }
-        double fleetRate = warmRate() * settings.gateways();
+        double fleetRate = warmRate() * gateways;
         double perNano = COLD_SAFETY * rules.overloadFactor() * gate * fleetRate * part(s) / SECOND_NANOS;
         return s.cold.refill(now, perNano, Math.max(1, perNano * rules.overloadForNanos() / 2));
     }
@@ -534,7 +564,7 @@
     private void tryAgain(Request r, Outcome outcome) {
         double cost = outcome.provesItNeverRan() ? 0 : 1;
         boolean may = r.kind.spec.effect() != Effect.UNSAFE || r.firstThatMayRun() == null;
-        boolean left = r.attempts.size() < settings.allowed().maxAttempts() && now < r.deadline;
+        boolean left = r.attempts.size() < mostAttempts(r) && now < r.deadline;
         if (may && left && extra >= cost) {
             extra -= cost;
             place(r);
@@ -573,7 +603,7 @@
         Kind kind = a.request().kind;
         boolean served = outcome == Outcome.SERVED;
         // Guards against a mix of long and short classes passing for a slow or a fast server.
-        s.tick.add(elapsedNanos / kind.latency, 1);
+        s.tick.add(sample(kind, outcome, elapsedNanos) / kind.latency, 1);
         if (served) {
             took(kind, elapsedNanos);
         }
@@ -601,6 +631,12 @@
         }
     }
 
+    /** Guards against fast failures, which would pass for fast answers and gain share. */
+    private static double sample(Kind kind, Outcome outcome, long elapsedNanos) {
+        boolean whole = outcome == Outcome.SERVED || outcome == Outcome.CANCELLED;
+        return whole ? elapsedNanos : Math.max(elapsedNanos, kind.spec.failureNanos());
+    }
+
     /** The class's mean over about the last hundred answers, and the least it has been once known. */
     private static void took(Kind kind, long nanos) {
         kind.served++;
@@ -629,7 +665,7 @@
         double seen = own * s.lateness + (1 - own) * lateness;
         if (seen > 1) {
             double lower = s.limit - own * Math.min(1, seen - 1) / 2;
-            s.limit = Math.max(LEAST_IN_FLIGHT / settings.gateways(), lower);
+            s.limit = Math.max(LEAST_IN_FLIGHT / gateways, lower);
         } else if (s.inFlight + 1 >= s.limit - 1 && inFlight + 1 >= total) {
             s.limit += own / Math.max(1, s.limit);
         }
@@ -763,7 +799,7 @@
         }
         double mean = ready.stream().mapToDouble(s -> s.share).average().orElse(1);
         // Guards against holding back the whole traffic when all servers are replaced one by one.
-        double first = Math.max(FIRST_IN_FLIGHT / settings.gateways(),
+        double first = Math.max(FIRST_IN_FLIGHT / gateways,
                 ready.stream().mapToDouble(s -> s.limit).average().orElse(0));
         for (ServerInfo info : e.servers()) {
             Server s = servers.get(info.id());
--- a/src/main/java/tinworks/policy/Protocol.java
+++ b/src/main/java/tinworks/policy/Protocol.java
@@ -43,9 +43,23 @@
     /** Changes only, the whole list, the list as last held by a gateway that starts, or a failed call. */
     enum ListKind { CHANGES, WHOLE, CACHED, FAILED }
 
-    /** A class of requests; {@code dedupWindowNanos} counts from the first send that may have run. */
+    /**
+     * A class of requests.
+     *
+     * @param dedupWindowNanos counts from the first send that may have run
+     * @param tries the most attempts for one of its requests, within what the gateway allows
+     * @param failureNanos what an attempt without a whole answer counts as in the loop at least; 0 for the time it took
+     */
     record RequestClass(String name, Effect effect, Group group, long dedupWindowNanos, long aimNanos,
-                        long deadlineNanos, double worth, double lateWorth, boolean stream) { }
+                        long deadlineNanos, double worth, double lateWorth, boolean stream, int tries,
+                        long failureNanos) {
+        /** One whose tries are the gateway's, and whose failures count as long as they took. */
+        public RequestClass(String name, Effect effect, Group group, long dedupWindowNanos, long aimNanos,
+                            long deadlineNanos, double worth, double lateWorth, boolean stream) {
+            this(name, effect, group, dedupWindowNanos, aimNanos, deadlineNanos, worth, lateWorth, stream,
+                    Integer.MAX_VALUE, 0);
+        }
+    }
 
     /** A tenant and the requests a second, over all gateways, that are within its share. */
     record Tenant(String name, double quotaPerSecond) { }
@@ -57,7 +71,12 @@
     record Rules(long answerSlackNanos, long drainGraceNanos, long askWithinNanos, double coldFrom,
                  long warmUpNanos, double overloadFactor, long overloadForNanos) { }
 
-    /** What a gateway is told once, at its start. */
+    /**
+     * What a gateway is told at its start.
+     *
+     * @param gatewayNumber its place among the gateways, from 0; below 0 where they have none, and then it keeps to
+     *     no portion of the servers
+     */
     record Settings(int gateways, int gatewayNumber, String zone, boolean subscribe, long resolutionNanos,
                     List<RequestClass> classes, List<Tenant> tenants, double overShareWorth,
                     Allowed allowed, Rules rules) {
@@ -125,6 +144,20 @@
     /** The gateway is to end: what comes from now on needs its final answer within this time. */
     record Ending(long answerWithinNanos) implements Event { }
 
+    /**
+     * Other classes, or another number of gateways, from now on. A class of a name that was there keeps what was
+     * learned of it, and requests under way end by the classes that they came with.
+     */
+    record Reconfigured(List<RequestClass> classes, int gateways) implements Event {
+        /** Keeps its own list. */
+        public Reconfigured {
+            classes = List.copyOf(classes);
+            if (gateways < 1) {
+                throw new IllegalArgumentException("gateways: " + gateways);
+            }
+        }
+    }
+
     /** A timer that the module set. */
     record TimerFired(long token) implements Event { }
 
--- a/src/main/java/tinworks/policy/State.java
+++ b/src/main/java/tinworks/policy/State.java
@@ -115,7 +115,7 @@
 
     /** A class as this gateway has seen it. */
     final class Kind {
-        final RequestClass spec;
+        RequestClass spec;
         double latency;
         double calmest;
         long served;
--- /dev/null
+++ b/src/main/java/tinworks/raft/Entry.java
@@ -0,0 +1,26 @@
+package tinworks.raft;
+
+import java.util.Arrays;
+
+/**
+ * A record of the log.
+ *
+ * @param index its place, from 1
+ * @param term the term of the leader that wrote it
+ * @param body for {@link Kind#COMMAND} the state machine's bytes, for {@link Kind#MEMBERS} {@link Members}'s
+ */
+public record Entry(long index, long term, Kind kind, byte[] body) {
+    /** What an entry is for: a leader's first, a command to the state machine, or the voters from here on. */
+    public enum Kind { LEAD, COMMAND, MEMBERS }
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof Entry e && index == e.index && term == e.term && kind == e.kind
+                && Arrays.equals(body, e.body);
+    }
+
+    @Override
+    public int hashCode() {
+        return Long.hashCode(index * 31 + term);
+    }
+}
--- /dev/null
+++ b/src/main/java/tinworks/raft/Progress.java
@@ -0,0 +1,31 @@
+package tinworks.raft;
+
+/** What a leader knows of one that it sends the log to, a voter or a learner. */
+public final class Progress {
+    final Member member;
+    long next;
+    long match;
+    long round;
+    long heardAt;
+
+    Progress(Member member, long next, long now) {
+        this.member = member;
+        this.next = next;
+        heardAt = now;
+    }
+
+    /** Who it is. */
+    public Member member() {
+        return member;
+    }
+
+    /** The last index that it has for certain, 0 where none. */
+    public long match() {
+        return match;
+    }
+
+    /** When it last said anything, in the machine's milliseconds. */
+    public long heardAt() {
+        return heardAt;
+    }
+}
--- /dev/null
+++ b/src/main/java/tinworks/raft/Raft.java
@@ -0,0 +1,614 @@
+package tinworks.raft;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import tinworks.raft.Entry.Kind;
+import tinworks.raft.Message.Append;
+import tinworks.raft.Message.AppendReply;
+import tinworks.raft.Message.HandOver;
+import tinworks.raft.Message.Install;
+import tinworks.raft.Message.VoteReply;
+import tinworks.raft.Message.VoteRequest;
+import tinworks.raft.Output.Envelope;
+
+/**
+ * One member's part in the agreement. Events come by {@link #tick}, {@link #receive} and the calls of a leader;
+ * what is to be done about them is collected by {@link #drain}. Messages may be lost, doubled and late; nothing
+ * here reads a clock, and time is the caller's steady milliseconds.
+ *
+ * <p>What keeps an acknowledged entry: a vote and an entry are told to others only once they are synced (the
+ * {@link Output}'s order), an entry counts as committed once a majority of the voters has it and one of the leader's
+ * own term is among them, and a vote goes only to who has all that the voter has. Voters change one at a time, and
+ * only after the leader's first entry is committed, so any two majorities that follow each other overlap.
+ */
+public final class Raft {
+    /** What a member is at the moment. */
+    public enum Role { FOLLOWER, ASKING, CANDIDATE, LEADER }
+
+    /** Entries of one message: enough for a batch, little enough not to hold up heartbeats. */
+    private static final int MESSAGE_BYTES = 1 << 20;
+
+    private final long self;
+    private final Timing timing;
+    private final SplittableRandom random;
+    private final Log log;
+    private final Map<Long, Progress> progress = new LinkedHashMap<>();
+    private final Set<Long> granted = new HashSet<>();
+    private final Map<Long, Long> reads = new LinkedHashMap<>();
+
+    private long term;
+    private long votedFor;
+    private Role role = Role.FOLLOWER;
+    private long leader;
+    private long commit;
+    private long applied;
+    private long now;
+    private long heardLeaderAt;
+    private long electionAt;
+    private long heartbeatAt;
+    private long firstOfTerm;
+    private long round;
+    private long tickets;
+    private List<Member> members;
+
+    private HardState written;
+    private long unwrittenFrom;
+    private Snapshot unwrittenSnapshot;
+    private Snapshot restore;
+    private List<Envelope> outbox = new ArrayList<>();
+    private final List<Long> readable = new ArrayList<>();
+
+    /** A member with what its disk holds; whoever isn't among the voters listens until a leader makes it one. */
+    public Raft(long self, Stored stored, Timing timing, long seed, long now) {
+        this.self = self;
+        this.timing = timing;
+        this.now = now;
+        random = new SplittableRandom(seed);
+        log = new Log(stored.snapshot(), stored.entries());
+        term = stored.hard().term();
+        votedFor = stored.hard().votedFor();
+        written = stored.hard();
+        commit = stored.snapshot().index();
+        restore = commit > 0 ? stored.snapshot() : null;
+        applied = commit;
+        members = log.membersAt(log.lastIndex());
+        heardLeaderAt = now - timing.electionMillis();
+        electionLater();
+    }
+
+    // ---- what is asked of it
+
+    /** Lets time pass. */
+    public void tick(long nowMillis) {
+        now = Math.max(now, nowMillis);
+        if (role == Role.LEADER) {
+            if (now >= heartbeatAt) {
+                keepOrLose();
+            }
+        } else if (now >= electionAt) {
+            ask();
+        }
+    }
+
+    /** Takes a message that another member sent. */
+    public void receive(long nowMillis, long from, Message message) {
+        now = Math.max(now, nowMillis);
+        if (message instanceof VoteRequest m) {
+            voteRequested(from, m);
+        } else if (message instanceof VoteReply m) {
+            voteReplied(from, m);
+        } else if (message instanceof Append m) {
+            if (leads(from, m.term(), m.round())) {
+                append(from, m);
+            }
+        } else if (message instanceof Install m) {
+            if (leads(from, m.term(), m.round())) {
+                install(from, m);
+            }
+        } else if (message instanceof AppendReply m) {
+            appendReplied(from, m);
+        } else if (message instanceof HandOver m && m.term() == term && isVoter(self)) {
+            stand(true);
+        }
+    }
+
+    /** Writes a command to the log and returns its index, or 0 where this member doesn't lead. */
+    public long propose(byte[] command) {
+        return role == Role.LEADER ? write(Kind.COMMAND, command) : 0;
+    }
+
+    /**
+     * Makes these the voters; false where this member doesn't lead, an earlier change isn't committed yet, or more
+     * than one voter would come or go.
+     */
+    public boolean changeMembers(List<Member> wanted) {
+        if (!mayChangeMembers() || differences(members, wanted) != 1 || wanted.isEmpty()) {
+            return false;
+        }
+        write(Kind.MEMBERS, Members.write(wanted));
+        return true;
+    }
+
+    /** Whether a change of voters may be written now. */
+    public boolean mayChangeMembers() {
+        return role == Role.LEADER && commit >= firstOfTerm && commit >= log.membersIndex();
+    }
+
+    /** Sends the log to one who doesn't vote. */
+    public void addLearner(Member learner) {
+        if (role == Role.LEADER && !isVoter(learner.id()) && learner.id() != self) {
+            Progress known = progress.get(learner.id());
+            if (known == null || !known.member.equals(learner)) {
+                progress.put(learner.id(), new Progress(learner, log.lastIndex() + 1, now));
+            }
+        }
+    }
+
+    /** Stops sending to a learner. */
+    public void removeLearner(long id) {
+        if (!isVoter(id)) {
+            progress.remove(id);
+        }
+    }
+
+    /**
+     * Asks for the right to answer a read from the applied state, and returns its ticket, or 0 where this member
+     * doesn't lead. The ticket comes out of {@link #drain} once a majority has confirmed the leader since.
+     */
+    public long read() {
+        if (role != Role.LEADER) {
+            return 0;
+        }
+        tickets++;
+        round++;
+        reads.put(tickets, round);
+        broadcast();
+        answerReads();
+        return tickets;
+    }
+
+    /** Hands the lead to the voter that is furthest on, so that an end in good order costs no election. */
+    public void handOver() {
+        Progress best = null;
+        for (Progress p : progress.values()) {
+            if (isVoter(p.member.id()) && now - p.heardAt < timing.electionMillis() && (best == null || p.match > best.match)) {
+                best = p;
+            }
+        }
+        if (role == Role.LEADER && best != null && best.match == log.lastIndex()) {
+            send(best.member.id(), new HandOver(term));
+        }
+    }
+
+    /** Puts the applied state in place of the log up to an index that has been applied. */
+    public void compact(long index, byte[] state) {
+        if (index > log.base().index() && index <= applied) {
+            Snapshot snapshot = new Snapshot(index, log.term(index), log.membersAt(index), state);
+            log.rebase(snapshot);
+            unwrittenSnapshot = snapshot;
+            unwrittenFrom = unwrittenFrom > 0 ? Math.max(unwrittenFrom, index + 1) : 0;
+        }
+    }
+
+    /** What came of the events since the last call. */
+    public Output drain() {
+        HardState hard = new HardState(term, votedFor);
+        boolean hardChanged = !hard.equals(written);
+        written = hard;
+        List<Entry> entries = unwrittenFrom > 0 ? log.from(unwrittenFrom, Integer.MAX_VALUE) : List.of();
+        List<Entry> committed = new ArrayList<>();
+        while (applied < commit) {
+            committed.add(log.entry(++applied));
+        }
+        Output output = new Output(term, hardChanged ? hard : null, unwrittenSnapshot, unwrittenFrom, entries,
+                log.lastIndex(), outbox, restore, committed, List.copyOf(readable));
+        unwrittenFrom = 0;
+        unwrittenSnapshot = null;
+        restore = null;
+        outbox = new ArrayList<>();
+        readable.clear();
+        return output;
+    }
+
+    /** Tells that all of an output is on the disk: from now on the leader's own copy counts. */
+    public void persisted(Output output) {
+        if (role == Role.LEADER && output.term() == term) {
+            Progress own = progress.get(self);
+            if (own != null) {
+                own.match = Math.max(own.match, Math.min(output.lastIndex(), log.lastIndex()));
+            }
+            advance();
+        }
+    }
+
+    // ---- what it tells
+
+    /** What this member is. */
+    public Role role() {
+        return role;
+    }
+
+    /** The leader's id as far as it is known, 0 where it isn't. */
+    public long leader() {
+        return leader;
+    }
+
+    /** The present term. */
+    public long term() {
+        return term;
+    }
+
+    /** The last index known to be committed. */
+    public long commit() {
+        return commit;
+    }
+
+    /** The log's last index. */
+    public long lastIndex() {
+        return log.lastIndex();
+    }
+
+    /** How many entries the log holds behind its snapshot. */
+    public long length() {
+        return log.lastIndex() - log.base().index();
+    }
+
+    /** The voters as this member's log has them, committed or not. */
+    public List<Member> members() {
+        return members;
+    }
+
+    /** Whether a leader has been heard lately, or this member leads. */
+    public boolean inTouch() {
+        return role == Role.LEADER || leader != 0 && now - heardLeaderAt < 2 * timing.electionMillis();
+    }
+
+    /** Whether this member leads and all of its predecessors' commitments are known to it. */
+    public boolean ready() {
+        return role == Role.LEADER && commit >= firstOfTerm;
+    }
+
+    /** Whom a leader sends to, itself left out; empty at others. */
+    public List<Progress> followers() {
+        List<Progress> others = new ArrayList<>();
+        if (role == Role.LEADER) {
+            progress.values().stream().filter(p -> p.member.id() != self).forEach(others::add);
+        }
+        return others;
+    }
+
+    /** Whether an id is among the voters. */
+    public boolean isVoter(long id) {
+        return members.stream().anyMatch(m -> m.id() == id);
+    }
+
+    // ---- elections
+
+    private void electionLater() {
+        electionAt = now + timing.electionMillis() + random.nextLong(timing.electionMillis());
+    }
+
+    /** Guards against a member that was cut off raising the term of all when it comes back: first it asks. */
+    private void ask() {
+        electionLater();
+        if (!isVoter(self)) {
+            leader = 0;
+            return;
+        }
+        role = Role.ASKING;
+        leader = 0;
+        granted.clear();
+        granted.add(self);
+        askAll(new VoteRequest(term + 1, true, log.lastIndex(), log.lastTerm(), false));
+        if (majority(granted)) {
+            stand(false);
+        }
+    }
+
+    private void stand(boolean handedOver) {
+        term++;
+        votedFor = self;
+        role = Role.CANDIDATE;
+        leader = 0;
+        granted.clear();
+        granted.add(self);
+        electionLater();
+        askAll(new VoteRequest(term, false, log.lastIndex(), log.lastTerm(), handedOver));
+        if (majority(granted)) {
+            lead();
+        }
+    }
+
+    private void askAll(VoteRequest request) {
+        for (Member member : members) {
+            if (member.id() != self) {
+                send(member.id(), request);
+            }
+        }
+    }
+
+    private void voteRequested(long from, VoteRequest m) {
+        boolean upToDate = m.lastTerm() > log.lastTerm()
+                || m.lastTerm() == log.lastTerm() && m.lastIndex() >= log.lastIndex();
+        // Guards against one that has been removed, or hears nothing, unseating a leader that others hear.
+        boolean content = !m.handedOver() && (role == Role.LEADER || now - heardLeaderAt < timing.electionMillis());
+        if (m.pre()) {
+            boolean would = m.term() > term && upToDate && !content;
+            send(from, new VoteReply(would ? m.term() : term, true, would));
+            return;
+        }
+        if (content && m.term() > term) {
+            send(from, new VoteReply(term, false, false));
+            return;
+        }
+        follow(m.term());
+        boolean may = m.term() == term && (votedFor == 0 || votedFor == from) && upToDate;
+        if (may) {
+            role = Role.FOLLOWER;
+            votedFor = from;
+            electionLater();
+        }
+        send(from, new VoteReply(term, false, may));
+    }
+
+    private void voteReplied(long from, VoteReply m) {
+        if (m.pre() && m.granted()) {
+            if (role == Role.ASKING && m.term() == term + 1) {
+                granted.add(from);
+                if (majority(granted)) {
+                    stand(false);
+                }
+            }
+            return;
+        }
+        follow(m.term());
+        if (role == Role.CANDIDATE && m.term() == term && m.granted()) {
+            granted.add(from);
+            if (majority(granted)) {
+                lead();
+            }
+        }
+    }
+
+    /** Follows into a later term. */
+    private void follow(long later) {
+        if (later > term) {
+            term = later;
+            votedFor = 0;
+            stepDown();
+        }
+    }
+
+    private void stepDown() {
+        if (role == Role.LEADER) {
+            electionLater();
+        }
+        role = Role.FOLLOWER;
+        leader = 0;
+        progress.clear();
+        reads.clear();
+    }
+
+    private void lead() {
+        role = Role.LEADER;
+        leader = self;
+        progress.clear();
+        reads.clear();
+        syncProgress();
+        progress.values().forEach(p -> p.heardAt = now);
+        firstOfTerm = log.lastIndex() + 1;
+        write(Kind.LEAD, new byte[0]);
+        if (log.membersIndex() == 0) {
+            // The first voters are known to themselves alone until the log tells of them.
+            write(Kind.MEMBERS, Members.write(members));
+        }
+    }
+
+    private boolean majority(Set<Long> ids) {
+        return 2 * members.stream().filter(m -> ids.contains(m.id())).count() > members.size();
+    }
+
+    /** Guards against a leader that was cut off and doesn't know it: it goes on only while a majority answers. */
+    private void keepOrLose() {
+        Set<Long> heard = new HashSet<>();
+        heard.add(self);
+        progress.values().stream().filter(p -> now - p.heardAt < 2 * timing.electionMillis())
+                .forEach(p -> heard.add(p.member.id()));
+        if (majority(heard)) {
+            broadcast();
+        } else {
+            stepDown();
+        }
+    }
+
+    // ---- the log
+
+    private long write(Kind kind, byte[] body) {
+        Entry entry = new Entry(log.lastIndex() + 1, term, kind, body);
+        log.append(entry);
+        unwrittenFrom = unwrittenFrom > 0 ? Math.min(unwrittenFrom, entry.index()) : entry.index();
+        if (kind == Kind.MEMBERS) {
+            members = Members.read(body);
+            syncProgress();
+        }
+        broadcast();
+        advance();
+        return entry.index();
+    }
+
+    /** One progress for each voter; learners keep theirs. */
+    private void syncProgress() {
+        for (Member member : members) {
+            progress.computeIfAbsent(member.id(), id -> new Progress(member, log.lastIndex() + 1, now));
+        }
+    }
+
+    private void broadcast() {
+        heartbeatAt = now + timing.heartbeatMillis();
+        for (Progress p : progress.values()) {
+            if (p.member.id() != self) {
+                sendLog(p);
+            }
+        }
+    }
+
+    private void sendLog(Progress p) {
+        if (p.next <= log.base().index()) {
+            send(p.member.id(), new Install(term, log.base(), round));
+            p.next = log.base().index() + 1;
+            return;
+        }
+        List<Entry> entries = log.from(p.next, MESSAGE_BYTES);
+        send(p.member.id(), new Append(term, p.next - 1, log.term(p.next - 1), commit, round, entries));
+        p.next += entries.size();
+    }
+
+    /** Whether the sender leads the present term; one of an earlier term is told so. */
+    private boolean leads(long from, long itsTerm, long itsRound) {
+        if (itsTerm < term) {
+            send(from, new AppendReply(term, false, 0, itsRound));
+            return false;
+        }
+        follow(itsTerm);
+        if (role == Role.LEADER) {
+            throw new IllegalStateException("two leaders in term " + term);
+        }
+        role = Role.FOLLOWER;
+        leader = from;
+        heardLeaderAt = now;
+        electionLater();
+        return true;
+    }
+
+    private void append(long from, Append m) {
+        long termThere = log.term(m.previousIndex());
+        if (m.previousIndex() < log.base().index() || termThere != m.previousTerm()) {
+            // What is committed here is alike there, so nothing below need be asked about.
+            long hint = Math.max(commit, Math.min(log.lastIndex(), m.previousIndex() - 1));
+            send(from, new AppendReply(term, false, hint, m.round()));
+            return;
+        }
+        for (Entry entry : m.entries()) {
+            take(entry);
+        }
+        long alike = m.previousIndex() + m.entries().size();
+        commit = Math.max(commit, Math.min(m.commit(), alike));
+        send(from, new AppendReply(term, true, alike, m.round()));
+    }
+
+    private void take(Entry entry) {
+        if (log.term(entry.index()) == entry.term()) {
+            return;
+        }
+        if (entry.index() <= commit) {
+            throw new IllegalStateException("the leader contradicts the committed entry " + entry.index());
+        }
+        boolean cuts = entry.index() <= log.lastIndex();
+        if (cuts) {
+            log.cutFrom(entry.index());
+        }
+        log.append(entry);
+        unwrittenFrom = unwrittenFrom > 0 ? Math.min(unwrittenFrom, entry.index()) : entry.index();
+        if (cuts || entry.kind() == Kind.MEMBERS) {
+            members = log.membersAt(log.lastIndex());
+        }
+    }
+
+    private void install(long from, Install m) {
+        Snapshot snapshot = m.snapshot();
+        if (snapshot.index() > commit) {
+            log.rebase(snapshot);
+            commit = snapshot.index();
+            applied = commit;
+            members = log.membersAt(log.lastIndex());
+            unwrittenSnapshot = snapshot;
+            // What the log no longer holds must go from the disk too.
+            unwrittenFrom = snapshot.index() + 1;
+            restore = snapshot;
+        }
+        send(from, new AppendReply(term, true, Math.max(snapshot.index(), 0), m.round()));
+    }
+
+    private void appendReplied(long from, AppendReply m) {
+        follow(m.term());
+        Progress p = progress.get(from);
+        if (role != Role.LEADER || m.term() != term || p == null) {
+            return;
+        }
+        p.heardAt = now;
+        p.round = Math.max(p.round, m.round());
+        if (m.taken()) {
+            p.match = Math.max(p.match, m.index());
+            p.next = Math.max(p.next, p.match + 1);
+            advance();
+            if (p.next <= log.lastIndex()) {
+                sendLog(p);
+            }
+        } else {
+            long next = Math.max(p.match, Math.min(m.index(), log.lastIndex())) + 1;
+            if (next != p.next) {
+                p.next = next;
+                sendLog(p);
+            }
+        }
+        answerReads();
+    }
+
+    /** Commits what a majority has, once an entry of this term is among it. */
+    private void advance() {
+        if (role != Role.LEADER) {
+            return;
+        }
+        long[] matches = members.stream().mapToLong(m -> progress.containsKey(m.id()) ? progress.get(m.id()).match : 0)
+                .sorted().toArray();
+        long reached = matches.length == 0 ? 0 : matches[(matches.length - 1) / 2];
+        if (reached > commit && log.term(reached) == term) {
+            commit = reached;
+            // Followers learn of it at once and not with the next heartbeat: their callers wait for it.
+            broadcast();
+            answerReads();
+            leaveIfRemoved();
+        }
+    }
+
+    private void leaveIfRemoved() {
+        if (!isVoter(self) && commit >= log.membersIndex()) {
+            stepDown();
+        }
+    }
+
+    private void answerReads() {
+        if (reads.isEmpty() || commit < firstOfTerm) {
+            return;
+        }
+        Map<Long, Long> open = new HashMap<>(reads);
+        open.forEach((ticket, needed) -> {
+            Set<Long> confirmed = new HashSet<>();
+            confirmed.add(self);
+            progress.values().stream().filter(p -> p.round >= needed).forEach(p -> confirmed.add(p.member.id()));
+            if (majority(confirmed)) {
+                reads.remove(ticket);
+                readable.add(ticket);
+            }
+        });
+    }
+
+    private void send(long to, Message message) {
+        outbox.add(new Envelope(to, message));
+    }
+
+    private static int differences(List<Member> before, List<Member> after) {
+        Set<Member> changed = new HashSet<>(before);
+        Set<Member> kept = new HashSet<>(before);
+        kept.retainAll(after);
+        changed.addAll(after);
+        changed.removeAll(kept);
+        return changed.size();
+    }
+}
--- a/src/test/java/tinworks/net/GatewayFixture.java
+++ b/src/test/java/tinworks/net/GatewayFixture.java
@@ -1,5 +1,6 @@
 package tinworks.net;
 
+import tinworks.json.Json;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import tinworks.net.ScriptedHost.Message;
--- a/src/test/java/tinworks/net/RehearsalTest.java
+++ b/src/test/java/tinworks/net/RehearsalTest.java
@@ -1,5 +1,6 @@
 package tinworks.net;
 
+import tinworks.json.Json;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
