--- a/src/main/java/tinworks/raft/Progress.java
+++ b/src/main/java/tinworks/raft/Progress.java
@@ -7,6 +7,7 @@
     long match;
     long round;
     long heardAt;
+    long rewoundAt;
 
     Progress(Member member, long next, long now) {
         this.member = member;
--- a/src/main/java/tinworks/raft/Raft.java
+++ b/src/main/java/tinworks/raft/Raft.java
@@ -27,7 +27,7 @@
  * own term is among them, and a vote goes only to who has all that the voter has. Voters change one at a time, and
  * only after the leader's first entry is committed, so any two majorities that follow each other overlap.
  */
-public final class Raft {
+public class Raft {
     /** What a member is at the moment. */
     public enum Role { FOLLOWER, ASKING, CANDIDATE, LEADER }
 
@@ -551,15 +551,20 @@
                 sendLog(p);
             }
         } else {
-            long next = Math.max(p.match, Math.min(m.index(), log.lastIndex())) + 1;
-            if (next != p.next) {
-                p.next = next;
-                sendLog(p);
-            }
+            rewind(p, Math.max(p.match, Math.min(m.index(), log.lastIndex())) + 1);
         }
         answerReads();
     }
 
+    /** Guards against a storm of repeats where refusals come doubled or late: the next heartbeat carries on. */
+    private void rewind(Progress p, long next) {
+        p.next = next;
+        if (now - p.rewoundAt >= timing.heartbeatMillis() / 4) {
+            p.rewoundAt = now;
+            sendLog(p);
+        }
+    }
+
     /** Commits what a majority has, once an entry of this term is among it. */
     private void advance() {
         if (role != Role.LEADER) {
@@ -568,7 +573,7 @@
         long[] matches = members.stream().mapToLong(m -> progress.containsKey(m.id()) ? progress.get(m.id()).match : 0)
                 .sorted().toArray();
         long reached = matches.length == 0 ? 0 : matches[(matches.length - 1) / 2];
-        if (reached > commit && log.term(reached) == term) {
+        if (reached > commit && mayCommit(reached)) {
             commit = reached;
             // Followers learn of it at once and not with the next heartbeat: their callers wait for it.
             broadcast();
@@ -577,6 +582,11 @@
         }
     }
 
+    /** Guards against counting copies of an earlier term's entry, which a later leader may yet overwrite. */
+    boolean mayCommit(long index) {
+        return log.term(index) == term;
+    }
+
     private void leaveIfRemoved() {
         if (!isVoter(self) && commit >= log.membersIndex()) {
             stepDown();
--- /dev/null
+++ b/src/test/java/tinworks/raft/Cluster.java
@@ -0,0 +1,296 @@
+package tinworks.raft;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import tinworks.raft.Output.Envelope;
+
+/**
+ * Members on a simulated network and simulated disks, all chance from one seed. Messages are dropped, delayed, doubled
+ * and cut off; processes crash, with what their disks had not synced kept only up to some point; machines lose their
+ * disks and come back as somebody else. Each step checks what must never be broken.
+ */
+final class Cluster {
+    /** How this cluster's machines are broken on purpose. */
+    enum Flaw { NONE, SYNC_SKIPPED }
+
+    /** What a broken invariant ends as. */
+    static final class Broken extends AssertionError {
+        private static final long serialVersionUID = 1L;
+
+        Broken(String what) {
+            super(what);
+        }
+    }
+
+    static final Timing TIMING = new Timing(50, 200);
+    private static final int STEP = 5, MOST_EVENTS = 200_000;
+
+    final SplittableRandom random;
+    final List<Node> nodes = new ArrayList<>();
+    final Set<Integer> acknowledged = new HashSet<>();
+    private final Flaw flaw;
+    private final PriorityQueue<Event> events = new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparing(Event::order));
+    private final Map<Long, Long> leaders = new HashMap<>();
+    private final Map<Long, Entry> applied = new HashMap<>();
+    private final Set<Set<Integer>> cuts = new HashSet<>();
+    double loss;
+    long now;
+    private long order;
+    private long ids = 100;
+    private int commands;
+    private int handled;
+
+    private record Event(long at, long order, Runnable work) { }
+
+    Cluster(long seed, int voters, Flaw flaw) {
+        random = new SplittableRandom(seed);
+        this.flaw = flaw;
+        List<Member> members = new ArrayList<>();
+        for (int i = 0; i < voters; i++) {
+            members.add(new Member(i + 1, "m" + i));
+        }
+        for (int i = 0; i < voters; i++) {
+            Node node = new Node(i, i + 1);
+            node.synced = new Stored(HardState.NONE, new Snapshot(0, 0, members, new byte[0]), List.of());
+            nodes.add(node);
+            node.start();
+        }
+    }
+
+    /** A further machine, with an empty disk. */
+    Node addEmpty() {
+        Node node = new Node(nodes.size(), ++ids);
+        nodes.add(node);
+        node.start();
+        return node;
+    }
+
+    void later(long delay, Runnable work) {
+        events.add(new Event(now + delay, order++, work));
+    }
+
+    void run(long until) {
+        while (now < until) {
+            now += STEP;
+            while (!events.isEmpty() && events.peek().at() <= now) {
+                events.poll().work().run();
+                if (++handled > MOST_EVENTS) {
+                    throw new Broken("the network never comes to rest");
+                }
+            }
+            for (Node node : nodes) {
+                if (node.raft != null) {
+                    node.raft.tick(now);
+                    node.pump();
+                }
+            }
+        }
+    }
+
+    void cut(int a, int b) {
+        cuts.add(Set.of(a, b));
+    }
+
+    void join() {
+        cuts.clear();
+    }
+
+    Node leader() {
+        Node found = null;
+        for (Node node : nodes) {
+            if (node.raft != null && node.raft.role() == Raft.Role.LEADER
+                    && (found == null || node.raft.term() > found.raft.term())) {
+                found = node;
+            }
+        }
+        return found;
+    }
+
+    /** Has some leader write a command; it is acknowledged when that leader applies it. */
+    void propose() {
+        List<Node> leading = nodes.stream().filter(n -> n.raft != null && n.raft.role() == Raft.Role.LEADER).toList();
+        if (!leading.isEmpty()) {
+            leading.get(random.nextInt(leading.size())).propose(++commands);
+        }
+    }
+
+    /** All acknowledged commands must be in what a member has applied. */
+    void checkKept(Node node) {
+        Set<Integer> has = new HashSet<>(node.state);
+        for (int command : acknowledged) {
+            if (!has.contains(command)) {
+                throw new Broken("command " + command + " was acknowledged and is gone at " + node.number);
+            }
+        }
+    }
+
+    private void checkApplied(Entry entry) {
+        Entry before = applied.putIfAbsent(entry.index(), entry);
+        if (before != null && !before.equals(entry)) {
+            throw new Broken("two entries were applied at index " + entry.index());
+        }
+    }
+
+    private void checkLeader(long term, long id) {
+        Long before = leaders.putIfAbsent(term, id);
+        if (before != null && before != id) {
+            throw new Broken("two leaders in term " + term);
+        }
+    }
+
+    final class Node {
+        final int number;
+        long id;
+        Raft raft;
+        Stored synced = Stored.NOTHING;
+        /** The commands that have been applied, in order. */
+        List<Integer> state = new ArrayList<>();
+        private final ArrayDeque<Output> unsynced = new ArrayDeque<>();
+        private final Map<Long, Integer> open = new HashMap<>();
+        private long life;
+        private long diskFreeAt;
+
+        Node(int number, long id) {
+            this.number = number;
+            this.id = id;
+        }
+
+        Member member() {
+            return new Member(id, "m" + number);
+        }
+
+        void start() {
+            life++;
+            state = new ArrayList<>();
+            raft = new Raft(id, synced, TIMING, random.nextLong(), now);
+            pump();
+        }
+
+        /** The process ends; of what was not synced, some first part has reached the disk. */
+        void crash() {
+            raft = null;
+            life++;
+            open.clear();
+            int kept = flaw == Flaw.SYNC_SKIPPED ? 0 : random.nextInt(unsynced.size() + 1);
+            for (Output output : unsynced) {
+                if (kept-- <= 0) {
+                    break;
+                }
+                synced = written(synced, output);
+            }
+            unsynced.clear();
+        }
+
+        /** The machine comes back without its disk, as somebody else. */
+        void wipe() {
+            crash();
+            synced = Stored.NOTHING;
+            id = ++ids;
+            start();
+        }
+
+        private void propose(int command) {
+            long index = raft.propose(ByteBuffer.allocate(Integer.BYTES).putInt(command).array());
+            if (index > 0) {
+                open.put(index, command);
+            }
+            pump();
+        }
+
+        void pump() {
+            Output output = raft.drain();
+            if (raft.role() == Raft.Role.LEADER) {
+                checkLeader(raft.term(), id);
+            } else {
+                open.clear();
+            }
+            if (output.isEmpty()) {
+                return;
+            }
+            long mine = life;
+            // The flaw of a skipped sync: what is said to be on the disk reaches it much later.
+            diskFreeAt = Math.max(diskFreeAt, now) + (output.writes() ? random.nextInt(8) : 0);
+            unsynced.add(output);
+            later(diskFreeAt - now, () -> {
+                if (life == mine) {
+                    if (flaw != Flaw.SYNC_SKIPPED || random.nextInt(4) == 0) {
+                        while (!unsynced.isEmpty()) {
+                            Output first = unsynced.poll();
+                            synced = written(synced, first);
+                            if (first == output) {
+                                break;
+                            }
+                        }
+                    }
+                    carryOut(output);
+                }
+            });
+        }
+
+        private void carryOut(Output output) {
+            raft.persisted(output);
+            output.messages().forEach(this::send);
+            if (output.restored() != null) {
+                state = new ArrayList<>();
+                ByteBuffer in = ByteBuffer.wrap(output.restored().state());
+                while (in.hasRemaining()) {
+                    state.add(in.getInt());
+                }
+            }
+            long last = 0;
+            for (Entry entry : output.committed()) {
+                checkApplied(entry);
+                last = entry.index();
+                if (entry.kind() == Entry.Kind.COMMAND) {
+                    int command = ByteBuffer.wrap(entry.body()).getInt();
+                    state.add(command);
+                    Integer mine = open.remove(entry.index());
+                    if (mine != null && mine == command && entry.term() == raft.term()) {
+                        acknowledged.add(command);
+                    }
+                }
+            }
+            if (last > 0 && raft.length() > 12 && random.nextInt(3) == 0) {
+                ByteBuffer saved = ByteBuffer.allocate(state.size() * Integer.BYTES);
+                state.forEach(saved::putInt);
+                raft.compact(last, saved.array());
+            }
+            pump();
+        }
+
+        private void send(Envelope envelope) {
+            for (Node other : nodes) {
+                if (other.id == envelope.to() && !cuts.contains(Set.of(number, other.number)) && random.nextDouble() >= loss) {
+                    int copies = random.nextInt(20) == 0 ? 2 : 1;
+                    for (int i = 0; i < copies; i++) {
+                        long from = id;
+                        later(1 + random.nextInt(random.nextInt(10) == 0 ? 120 : 10), () -> {
+                            if (other.raft != null && other.id == envelope.to()) {
+                                other.raft.receive(now, from, envelope.message());
+                                other.pump();
+                            }
+                        });
+                    }
+                }
+            }
+        }
+    }
+
+    private static Stored written(Stored before, Output output) {
+        HardState hard = output.hard() != null ? output.hard() : before.hard();
+        Snapshot snapshot = output.snapshot() != null ? output.snapshot() : before.snapshot();
+        List<Entry> entries = new ArrayList<>(before.entries());
+        entries.removeIf(e -> e.index() <= snapshot.index() || output.cutFrom() > 0 && e.index() >= output.cutFrom());
+        entries.addAll(output.entries());
+        return new Stored(hard, snapshot, entries);
+    }
+}
