--- a/src/main/java/tinworks/channel/Links.java
+++ b/src/main/java/tinworks/channel/Links.java
@@ -27,7 +27,7 @@
  */
 public final class Links {
     private static final int DIAL_MILLIS = 1_000, BACKLOG = 128;
-    private static final long FIRST_PAUSE_MILLIS = 100, LONGEST_PAUSE_MILLIS = 1_000;
+    private static final long FIRST_PAUSE_MILLIS = 100, LONGEST_PAUSE_MILLIS = 400;
 
     private final EventLoop loop;
     private final Hello own;
--- a/src/main/java/tinworks/control/CoreNode.java
+++ b/src/main/java/tinworks/control/CoreNode.java
@@ -49,7 +49,7 @@
 public final class CoreNode implements Conversation.Listener, tinworks.control.Agreement.Owner {
     private static final Logger LOG = LoggerFactory.getLogger(CoreNode.class);
     /** Heartbeats are cheap; an election outlasts a slow disk's syncs and a process's first, uncompiled work. */
-    private static final Timing TIMING = new Timing(150, 700);
+    private static final Timing TIMING = new Timing(120, 500);
     private static final long TICK_MILLIS = 50, ANNOUNCE_MILLIS = 1_000, JOIN_MILLIS = 500, LEARNER_MILLIS = 3_000,
             PULL_AGAIN_MILLIS = 400, PLAN_MILLIS = 250, LOST_MILLIS = 3_000;
 
--- a/src/main/java/tinworks/raft/Raft.java
+++ b/src/main/java/tinworks/raft/Raft.java
@@ -79,7 +79,8 @@
         applied = commit;
         members = log.membersAt(log.lastIndex());
         heardLeaderAt = now - timing.electionMillis();
-        electionLater();
+        // All may have lost power at once. Where a leader lives, the others deny an early question.
+        electionAt = now + timing.heartbeatMillis() + random.nextLong(timing.electionMillis() / 2);
     }
 
     // ---- what is asked of it
@@ -296,7 +297,7 @@
 
     /** Guards against a member that was cut off raising the term of all when it comes back: first it asks. */
     private void ask() {
-        electionLater();
+        electionAt = now + timing.electionMillis() / 2 + random.nextLong(timing.electionMillis() / 2);
         if (!isVoter(self)) {
             leader = 0;
             return;
--- /dev/null
+++ b/src/test/java/tinworks/channel/SignalCodecTest.java
@@ -0,0 +1,75 @@
+package tinworks.channel;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.ByteBuffer;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import tinworks.channel.Signal.Edge;
+import tinworks.channel.Signal.Part;
+import tinworks.raft.Entry;
+import tinworks.raft.Member;
+import tinworks.raft.Message;
+import tinworks.raft.Snapshot;
+
+class SignalCodecTest {
+    private static final Member MEMBER = new Member(-5, "10.1.0.9:7540");
+    private static final List<Signal> ALL = List.of(
+            new Signal.Hello(Part.EDGE, 7, "", "edge-1", "zone"), new Signal.Ping(), new Signal.Join(MEMBER),
+            new Signal.Announce(9, new HostListVersion(3, 4), true, false, List.of("a:1", "b:1"), List.of(new Edge(1, "z"))),
+            new Signal.PullConfiguration(), new Signal.ConfigurationBody(9, new byte[] {1, 2}), new Signal.PullHosts(),
+            new Signal.Hosts(new HostList(new HostListVersion(1, 2),
+                    List.of(new HostList.Host("i-1", "svc", "10.0.0.1:80", "z", 3, true, 900)))),
+            new Signal.Call(3, false, new byte[] {5}), new Signal.CallAnswer(3, 412, new byte[] {6}),
+            agreement(new Message.VoteRequest(4, true, 5, 6, false)), agreement(new Message.VoteReply(4, false, true)),
+            agreement(new Message.Append(4, 1, 2, 3, 4, List.of(new Entry(2, 4, Entry.Kind.COMMAND, new byte[] {8})))),
+            agreement(new Message.AppendReply(4, true, 5, 6)), agreement(new Message.HandOver(4)),
+            agreement(new Message.Install(4, new Snapshot(9, 3, List.of(MEMBER), new byte[] {1}), 2)));
+
+    private static Signal agreement(Message message) {
+        return new Signal.Agreement(1, 2, message);
+    }
+
+    private static byte[] bytes(Signal signal) {
+        ByteBuffer buffer = SignalCodec.write(signal);
+        byte[] bytes = new byte[buffer.remaining()];
+        buffer.get(bytes);
+        return bytes;
+    }
+
+    @Test
+    void everySignalComesBackAsItWasWritten() throws SignalCodec.Malformed {
+        for (Signal signal : ALL) {
+            byte[] bytes = bytes(signal);
+            Signal read = SignalCodec.read(ByteBuffer.wrap(bytes));
+            assertTrue(read.getClass() == signal.getClass());
+            assertArrayEquals(bytes, bytes(read));
+        }
+    }
+
+    @Test
+    void bytesThatAreCutOrSpoiltAreRefusedWithoutHarm() {
+        SplittableRandom random = new SplittableRandom(3);
+        for (Signal signal : ALL) {
+            byte[] bytes = bytes(signal);
+            for (int i = 0; i < bytes.length; i++) {
+                byte[] cut = java.util.Arrays.copyOf(bytes, i);
+                assertThrows(SignalCodec.Malformed.class, () -> SignalCodec.read(ByteBuffer.wrap(cut)));
+            }
+            byte[] longer = java.util.Arrays.copyOf(bytes, bytes.length + 1);
+            assertThrows(SignalCodec.Malformed.class, () -> SignalCodec.read(ByteBuffer.wrap(longer)));
+            for (int i = 0; i < 3_000; i++) {
+                byte[] spoilt = bytes.clone();
+                spoilt[random.nextInt(spoilt.length)] = (byte) random.nextInt(256);
+                try {
+                    SignalCodec.read(ByteBuffer.wrap(spoilt));
+                } catch (SignalCodec.Malformed e) {
+                    assertTrue(!e.getMessage().isEmpty());
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/tinworks/config/ConfigurationTest.java
@@ -0,0 +1,101 @@
+package tinworks.config;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.nio.charset.StandardCharsets;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import tinworks.config.ConfigurationHistory.Verdict;
+
+class ConfigurationTest {
+    private static final String VALID = "{'rev':7,'routes':[{'name':'a','domain':'X.example','prefix':'/p/','type':'idem',"
+            + "'timeoutMs':1200,'targetMs':300,'prio':2,'split':[{'svc':'s','weight':90},{'svc':'t','weight':0}],'tries':2},"
+            + "{'name':'b','domain':'y.example','prefix':'/q/','type':'mutating','timeoutMs':1500,'svc':'t'}],"
+            + "'svcs':[{'name':'s','check':'/healthz','maxconn':120,'proto':'h1','tls':false},{'name':'t'}]}";
+
+    private static Configuration read(String json) throws InvalidConfiguration {
+        return ConfigurationReader.read(json.replace('\'', '"').getBytes(StandardCharsets.UTF_8));
+    }
+
+    @Test
+    void readsWhatTheOperatorSends() throws InvalidConfiguration {
+        Configuration read = read(VALID);
+        assertEquals(7, read.rev());
+        assertEquals("x.example", read.routes().get(0).domain());
+        assertEquals(Configuration.Type.MUTATING, read.routes().get(1).type());
+        assertEquals(1, read.routes().get(1).tries());
+        assertEquals(Configuration.Limits.USUAL, read.limits());
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "'rev':7          | 'rev':0            | rev",
+        "'svc':'t'}]      | 'svc':'u'}]        | routes[1].svc",
+        "'weight':90      | 'weight':0         | routes[0].split",
+        "'weight':90      | 'weight':-1        | routes[0].split[0].weight",
+        "'timeoutMs':1500 | 'timeoutMs':0      | routes[1].timeoutMs",
+        "'timeoutMs':1500 | 'timeoutMs':'soon' | routes[1].timeoutMs",
+        "y.example        | x.EXAMPLE          | ",
+        "'prefix':'/q/'   | 'prefix':'q'       | routes[1].prefix",
+        "'type':'idem'    | 'type':'odd'       | routes[0].type",
+        "{'name':'t'}     | {'name':'s'}       | svcs[1].name",
+    })
+    void namesTheFieldThatIsWrong(String quotedFrom, String quotedTo, String where) throws InvalidConfiguration {
+        String changed = VALID.replace(quotedFrom.trim(), quotedTo.trim());
+        if (where == null) {
+            read(changed);
+            InvalidConfiguration e = assertThrows(InvalidConfiguration.class, () -> read(changed.replace("/q/", "/p/")));
+            assertEquals("routes[1].prefix", e.where());
+        } else {
+            assertEquals(where, assertThrows(InvalidConfiguration.class, () -> read(changed)).where());
+        }
+    }
+
+    @Test
+    void anyTextCutShortOrSpoiltIsRefusedInOrderly() {
+        SplittableRandom random = new SplittableRandom(1);
+        byte[] whole = VALID.replace('\'', '"').getBytes(StandardCharsets.UTF_8);
+        for (int i = 0; i < whole.length; i++) {
+            byte[] cut = java.util.Arrays.copyOf(whole, i);
+            assertThrows(InvalidConfiguration.class, () -> ConfigurationReader.read(cut));
+        }
+        for (int i = 0; i < 20_000; i++) {
+            byte[] spoilt = whole.clone();
+            for (int flips = 1 + random.nextInt(4); flips > 0; flips--) {
+                spoilt[random.nextInt(spoilt.length)] = (byte) random.nextInt(256);
+            }
+            try {
+                ConfigurationReader.read(spoilt);
+            } catch (InvalidConfiguration e) {
+                assertEquals(false, e.getMessage().isEmpty());
+            }
+        }
+    }
+
+    private static byte[] command(long base, long rev, String body) {
+        return ConfigurationHistory.command(base, rev, body.getBytes(StandardCharsets.UTF_8));
+    }
+
+    @Test
+    void oneOfTwoChangesOnOneBaseWinsAndItsRepeatIsKnown() {
+        ConfigurationHistory history = new ConfigurationHistory();
+        assertEquals(Verdict.TAKEN, history.apply(command(0, 2, "first")));
+        assertEquals(Verdict.TAKEN, history.apply(command(2, 5, "one")));
+        assertEquals(Verdict.CONFLICT, history.apply(command(2, 6, "other")));
+        assertEquals(Verdict.NOT_ABOVE, history.apply(command(5, 4, "lower")));
+        assertEquals(Verdict.TAKEN, history.apply(command(5, 9, "next")));
+        assertEquals(Verdict.TAKEN, history.apply(command(2, 5, "one")), "a repeat of what has been taken");
+        assertEquals(Verdict.CONFLICT, history.apply(command(2, 5, "forged")), "another body under a taken number");
+        assertEquals(9, history.rev());
+        ConfigurationHistory copy = new ConfigurationHistory();
+        copy.load(history.save());
+        assertEquals(9, copy.rev());
+        assertArrayEquals("next".getBytes(StandardCharsets.UTF_8), copy.body());
+        assertEquals(Verdict.TAKEN, copy.apply(command(2, 5, "one")));
+        assertThrows(IllegalArgumentException.class, () -> copy.load(new byte[] {1, 2, 3}));
+    }
+}
--- /dev/null
+++ b/src/test/java/tinworks/edge/EdgeTest.java
@@ -0,0 +1,110 @@
+package tinworks.edge;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import tinworks.config.Configuration.Route;
+import tinworks.config.Configuration.Split;
+import tinworks.config.Configuration.Type;
+import tinworks.policy.Protocol.Outcome;
+
+/** Routes, and how requests and answers look at an edge. */
+class EdgeTest {
+    private final EdgeStyle style = new EdgeStyle(1);
+
+    private static Route route(String name, String domain, String prefix) {
+        return new Route(name, domain, prefix, Type.IDEM, 1000, 300, 1, List.of(new Split("s", 1)), 2);
+    }
+
+    @Test
+    void theLongestPrefixOfTheDomainIsTheRoute() {
+        RouteTable table = new RouteTable(List.of(route("a", "x.example", "/"), route("b", "x.example", "/p/"),
+                route("c", "x.example", "/p/q/"), route("d", "y.example", "/p/")));
+        assertEquals("c", table.find("X.example:8080", "/p/q/r?x=/p/").name());
+        assertEquals("b", table.find("x.example", "/p/qq").name());
+        assertEquals("a", table.find("x.example", "/p").name());
+        assertEquals("d", table.find("y.example", "/p/").name());
+        assertNull(table.find("y.example", "/q/"));
+        assertNull(table.find("z.example", "/p/"));
+        assertNull(table.find(null, "/p/"));
+    }
+
+    @Test
+    void findingARouteDoesNotSlowDownWithRoutes() {
+        List<Route> routes = new ArrayList<>();
+        for (int i = 0; i < 100_000; i++) {
+            routes.add(route("r" + i, "x.example", "/p" + i + "/"));
+        }
+        RouteTable table = new RouteTable(routes);
+        long started = System.nanoTime();
+        for (int i = 0; i < 100_000; i++) {
+            assertEquals("r" + i, table.find("x.example", "/p" + i + "/a/b/c").name());
+        }
+        // A search through all would take minutes; the bound is wide for slow machines.
+        assertFalse(System.nanoTime() - started > TimeUnit.SECONDS.toNanos(20));
+    }
+
+    private static HttpResponse answer(int status, String... headers) {
+        HttpResponse answer = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
+        for (int i = 0; i < headers.length; i += 2) {
+            answer.headers().add(headers[i], headers[i + 1]);
+        }
+        return answer;
+    }
+
+    @Test
+    void onlyTheHostsOwnWholeAnswerToThisRequestServes() {
+        assertEquals(Outcome.SERVED, style.outcome("id", answer(200, "Origin-Seal", "s", "Attempt-Id", "id"), true));
+        assertEquals(Outcome.SERVED, style.outcome("id", answer(201, "Origin-Seal", "s"), true));
+        assertEquals(Outcome.ERROR, style.outcome("id", answer(200, "Origin-Seal", "s", "Attempt-Id", "other"), true));
+        assertEquals(Outcome.ERROR, style.outcome("id", answer(200, "Origin-Seal", "s"), false));
+        assertEquals(Outcome.ERROR, style.outcome("id", answer(200), true));
+        assertEquals(Outcome.ERROR, style.outcome("id", answer(200, "Origin-Seal", "s", "Content-Encoding", "gzip"), true));
+    }
+
+    @Test
+    void onlyAHostsWordProvesThatItDidNotRunARequest() {
+        assertEquals(Outcome.FULL, style.outcome("id", answer(503, "Not-Run", "1"), true));
+        assertEquals(Outcome.CONNECT_FAILED, style.outcome("id", answer(421, "Not-Run", "1"), true));
+        assertFalse(style.outcome("id", answer(503), true).provesItNeverRan());
+        assertFalse(style.outcome("id", answer(429), true).provesItNeverRan());
+        assertFalse(style.outcome("id", answer(500), true).provesItNeverRan());
+    }
+
+    @Test
+    void aRequestGoesOnWithWhatIsLeftOfItsTimeAndTheHostItIsFor() {
+        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/p/?a=%20b",
+                Unpooled.copiedBuffer(new byte[] {1, 2, 3}));
+        request.headers().add("Attempt-Id", "id").add("Deadline-Ms", "1500").add("Connection", "keep-alive, X-Hop")
+                .add("X-Hop", "1").add("X-End", "2").add("Transfer-Encoding", "chunked").add("Host", "x.example");
+        FullHttpRequest sent = style.forHost(request, "i-9", TimeUnit.MILLISECONDS.toNanos(900));
+        assertEquals("/p/?a=%20b", sent.uri());
+        assertEquals("900", sent.headers().get("Deadline-Ms"));
+        assertEquals("i-9", sent.headers().get("Want-Host"));
+        assertEquals("3", sent.headers().get("Content-Length"));
+        assertEquals("2", sent.headers().get("X-End"));
+        assertNull(sent.headers().get("X-Hop"));
+        assertNull(sent.headers().get("Transfer-Encoding"));
+    }
+
+    @Test
+    void whatMustNotRunTwiceGoesOnAConnectionThatHasHardlyRested() {
+        style.mutating(Set.of("m"));
+        assertEquals(Long.MAX_VALUE, style.restedNanos("i"));
+        assertFalse(style.restedNanos("m") > TimeUnit.MILLISECONDS.toNanos(200));
+    }
+}
--- /dev/null
+++ b/src/test/java/tinworks/store/CoreStoreTest.java
@@ -0,0 +1,98 @@
+package tinworks.store;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import tinworks.raft.Entry;
+import tinworks.raft.HardState;
+import tinworks.raft.Member;
+import tinworks.raft.Output;
+import tinworks.raft.Snapshot;
+import tinworks.raft.Stored;
+
+class CoreStoreTest {
+    @TempDir
+    private Path folder;
+
+    private static Entry entry(long index, long term) {
+        return new Entry(index, term, Entry.Kind.COMMAND, new byte[] {(byte) index, 7});
+    }
+
+    private static Output output(HardState hard, Snapshot snapshot, long cutFrom, Entry... entries) {
+        return new Output(1, hard, snapshot, cutFrom, List.of(entries), 0, List.of(), null, List.of(), List.of());
+    }
+
+    @Test
+    void whatWasWrittenIsThereAfterTheProcessEnds() throws Exception {
+        Snapshot first = new Snapshot(0, 0, List.of(new Member(3, "10.0.0.1:7")), new byte[0]);
+        CoreStore store = CoreStore.open(folder);
+        store.found(42, HardState.NONE, first);
+        store.write(output(new HardState(2, 3), null, 1, entry(1, 1), entry(2, 1), entry(3, 1)));
+        store.write(output(null, null, 2, entry(2, 2)));
+        // No close: the process is killed.
+        CoreStore again = CoreStore.open(Files.createDirectories(copy("killed")));
+        assertEquals(42, again.identity());
+        Stored stored = again.load();
+        assertEquals(new HardState(2, 3), stored.hard());
+        assertEquals(first.members(), stored.snapshot().members());
+        assertEquals(List.of(entry(1, 1), entry(2, 2)), stored.entries());
+        again.write(output(null, new Snapshot(1, 1, first.members(), new byte[] {9}), 0));
+        assertEquals(List.of(entry(2, 2)), again.load().entries());
+        assertEquals(1, again.load().snapshot().index());
+        again.close();
+        store.close();
+    }
+
+    private Path copy(String name) throws IOException {
+        Path copy = Files.createDirectories(folder.resolve(name));
+        Files.copy(folder.resolve("state.mv"), copy.resolve("state.mv"));
+        return copy;
+    }
+
+    /** After power is lost, writes since the last sync may be there in part: what was synced before must be whole. */
+    @Test
+    void tornWritesBehindTheLastSyncLeaveWhatWasSynced() throws Exception {
+        CoreStore store = CoreStore.open(folder);
+        store.found(42, HardState.NONE, Snapshot.NONE);
+        store.write(output(new HardState(1, 1), null, 1, entry(1, 1)));
+        byte[] synced = Files.readAllBytes(folder.resolve("state.mv"));
+        store.write(output(new HardState(2, 2), null, 2, entry(2, 2)));
+        byte[] later = Files.readAllBytes(folder.resolve("state.mv"));
+        SplittableRandom random = new SplittableRandom(5);
+        for (int round = 0; round < 40; round++) {
+            byte[] torn = java.util.Arrays.copyOf(synced, later.length);
+            for (int block = 0; block < later.length; block += 512) {
+                int length = Math.min(512, later.length - block);
+                if (block >= synced.length ? random.nextBoolean() : random.nextInt(4) == 0) {
+                    System.arraycopy(later, block, torn, block, length);
+                }
+            }
+            Path place = Files.createDirectories(folder.resolve("torn" + round));
+            Files.write(place.resolve("state.mv"), torn);
+            CoreStore opened = CoreStore.open(place);
+            assertEquals(42, opened.identity());
+            assertTrue(opened.load().entries().contains(entry(1, 1)), "the synced entry is gone in round " + round);
+            opened.close();
+        }
+        store.close();
+    }
+
+    @Test
+    void aStoreThatCantBeTrustedIsSetAsideUnderADatedName() throws Exception {
+        Files.write(folder.resolve("state.mv"), new byte[20_000]);
+        assertThrows(CoreStore.Damaged.class, () -> CoreStore.open(folder));
+        Path aside = CoreStore.setAside(folder, "20260102-030405");
+        assertEquals("damaged-20260102-030405.mv", aside.getFileName().toString());
+        CoreStore fresh = CoreStore.open(folder);
+        assertEquals(0, fresh.identity());
+        fresh.close();
+    }
+}
