--- a/src/main/java/tinworks/channel/Links.java
+++ b/src/main/java/tinworks/channel/Links.java
@@ -20,6 +20,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import tinworks.channel.Signal.Hello;
+import tinworks.json.Address;
 
 /**
  * Connections to the core machines whose addresses it is given: each is dialled, and dialled again after a pause
@@ -127,12 +128,11 @@
             if (ended || closed) {
                 return;
             }
-            int colon = address.lastIndexOf(':');
             InetSocketAddress target;
             try {
-                target = new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
-            } catch (RuntimeException e) {
-                listener.log("can't dial '" + address + "': " + e.getMessage());
+                target = Address.read(address);
+            } catch (IllegalArgumentException e) {
+                listener.log("can't dial: " + e.getMessage());
                 return;
             }
             conversation = new Conversation(own, true, listener);
--- a/src/main/java/tinworks/edge/EdgeNode.java
+++ b/src/main/java/tinworks/edge/EdgeNode.java
@@ -5,7 +5,6 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -38,6 +37,7 @@
 import tinworks.config.Configuration.Type;
 import tinworks.config.ConfigurationReader;
 import tinworks.config.InvalidConfiguration;
+import tinworks.json.Address;
 import tinworks.net.ClientServer;
 import tinworks.net.ClientServer.BadRequest;
 import tinworks.net.ClientServer.Reply;
@@ -89,6 +89,8 @@
     private Configuration configuration;
     private RouteTable routes = RouteTable.EMPTY;
     private HostList list = HostList.NONE;
+    /** The hosts as last told, by a core machine or by the platform itself. */
+    private List<Host> known = List.of();
     private boolean listed;
     private boolean upToDate;
     private Set<String> cores = Set.of();
@@ -304,10 +306,10 @@
             ids.add(host.id());
             long warm = Math.min(ServiceSettings.WARM_UP_NANOS, TimeUnit.MILLISECONDS.toNanos(host.warmupMs()));
             startedAt.putIfAbsent(host.id(), warm <= 0 ? 0 : now + warm - ServiceSettings.WARM_UP_NANOS);
-            places.add(new HostPool.Place(host.id(), address(host.address()), startedAt.get(host.id()), !host.draining(), false));
+            places.add(new HostPool.Place(host.id(), Address.read(host.address()), startedAt.get(host.id()), !host.draining(), false));
         }
         startedAt.keySet().retainAll(ids);
-        lastFound = found;
+        known = found;
         hosts.update(places, true);
         services.forEach((service, forwarding) -> forwarding.tell(new ListReceived(ListKind.WHOLE, servers(service))));
         if (first) {
@@ -315,11 +317,9 @@
         }
     }
 
-    private List<Host> lastFound = List.of();
-
     private List<ServerInfo> servers(String service) {
         List<ServerInfo> servers = new ArrayList<>();
-        for (Host host : lastFound) {
+        for (Host host : known) {
             if (host.service().equals(service)) {
                 servers.add(new ServerInfo(host.id(), host.zone(), "", 0, host.draining() ? Readiness.DRAINING : Readiness.READY,
                         host.slots(), startedAt.get(host.id())));
@@ -328,11 +328,6 @@
         return servers;
     }
 
-    private static InetSocketAddress address(String text) {
-        int colon = text.lastIndexOf(':');
-        return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
-    }
-
     // ---- Forwarding.Owner
 
     @Override
--- a/src/main/java/tinworks/net/EndpointList.java
+++ b/src/main/java/tinworks/net/EndpointList.java
@@ -1,9 +1,9 @@
 package tinworks.net;
 
+import tinworks.json.Address;
 import tinworks.json.Json;
 import tinworks.policy.Protocol.Readiness;
 import tinworks.policy.Protocol.ServerInfo;
-import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.util.ArrayList;
 import java.util.List;
@@ -49,7 +49,7 @@
                 GatewayClock.ofUnixMillis(entry.field("since_ms").number(0).longValue()));
         // One that is removed may come without an address: nothing goes there any more.
         SocketAddress address = readiness == Readiness.GONE ? null
-                : address(entry.required("address").text());
+                : Address.read(entry.required("address").text());
         return new Endpoint(info, address);
     }
 
@@ -61,15 +61,4 @@
             default -> throw new IllegalArgumentException("unknown status '" + status + "'");
         };
     }
-
-    /** An address of the form {@code 10.1.0.18:8080}. */
-    static InetSocketAddress address(String text) {
-        int colon = text.lastIndexOf(':');
-        try {
-            return new InetSocketAddress(text.substring(0, Math.max(0, colon)),
-                    Integer.parseInt(text.substring(colon + 1)));
-        } catch (IllegalArgumentException e) {
-            throw new IllegalArgumentException("not an address: '" + text + "'", e);
-        }
-    }
 }
--- a/src/main/java/tinworks/net/GatewayConfig.java
+++ b/src/main/java/tinworks/net/GatewayConfig.java
@@ -1,5 +1,6 @@
 package tinworks.net;
 
+import tinworks.json.Address;
 import tinworks.json.Json;
 import tinworks.policy.Protocol.Settings;
 import tinworks.policy.SettingsReader;
@@ -26,8 +27,8 @@
 
     /** Reads both; whatever is wrong ends as an {@link IllegalArgumentException} with one plain line. */
     static GatewayConfig read(Map<String, String> environment) {
-        return read(file(environment), EndpointList.address(variable(environment, "LB_LISTEN")),
-                EndpointList.address(variable(environment, "LB_DISCOVERY")));
+        return read(file(environment), Address.read(variable(environment, "LB_LISTEN")),
+                Address.read(variable(environment, "LB_DISCOVERY")));
     }
 
     /** What may change while a gateway runs: discovery's address, which the file has and not the environment. */
@@ -36,7 +37,7 @@
         if (!address.isText()) {
             throw new IllegalArgumentException("the configuration lacks discovery");
         }
-        return EndpointList.address(address.text());
+        return Address.read(address.text());
     }
 
     private static Json file(Map<String, String> environment) {
--- a/src/main/java/tinworks/net/Peers.java
+++ b/src/main/java/tinworks/net/Peers.java
@@ -1,5 +1,6 @@
 package tinworks.net;
 
+import tinworks.json.Address;
 import tinworks.json.Json;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
@@ -38,10 +39,10 @@
             }
             List<InetSocketAddress> gateways = new ArrayList<>();
             for (Json peer : config.required("peers").entries()) {
-                gateways.add(EndpointList.address(peer.text()));
+                gateways.add(Address.read(peer.text()));
             }
-            return new Addresses(EndpointList.address(config.field("peer_listen").text()), gateways,
-                    EndpointList.address(config.field("peers_all").text()));
+            return new Addresses(Address.read(config.field("peer_listen").text()), gateways,
+                    Address.read(config.field("peers_all").text()));
         }
     }
 
--- a/src/main/java/tinworks/node/BootSettings.java
+++ b/src/main/java/tinworks/node/BootSettings.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import tinworks.json.Address;
 import tinworks.json.Json;
 
 /**
@@ -116,11 +117,10 @@
     }
 
     private static InetSocketAddress address(String text, String name) {
-        int colon = text.lastIndexOf(':');
         try {
-            return new InetSocketAddress(text.substring(0, Math.max(0, colon)), Integer.parseInt(text.substring(colon + 1)));
+            return Address.read(text);
         } catch (IllegalArgumentException e) {
-            throw new IllegalArgumentException(name + ": not an address: '" + text + "'", e);
+            throw new IllegalArgumentException(name + ": " + e.getMessage(), e);
         }
     }
 }
