--- a/src/main/java/tinworks/channel/Conversation.java
+++ b/src/main/java/tinworks/channel/Conversation.java
@@ -75,7 +75,7 @@
         ByteBuffer bytes = SignalCodec.write(signal);
         ByteBuf frame = Unpooled.buffer(Integer.BYTES + bytes.remaining());
         frame.writeInt(bytes.remaining()).writeBytes(bytes);
-        saidAt = now();
+        saidAt = SteadyClock.millis();
         channel.writeAndFlush(frame, channel.voidPromise());
         if (channel.unsafe().outboundBuffer() != null
                 && channel.unsafe().outboundBuffer().totalPendingWriteBytes() > MOST_WAITING) {
@@ -97,14 +97,10 @@
         return peer == null ? String.valueOf(channel.remoteAddress()) : peer.node();
     }
 
-    private static long now() {
-        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
-    }
-
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
         channel = ctx.channel();
-        heardAt = now();
+        heardAt = SteadyClock.millis();
         send(own);
         channel.eventLoop().schedule(this::watch, PING_MILLIS, TimeUnit.MILLISECONDS);
     }
@@ -113,7 +109,7 @@
         if (!channel.isActive()) {
             return;
         }
-        long now = now();
+        long now = SteadyClock.millis();
         if (now - heardAt > SILENCE_MILLIS) {
             close("silent for " + (now - heardAt) + " ms");
             return;
@@ -126,7 +122,7 @@
 
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
-        heardAt = now();
+        heardAt = SteadyClock.millis();
         while (in.readableBytes() >= Integer.BYTES && channel.isActive()) {
             int length = in.getInt(in.readerIndex());
             if (length <= 0 || length > SignalCodec.LONGEST) {
--- a/src/main/java/tinworks/control/Agreement.java
+++ b/src/main/java/tinworks/control/Agreement.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.h2.mvstore.MVStoreException;
+import tinworks.channel.SteadyClock;
 import tinworks.config.ConfigurationHistory;
 import tinworks.config.ConfigurationHistory.Verdict;
 import tinworks.raft.Entry;
@@ -70,12 +71,12 @@
     }
 
     void tick() {
-        raft.tick(now());
+        raft.tick(SteadyClock.millis());
         pump();
     }
 
     void receive(long from, Message message) {
-        raft.receive(now(), from, message);
+        raft.receive(SteadyClock.millis(), from, message);
         pump();
     }
 
@@ -209,8 +210,4 @@
     boolean awaitClosed(long millis) throws InterruptedException {
         return disk.awaitTermination(millis, TimeUnit.MILLISECONDS);
     }
-
-    static long now() {
-        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
-    }
 }
--- a/src/main/java/tinworks/control/CoreNode.java
+++ b/src/main/java/tinworks/control/CoreNode.java
@@ -19,7 +19,6 @@
 import tinworks.channel.HostListVersion;
 import tinworks.channel.Links;
 import tinworks.channel.Signal;
-import tinworks.channel.Signal.Agreement;
 import tinworks.channel.Signal.Announce;
 import tinworks.channel.Signal.Call;
 import tinworks.channel.Signal.CallAnswer;
@@ -31,6 +30,7 @@
 import tinworks.channel.Signal.Part;
 import tinworks.channel.Signal.PullConfiguration;
 import tinworks.channel.Signal.PullHosts;
+import tinworks.channel.SteadyClock;
 import tinworks.net.GatewayClock;
 import tinworks.node.BootSettings;
 import tinworks.platform.HostPoller;
@@ -46,7 +46,7 @@
  * A core machine at work: its part in the agreement, its links to the others, and what it tells the edges. The leader
  * alone fetches the platform's list; the others pull it from there and pass it on. All on one event loop.
  */
-public final class CoreNode implements Conversation.Listener, tinworks.control.Agreement.Owner {
+public final class CoreNode implements Conversation.Listener, Agreement.Owner {
     private static final Logger LOG = LoggerFactory.getLogger(CoreNode.class);
     /** Heartbeats are cheap; an election outlasts a slow disk's syncs and a process's first, uncompiled work. */
     private static final Timing TIMING = new Timing(120, 500);
@@ -56,7 +56,7 @@
     private final EventLoop loop;
     private final BootSettings settings;
     private final long id;
-    private final tinworks.control.Agreement agreement;
+    private final Agreement agreement;
     private final Raft raft;
     private final Links links;
     private final VoterPlan plan;
@@ -81,13 +81,13 @@
         this.id = id;
         current = settings;
         GatewayClock clock = new GatewayClock();
-        long now = tinworks.control.Agreement.now();
+        long now = SteadyClock.millis();
         raft = new Raft(id, stored, TIMING, id ^ now, now);
         touchedAt = now;
         links = new Links(loop, new Hello(Part.CORE, id, settings.innerAddress(), settings.node(), settings.zone()), this);
         plan = new VoterPlan(settings.losses());
         poller = new HostPoller(loop, clock, settings.provider(), id, this::listed, this::log);
-        agreement = new tinworks.control.Agreement(loop, raft, store, this);
+        agreement = new Agreement(loop, raft, store, this);
         operator = new OperatorServer(loop, clock, settings, this);
     }
 
@@ -106,7 +106,7 @@
         poller.moveTo(changed.provider());
     }
 
-    /** Hands the lead over, and no longer takes calls; on the event loop. */
+    /** Hands the lead over and no longer fetches the list; on the event loop. */
     public void retire() {
         raft.handOver();
         agreement.pump();
@@ -126,7 +126,7 @@
         return agreement.awaitClosed(millis);
     }
 
-    tinworks.control.Agreement agreement() {
+    Agreement agreement() {
         return agreement;
     }
 
@@ -164,7 +164,7 @@
 
     private void tick() {
         loop.schedule(this::tick, TICK_MILLIS, TimeUnit.MILLISECONDS);
-        long now = tinworks.control.Agreement.now();
+        long now = SteadyClock.millis();
         agreement.tick();
         operator.tick();
         if (raft.inTouch()) {
@@ -247,7 +247,7 @@
 
     /** Tells those who dialled what there is: at once when it is new, else once a second. */
     private void announce() {
-        announceAt = tinworks.control.Agreement.now() + ANNOUNCE_MILLIS;
+        announceAt = SteadyClock.millis() + ANNOUNCE_MILLIS;
         announcedRev = agreement.history().rev();
         Announce said = said();
         conversations.stream().filter(c -> !c.dialled()).toList().forEach(c -> c.send(said));
@@ -282,13 +282,13 @@
 
     @Override
     public void received(Conversation from, Signal signal) {
-        if (signal instanceof Agreement s) {
+        if (signal instanceof Signal.Agreement s) {
             if (s.to() == id) {
                 agreement.receive(s.from(), s.message());
             }
         } else if (signal instanceof Join s) {
             if (raft.role() == Raft.Role.LEADER) {
-                joins.put(s.member().id(), tinworks.control.Agreement.now());
+                joins.put(s.member().id(), SteadyClock.millis());
                 raft.addLearner(s.member());
                 agreement.pump();
             }
@@ -315,7 +315,7 @@
             announced.clear();
             announced.addAll(s.cores());
         }
-        long now = tinworks.control.Agreement.now();
+        long now = SteadyClock.millis();
         if (s.hosts().compareTo(hosts.version()) > 0 && now - pulledAt > PULL_AGAIN_MILLIS) {
             pulledAt = now;
             from.send(new PullHosts());
@@ -326,7 +326,7 @@
     public void send(long to, Message message) {
         Conversation conversation = conversation(to);
         if (conversation != null) {
-            conversation.send(new Agreement(id, to, message));
+            conversation.send(new Signal.Agreement(id, to, message));
         }
     }
 
--- a/src/main/java/tinworks/control/OperatorServer.java
+++ b/src/main/java/tinworks/control/OperatorServer.java
@@ -23,6 +23,7 @@
 import tinworks.channel.Conversation;
 import tinworks.channel.Signal.Call;
 import tinworks.channel.Signal.CallAnswer;
+import tinworks.channel.SteadyClock;
 import tinworks.config.Configuration;
 import tinworks.config.ConfigurationHistory;
 import tinworks.config.ConfigurationHistory.Verdict;
@@ -169,7 +170,7 @@
     }
 
     private void submit(boolean read, byte[] command, Consumer<CallAnswer> told) {
-        Waiting call = new Waiting(read, command, told, Agreement.now() + ANSWER_MILLIS);
+        Waiting call = new Waiting(read, command, told, SteadyClock.millis() + ANSWER_MILLIS);
         long number = ++calls;
         waiting.put(number, call);
         work(number, call);
@@ -180,7 +181,7 @@
         if (waiting.isEmpty()) {
             return;
         }
-        long now = Agreement.now();
+        long now = SteadyClock.millis();
         for (Map.Entry<Long, Waiting> entry : List.copyOf(waiting.entrySet())) {
             Waiting call = entry.getValue();
             if (now >= call.until) {
--- a/src/main/java/tinworks/net/HostPool.java
+++ b/src/main/java/tinworks/net/HostPool.java
@@ -200,7 +200,7 @@
 
         /** Guards against a request that crosses the closing that this host has announced. */
         void told(String keepAlive) {
-            int at = keepAlive == null ? -1 : keepAlive.indexOf("timeout=");
+            int at = keepAlive == null ? -1 : keepAlive.indexOf(TIMEOUT);
             if (at >= 0) {
                 int end = at + TIMEOUT.length();
                 long seconds = 0;
--- a/src/main/java/tinworks/node/NodeProcess.java
+++ b/src/main/java/tinworks/node/NodeProcess.java
@@ -62,6 +62,11 @@
 
     /** Does something on the event loop and waits for what comes of it. */
     public <T> T call(Callable<T> work) {
+        return call(loop, work);
+    }
+
+    /** Does something on an event loop and waits for what comes of it. */
+    public static <T> T call(EventLoop loop, Callable<T> work) {
         CompletableFuture<T> done = new CompletableFuture<>();
         loop.execute(() -> {
             try {
--- a/src/main/java/tinworks/platform/HostPoller.java
+++ b/src/main/java/tinworks/platform/HostPoller.java
@@ -38,7 +38,7 @@
     private static final String PLATFORM = "platform";
     private static final long PERIOD_MILLIS = 1_000, LONGEST_PAUSE_MILLIS = 4_000, TIMEOUT_MILLIS = 1_500;
     private static final int MOST_PAGES = 1_000, LARGEST_PAGE = 4 << 20;
-    /** A host that ends within so short a time would be reused before anyone can see it. */
+    /** Longer than a period: the one connection to the platform is kept. */
     private static final long IDLE_NANOS = TimeUnit.SECONDS.toNanos(20);
 
     private final EventLoop loop;
--- a/src/test/java/tinworks/system/WholeSystemTest.java
+++ b/src/test/java/tinworks/system/WholeSystemTest.java
@@ -17,7 +17,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -27,6 +26,7 @@
 import tinworks.control.CoreNode;
 import tinworks.edge.EdgeNode;
 import tinworks.node.BootSettings;
+import tinworks.node.NodeProcess;
 import tinworks.raft.HardState;
 import tinworks.raft.Member;
 import tinworks.raft.Snapshot;
@@ -126,15 +126,7 @@
     }
 
     private <T> T on(Callable<T> work) {
-        CompletableFuture<T> done = new CompletableFuture<>();
-        loop.execute(() -> {
-            try {
-                done.complete(work.call());
-            } catch (Exception e) {
-                done.completeExceptionally(e);
-            }
-        });
-        return done.join();
+        return NodeProcess.call(loop, work);
     }
 
     private static void answer(com.sun.net.httpserver.HttpExchange call, String text) throws IOException {
