Call an edge up to date only by the word of a core machine that hears a leader

Change: Newest remembers the newest version that a machine in touch announced; once reached, an edge stays ready. Test in EdgeTest. The shadowed name, a wrapper and a twice written figure in EdgeNode go with it.

--- a/src/main/java/tinworks/edge/EdgeNode.java
+++ b/src/main/java/tinworks/edge/EdgeNode.java
@@ -30,6 +30,7 @@
 import tinworks.channel.Signal.Part;
 import tinworks.channel.Signal.PullConfiguration;
 import tinworks.channel.Signal.PullHosts;
+import tinworks.channel.SteadyClock;
 import tinworks.config.Configuration;
 import tinworks.config.Configuration.Limits;
 import tinworks.config.Configuration.Route;
@@ -72,7 +73,6 @@
 
     private final EventLoop loop;
     private final BootSettings settings;
-    private final long id;
     private final GatewayClock clock = new GatewayClock();
     private final SplittableRandom random;
     private final Links links;
@@ -83,8 +83,9 @@
     private final ClientServer probes;
     private final Map<String, Forwarding> services = new LinkedHashMap<>();
     private final Map<String, Long> startedAt = new HashMap<>();
+    private final Newest newest = new Newest();
     private final CompletableFuture<Void> ended = new CompletableFuture<>();
-    private final long startMillis = nowMillis();
+    private final long startMillis = SteadyClock.millis();
     private BootSettings current;
     private Configuration configuration;
     private RouteTable routes = RouteTable.EMPTY;
@@ -92,7 +93,6 @@
     /** The hosts as last told, by a core machine or by the platform itself. */
     private List<Host> known = List.of();
     private boolean listed;
-    private boolean upToDate;
     private Set<String> cores = Set.of();
     private int gateways = 1;
     private long heardLeaderAt;
@@ -104,25 +104,28 @@
     public EdgeNode(EventLoop loop, BootSettings settings, long id) {
         this.loop = loop;
         this.settings = settings;
-        this.id = id;
         current = settings;
         random = new SplittableRandom(id);
         style = new EdgeStyle(id);
         links = new Links(loop, new Hello(Part.EDGE, id, "", settings.node(), settings.zone()), this);
-        poller = new HostPoller(loop, clock, settings.provider(), id, this::polled, this::log);
-        int connections = settings.descriptors() / 2 - PROBES;
+        poller = new HostPoller(loop, clock, settings.provider(), id, this::listed, this::log);
         hosts = new HostPool(loop, Transport.TCP, clock,
-                new HostPool.Bounds(DIAL_NANOS, HOST_IDLE_NANOS, connections, LARGEST_ANSWER), style);
+                new HostPool.Bounds(DIAL_NANOS, HOST_IDLE_NANOS, connections(), LARGEST_ANSWER), style);
         clients = new ClientServer(loop, Transport.TCP, clock, clientBounds(Limits.USUAL), new Requests());
         probes = new ClientServer(loop, Transport.TCP, clock, new ClientServer.Bounds(PROBES, TimeUnit.SECONDS.toNanos(2),
                 TimeUnit.SECONDS.toNanos(5), PROBE_HEAD, PROBE_HEAD, READYZ), new Probes());
         heardLeaderAt = startMillis;
     }
 
+    /** Half of the descriptors for each side, less those for probes. */
+    private int connections() {
+        return settings.descriptors() / 2 - PROBES;
+    }
+
     private ClientServer.Bounds clientBounds(Limits limits) {
         long body = Math.min(LARGEST_REQUEST, limits.bodyMaxBytes());
         // Clients keep to the idle time too; whoever closes first at the same moment may lose a request.
-        return new ClientServer.Bounds(settings.descriptors() / 2 - PROBES, 2 * TimeUnit.MILLISECONDS.toNanos(limits.hdrMs()),
+        return new ClientServer.Bounds(connections(), 2 * TimeUnit.MILLISECONDS.toNanos(limits.hdrMs()),
                 TimeUnit.MILLISECONDS.toNanos(limits.idleMs() * 5 / 4), limits.hdrBytes(), (int) body, null);
     }
 
@@ -166,13 +169,9 @@
         }
     }
 
-    private static long nowMillis() {
-        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
-    }
-
     private void tick() {
         loop.schedule(this::tick, TICK_MILLIS, TimeUnit.MILLISECONDS);
-        long now = nowMillis();
+        long now = SteadyClock.millis();
         boolean alone = now - heardLeaderAt > ALONE_MILLIS;
         Set<String> wanted = new TreeSet<>(cores);
         if (cores.isEmpty() || alone) {
@@ -185,8 +184,8 @@
 
     /** Whether clients may be sent here: with a configuration and a list, and once the newest version is known. */
     boolean ready() {
-        boolean waited = nowMillis() - startMillis > PLAIN_START_MILLIS;
-        return configuration != null && listed && (upToDate || waited) && !ending;
+        boolean waited = SteadyClock.millis() - startMillis > PLAIN_START_MILLIS;
+        return configuration != null && listed && (newest.reached() || waited) && !ending;
     }
 
     // ---- what the core machines tell
@@ -216,7 +215,7 @@
     }
 
     private void heard(Conversation from, Announce s) {
-        long now = nowMillis();
+        long now = SteadyClock.millis();
         if (s.fresh()) {
             heardLeaderAt = now;
         }
@@ -231,7 +230,8 @@
             pulledConfigurationAt = now;
             from.send(new PullConfiguration());
         }
-        upToDate |= s.fresh() && s.rev() > 0 && s.rev() <= rev;
+        newest.announced(s.rev(), s.fresh());
+        newest.holds(rev);
         if (s.hosts().compareTo(list.version()) > 0 && now - pulledHostsAt > PULL_AGAIN_MILLIS) {
             pulledHostsAt = now;
             from.send(new PullHosts());
@@ -253,7 +253,7 @@
         try {
             configuration = ConfigurationReader.read(body.body());
             routes = new RouteTable(configuration.routes());
-            upToDate = true;
+            newest.holds(configuration.rev());
             clients.rebound(clientBounds(configuration.limits()));
             Set<String> mutating = new HashSet<>();
             configuration.routes().stream().filter(r -> r.type() == Type.MUTATING)
@@ -272,9 +272,9 @@
         }
         for (String service : configuration.services().keySet()) {
             List<RequestClass> classes = ServiceSettings.classes(configuration, service);
-            Forwarding known = services.get(service);
-            if (known != null) {
-                known.tell(new Reconfigured(classes, gateways));
+            Forwarding there = services.get(service);
+            if (there != null) {
+                there.tell(new Reconfigured(classes, gateways));
             } else if (!classes.isEmpty()) {
                 Forwarding made = new Forwarding(loop, clock, ServiceSettings.settings(classes, gateways, settings.zone()),
                         random.nextLong(), hosts, style, this);
@@ -291,11 +291,7 @@
 
     // ---- the hosts
 
-    /** An own look at the platform's list, while no core machine tells of it. */
-    private void polled(List<Host> found) {
-        listed(found);
-    }
-
+    /** A list that a core machine told or, while none does, one that this edge fetched itself. */
     private void listed(List<Host> found) {
         boolean first = !listed;
         listed = true;
--- a/src/test/java/tinworks/edge/EdgeTest.java
+++ b/src/test/java/tinworks/edge/EdgeTest.java
@@ -107,4 +107,19 @@
         assertEquals(Long.MAX_VALUE, style.restedNanos("i"));
         assertFalse(style.restedNanos("m") > TimeUnit.MILLISECONDS.toNanos(200));
     }
+
+    @Test
+    void aFreshEdgeIsNotReadyWithWhatAMachineTellsThatHearsNoLeader() {
+        Newest newest = new Newest();
+        newest.announced(4, false);
+        newest.holds(4);
+        assertFalse(newest.reached(), "who tells of 4 may be behind");
+        newest.announced(7, true);
+        newest.holds(4);
+        assertFalse(newest.reached());
+        newest.holds(7);
+        newest.announced(9, true);
+        newest.holds(7);
+        assertEquals(true, newest.reached(), "a later version makes no ready edge unready");
+    }
 }
