--- a/src/main/java/cinderhollow/Main.java
+++ b/src/main/java/tinworks/Main.java
@@ -1,7 +1,8 @@
-package cinderhollow;
+package tinworks;
 
-import cinderhollow.net.Server;
+import tinworks.net.Server;
 import java.io.IOException;
+import tinworks.sim.Wire;
 
 /**
  * The command line: {@code serve} is a real gateway, {@code simhost} speaks the simulator's wire on standard
@@ -21,7 +22,7 @@
                 case "serve" -> Server.serve(System.getenv());
                 case "simhost" -> new Wire(System.in, System.out).run();
                 default -> {
-                    System.err.println("usage: java -jar cinderhollow.jar serve | simhost");
+                    System.err.println("usage: java -jar tinworks.jar serve | simhost");
                     System.err.println("  serve     be the gateway that the LB_ variables describe");
                     System.err.println("  simhost   decide for the gateways on standard input, on the lbsim wire");
                     System.exit(EXIT_BAD_USAGE);
@@ -35,7 +36,7 @@
     }
 
     private static void fail(String line) {
-        System.err.println("cinderhollow: " + line);
+        System.err.println("tinworks: " + line);
         System.exit(EXIT_BAD_INPUT);
     }
 }
--- a/src/main/java/cinderhollow/net/EndpointList.java
+++ b/src/main/java/tinworks/net/EndpointList.java
@@ -1,7 +1,7 @@
-package cinderhollow.net;
+package tinworks.net;
 
-import cinderhollow.Protocol.Readiness;
-import cinderhollow.Protocol.ServerInfo;
+import tinworks.policy.Protocol.Readiness;
+import tinworks.policy.Protocol.ServerInfo;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.util.ArrayList;
--- a/src/main/java/cinderhollow/net/GatewayClock.java
+++ b/src/main/java/tinworks/net/GatewayClock.java
@@ -1,4 +1,4 @@
-package cinderhollow.net;
+package tinworks.net;
 
 import java.util.concurrent.TimeUnit;
 
--- a/src/main/java/cinderhollow/net/GatewayConfig.java
+++ b/src/main/java/tinworks/net/GatewayConfig.java
@@ -1,7 +1,7 @@
-package cinderhollow.net;
+package tinworks.net;
 
-import cinderhollow.Protocol.Settings;
-import cinderhollow.SettingsReader;
+import tinworks.policy.Protocol.Settings;
+import tinworks.policy.SettingsReader;
 import java.io.IOException;
 import java.net.SocketAddress;
 import java.nio.file.Files;
--- a/src/main/java/cinderhollow/net/HostPool.java
+++ b/src/main/java/tinworks/net/HostPool.java
@@ -1,9 +1,9 @@
-package cinderhollow.net;
+package tinworks.net;
 
-import cinderhollow.Protocol.LoadReport;
-import cinderhollow.Protocol.Outcome;
-import cinderhollow.Protocol.Readiness;
-import cinderhollow.net.EndpointList.Endpoint;
+import tinworks.policy.Protocol.LoadReport;
+import tinworks.policy.Protocol.Outcome;
+import tinworks.policy.Protocol.Readiness;
+import tinworks.net.EndpointList.Endpoint;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
--- a/src/main/java/cinderhollow/net/Json.java
+++ b/src/main/java/tinworks/net/Json.java
@@ -1,4 +1,4 @@
-package cinderhollow.net;
+package tinworks.net;
 
 import com.fasterxml.jackson.jr.ob.JSON;
 import java.io.IOException;
--- a/src/main/java/cinderhollow/net/LoadReports.java
+++ b/src/main/java/tinworks/net/LoadReports.java
@@ -1,6 +1,6 @@
-package cinderhollow.net;
+package tinworks.net;
 
-import cinderhollow.Protocol.LoadReport;
+import tinworks.policy.Protocol.LoadReport;
 import java.util.List;
 
 /** Reads a host's account of its load, as {@code tps=140,load_share=0.62,err_ps=0.5}. */
--- a/src/main/java/cinderhollow/net/Peers.java
+++ b/src/main/java/tinworks/net/Peers.java
@@ -1,4 +1,4 @@
-package cinderhollow.net;
+package tinworks.net;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
--- a/src/main/java/cinderhollow/net/Rehearsal.java
+++ b/src/main/java/tinworks/net/Rehearsal.java
@@ -1,10 +1,10 @@
-package cinderhollow.net;
+package tinworks.net;
 
-import cinderhollow.Protocol.Effect;
-import cinderhollow.Protocol.Readiness;
-import cinderhollow.Protocol.RequestClass;
-import cinderhollow.Protocol.ServerInfo;
-import cinderhollow.net.EndpointList.Endpoint;
+import tinworks.policy.Protocol.Effect;
+import tinworks.policy.Protocol.Readiness;
+import tinworks.policy.Protocol.RequestClass;
+import tinworks.policy.Protocol.ServerInfo;
+import tinworks.net.EndpointList.Endpoint;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
@@ -84,11 +84,11 @@
         try {
             return hasFileSockets() ? inFiles(config, longestMillis) : inMemory(config, longestMillis);
         } catch (TimeoutException e) {
-            System.err.println("cinderhollow: the rehearsal was cut short");
+            System.err.println("tinworks: the rehearsal was cut short");
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         } catch (IOException | ExecutionException e) {
-            System.err.println("cinderhollow: no rehearsal: " + e.getMessage());
+            System.err.println("tinworks: no rehearsal: " + e.getMessage());
         }
         return false;
     }
--- a/src/main/java/cinderhollow/net/RequestAssembler.java
+++ b/src/main/java/tinworks/net/RequestAssembler.java
@@ -1,4 +1,4 @@
-package cinderhollow.net;
+package tinworks.net;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
--- a/src/main/java/cinderhollow/net/RequestReader.java
+++ b/src/main/java/tinworks/net/RequestReader.java
@@ -1,9 +1,9 @@
-package cinderhollow.net;
+package tinworks.net;
 
-import cinderhollow.Protocol.Effect;
-import cinderhollow.Protocol.RequestArrived;
-import cinderhollow.Protocol.RequestClass;
-import cinderhollow.net.ClientServer.BadRequest;
+import tinworks.policy.Protocol.Effect;
+import tinworks.policy.Protocol.RequestArrived;
+import tinworks.policy.Protocol.RequestClass;
+import tinworks.net.ClientServer.BadRequest;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
--- a/src/main/java/cinderhollow/net/Server.java
+++ b/src/main/java/tinworks/net/Server.java
@@ -1,4 +1,4 @@
-package cinderhollow.net;
+package tinworks.net;
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -58,7 +58,7 @@
         try {
             gateway.moveDiscovery(GatewayConfig.readDiscovery(environment));
         } catch (IllegalArgumentException e) {
-            System.err.println("cinderhollow: kept the old configuration: " + e.getMessage());
+            System.err.println("tinworks: kept the old configuration: " + e.getMessage());
         }
     }
 
@@ -70,7 +70,7 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         } catch (ExecutionException | TimeoutException e) {
-            System.err.println("cinderhollow: ended with requests open: " + e);
+            System.err.println("tinworks: ended with requests open: " + e);
         }
     }
 }
--- a/src/main/java/cinderhollow/net/Transport.java
+++ b/src/main/java/tinworks/net/Transport.java
@@ -1,4 +1,4 @@
-package cinderhollow.net;
+package tinworks.net;
 
 import io.netty.channel.Channel;
 import io.netty.channel.ServerChannel;
--- a/src/main/java/cinderhollow/net/package-info.java
+++ b/src/main/java/tinworks/net/package-info.java
@@ -3,4 +3,4 @@
  * whether it is tried again, refused or failed; it turns what happens on sockets into the module's events
  * and the module's actions into bytes. One event loop thread runs all of it.
  */
-package cinderhollow.net;
+package tinworks.net;
--- a/src/main/java/cinderhollow/Choice.java
+++ b/src/main/java/tinworks/policy/Choice.java
@@ -1,7 +1,7 @@
-package cinderhollow;
+package tinworks.policy;
 
-import cinderhollow.Protocol.*;
-import cinderhollow.State.*;
+import tinworks.policy.Protocol.*;
+import tinworks.policy.State.*;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
--- a/src/main/java/cinderhollow/InFlightReport.java
+++ b/src/main/java/tinworks/policy/InFlightReport.java
@@ -1,6 +1,6 @@
-package cinderhollow;
+package tinworks.policy;
 
-import cinderhollow.State.Server;
+import tinworks.policy.State.Server;
 import java.nio.ByteBuffer;
 import java.util.LinkedHashMap;
 import java.util.List;
--- a/src/main/java/cinderhollow/Protocol.java
+++ b/src/main/java/tinworks/policy/Protocol.java
@@ -1,4 +1,4 @@
-package cinderhollow;
+package tinworks.policy;
 
 import java.util.List;
 
--- a/src/main/java/cinderhollow/SettingsReader.java
+++ b/src/main/java/tinworks/policy/SettingsReader.java
@@ -1,12 +1,12 @@
-package cinderhollow;
-
-import cinderhollow.Protocol.Allowed;
-import cinderhollow.Protocol.Effect;
-import cinderhollow.Protocol.Group;
-import cinderhollow.Protocol.RequestClass;
-import cinderhollow.Protocol.Rules;
-import cinderhollow.Protocol.Settings;
-import cinderhollow.Protocol.Tenant;
+package tinworks.policy;
+
+import tinworks.policy.Protocol.Allowed;
+import tinworks.policy.Protocol.Effect;
+import tinworks.policy.Protocol.Group;
+import tinworks.policy.Protocol.RequestClass;
+import tinworks.policy.Protocol.Rules;
+import tinworks.policy.Protocol.Settings;
+import tinworks.policy.Protocol.Tenant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
--- a/src/main/java/cinderhollow/State.java
+++ b/src/main/java/tinworks/policy/State.java
@@ -1,7 +1,7 @@
-package cinderhollow;
+package tinworks.policy;
 
-import cinderhollow.Protocol.RequestClass;
-import cinderhollow.Protocol.ServerInfo;
+import tinworks.policy.Protocol.RequestClass;
+import tinworks.policy.Protocol.ServerInfo;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
--- a/src/main/java/cinderhollow/Wire.java
+++ b/src/main/java/tinworks/sim/Wire.java
@@ -1,6 +1,8 @@
-package cinderhollow;
+package tinworks.sim;
 
-import cinderhollow.Protocol.*;
+import tinworks.policy.Choice;
+import tinworks.policy.SettingsReader;
+import tinworks.policy.Protocol.*;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -16,12 +18,12 @@
  * The simulator's wire: turns lines into events, actions into lines, and keeps one {@link Choice} for each
  * gateway. It decides nothing.
  */
-final class Wire {
+public final class Wire {
     private static final HexFormat HEX = HexFormat.of();
     private static final int SLOTS = 16;
 
     /** Input that breaks the wire's form; the message names the line and what is wrong with it. */
-    static final class MalformedInput extends RuntimeException {
+    public static final class MalformedInput extends RuntimeException {
         private static final long serialVersionUID = 1L;
 
         MalformedInput(long line, String what) {
@@ -36,7 +38,8 @@
     private final List<List<ServerInfo>> slots = new ArrayList<>();
     private final Fields fields = new Fields();
 
-    Wire(InputStream in, OutputStream out) {
+    /** Reads batches from the one stream and answers on the other. */
+    public Wire(InputStream in, OutputStream out) {
         this.in = new LineReader(in);
         this.out = out;
         for (int i = 0; i < SLOTS; i++) {
@@ -45,7 +48,7 @@
     }
 
     /** Answers batch after batch until the input ends. */
-    void run() throws IOException {
+    public void run() throws IOException {
         while (readFields()) {
             if (fields.tag.isEmpty()) {
                 continue;
--- a/src/test/java/cinderhollow/net/AnswersTest.java
+++ b/src/test/java/tinworks/net/AnswersTest.java
@@ -1,17 +1,17 @@
-package cinderhollow.net;
+package tinworks.net;
 
-import static cinderhollow.net.GatewayFixture.LONG_MILLIS;
-import static cinderhollow.net.GatewayFixture.await;
-import static cinderhollow.net.GatewayFixture.status;
-import static cinderhollow.net.GatewayFixture.submit;
+import static tinworks.net.GatewayFixture.LONG_MILLIS;
+import static tinworks.net.GatewayFixture.await;
+import static tinworks.net.GatewayFixture.status;
+import static tinworks.net.GatewayFixture.submit;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import cinderhollow.net.GatewayFixture.Client;
-import cinderhollow.net.ScriptedHost.Message;
-import cinderhollow.net.ScriptedHost.Script;
+import tinworks.net.GatewayFixture.Client;
+import tinworks.net.ScriptedHost.Message;
+import tinworks.net.ScriptedHost.Script;
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
--- a/src/test/java/cinderhollow/net/GatewayConfigTest.java
+++ b/src/test/java/tinworks/net/GatewayConfigTest.java
@@ -1,4 +1,4 @@
-package cinderhollow.net;
+package tinworks.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
--- a/src/test/java/cinderhollow/net/GatewayFixture.java
+++ b/src/test/java/tinworks/net/GatewayFixture.java
@@ -1,8 +1,8 @@
-package cinderhollow.net;
+package tinworks.net;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import cinderhollow.net.ScriptedHost.Message;
+import tinworks.net.ScriptedHost.Message;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.BufferedInputStream;
--- a/src/test/java/cinderhollow/net/PeersTest.java
+++ b/src/test/java/tinworks/net/PeersTest.java
@@ -1,4 +1,4 @@
-package cinderhollow.net;
+package tinworks.net;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
--- a/src/test/java/cinderhollow/net/ScriptedHost.java
+++ b/src/test/java/tinworks/net/ScriptedHost.java
@@ -1,4 +1,4 @@
-package cinderhollow.net;
+package tinworks.net;
 
 import java.io.BufferedInputStream;
 import java.io.IOException;
--- a/src/test/java/cinderhollow/ChoiceTest.java
+++ b/src/test/java/tinworks/policy/ChoiceTest.java
@@ -1,22 +1,22 @@
-package cinderhollow;
-
-import static cinderhollow.Fleet.ASK;
-import static cinderhollow.Fleet.FILE;
-import static cinderhollow.Fleet.MS;
-import static cinderhollow.Fleet.ORDER;
-import static cinderhollow.Fleet.READ;
-import static cinderhollow.Fleet.SECOND;
-import static cinderhollow.Fleet.STEP;
-import static cinderhollow.Fleet.SWEEP;
-import static cinderhollow.Fleet.server;
-import static cinderhollow.Fleet.settings;
+package tinworks.policy;
+
+import static tinworks.policy.Fleet.ASK;
+import static tinworks.policy.Fleet.FILE;
+import static tinworks.policy.Fleet.MS;
+import static tinworks.policy.Fleet.ORDER;
+import static tinworks.policy.Fleet.READ;
+import static tinworks.policy.Fleet.SECOND;
+import static tinworks.policy.Fleet.STEP;
+import static tinworks.policy.Fleet.SWEEP;
+import static tinworks.policy.Fleet.server;
+import static tinworks.policy.Fleet.settings;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import cinderhollow.Protocol.*;
+import tinworks.policy.Protocol.*;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
--- a/src/test/java/cinderhollow/ColdBankTest.java
+++ b/src/test/java/tinworks/policy/ColdBankTest.java
@@ -1,16 +1,16 @@
-package cinderhollow;
+package tinworks.policy;
 
-import static cinderhollow.Fleet.MS;
-import static cinderhollow.Fleet.ORDER;
-import static cinderhollow.Fleet.RULES;
-import static cinderhollow.Fleet.SECOND;
-import static cinderhollow.Fleet.server;
-import static cinderhollow.Fleet.settings;
+import static tinworks.policy.Fleet.MS;
+import static tinworks.policy.Fleet.ORDER;
+import static tinworks.policy.Fleet.RULES;
+import static tinworks.policy.Fleet.SECOND;
+import static tinworks.policy.Fleet.server;
+import static tinworks.policy.Fleet.settings;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import cinderhollow.Protocol.ListKind;
-import cinderhollow.Protocol.Outcome;
-import cinderhollow.Protocol.Readiness;
+import tinworks.policy.Protocol.ListKind;
+import tinworks.policy.Protocol.Outcome;
+import tinworks.policy.Protocol.Readiness;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
--- a/src/test/java/cinderhollow/CrowdTest.java
+++ b/src/test/java/tinworks/policy/CrowdTest.java
@@ -1,19 +1,19 @@
-package cinderhollow;
+package tinworks.policy;
 
-import static cinderhollow.Fleet.MS;
-import static cinderhollow.Fleet.READ;
-import static cinderhollow.Fleet.SECOND;
-import static cinderhollow.Fleet.SWEEP;
-import static cinderhollow.Fleet.settings;
+import static tinworks.policy.Fleet.MS;
+import static tinworks.policy.Fleet.READ;
+import static tinworks.policy.Fleet.SECOND;
+import static tinworks.policy.Fleet.SWEEP;
+import static tinworks.policy.Fleet.settings;
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import cinderhollow.Protocol.Allowed;
-import cinderhollow.Protocol.Outcome;
-import cinderhollow.Protocol.PeerSaid;
-import cinderhollow.Protocol.Settings;
+import tinworks.policy.Protocol.Allowed;
+import tinworks.policy.Protocol.Outcome;
+import tinworks.policy.Protocol.PeerSaid;
+import tinworks.policy.Protocol.Settings;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
--- a/src/test/java/cinderhollow/Fleet.java
+++ b/src/test/java/tinworks/policy/Fleet.java
@@ -1,6 +1,6 @@
-package cinderhollow;
+package tinworks.policy;
 
-import cinderhollow.Protocol.*;
+import tinworks.policy.Protocol.*;
 import java.util.ArrayList;
 import java.util.List;
 
--- a/src/test/java/cinderhollow/PortionTest.java
+++ b/src/test/java/tinworks/policy/PortionTest.java
@@ -1,17 +1,17 @@
-package cinderhollow;
+package tinworks.policy;
 
-import static cinderhollow.Fleet.MS;
-import static cinderhollow.Fleet.READ;
-import static cinderhollow.Fleet.STEP;
-import static cinderhollow.Fleet.settings;
+import static tinworks.policy.Fleet.MS;
+import static tinworks.policy.Fleet.READ;
+import static tinworks.policy.Fleet.STEP;
+import static tinworks.policy.Fleet.settings;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import cinderhollow.Protocol.ListKind;
-import cinderhollow.Protocol.Outcome;
-import cinderhollow.Protocol.Readiness;
-import cinderhollow.Protocol.ServerInfo;
-import cinderhollow.Protocol.Settings;
+import tinworks.policy.Protocol.ListKind;
+import tinworks.policy.Protocol.Outcome;
+import tinworks.policy.Protocol.Readiness;
+import tinworks.policy.Protocol.ServerInfo;
+import tinworks.policy.Protocol.Settings;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
--- a/src/test/java/cinderhollow/QuickStartTest.java
+++ b/src/test/java/tinworks/policy/QuickStartTest.java
@@ -1,22 +1,22 @@
-package cinderhollow;
+package tinworks.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import cinderhollow.Protocol.Actions;
-import cinderhollow.Protocol.Allowed;
-import cinderhollow.Protocol.AttemptEnded;
-import cinderhollow.Protocol.Effect;
-import cinderhollow.Protocol.Group;
-import cinderhollow.Protocol.ListKind;
-import cinderhollow.Protocol.ListReceived;
-import cinderhollow.Protocol.Outcome;
-import cinderhollow.Protocol.Readiness;
-import cinderhollow.Protocol.RequestArrived;
-import cinderhollow.Protocol.RequestClass;
-import cinderhollow.Protocol.Rules;
-import cinderhollow.Protocol.ServerInfo;
-import cinderhollow.Protocol.Settings;
+import tinworks.policy.Protocol.Actions;
+import tinworks.policy.Protocol.Allowed;
+import tinworks.policy.Protocol.AttemptEnded;
+import tinworks.policy.Protocol.Effect;
+import tinworks.policy.Protocol.Group;
+import tinworks.policy.Protocol.ListKind;
+import tinworks.policy.Protocol.ListReceived;
+import tinworks.policy.Protocol.Outcome;
+import tinworks.policy.Protocol.Readiness;
+import tinworks.policy.Protocol.RequestArrived;
+import tinworks.policy.Protocol.RequestClass;
+import tinworks.policy.Protocol.Rules;
+import tinworks.policy.Protocol.ServerInfo;
+import tinworks.policy.Protocol.Settings;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
--- a/src/test/java/cinderhollow/Recorder.java
+++ b/src/test/java/tinworks/policy/Recorder.java
@@ -1,6 +1,6 @@
-package cinderhollow;
+package tinworks.policy;
 
-import cinderhollow.Protocol.Actions;
+import tinworks.policy.Protocol.Actions;
 import java.util.ArrayList;
 import java.util.List;
 
--- a/src/test/java/cinderhollow/RulesTest.java
+++ b/src/test/java/tinworks/policy/RulesTest.java
@@ -1,17 +1,17 @@
-package cinderhollow;
-
-import static cinderhollow.Fleet.FILE;
-import static cinderhollow.Fleet.MS;
-import static cinderhollow.Fleet.ORDER;
-import static cinderhollow.Fleet.READ;
-import static cinderhollow.Fleet.RULES;
-import static cinderhollow.Fleet.SECOND;
-import static cinderhollow.Fleet.settings;
+package tinworks.policy;
+
+import static tinworks.policy.Fleet.FILE;
+import static tinworks.policy.Fleet.MS;
+import static tinworks.policy.Fleet.ORDER;
+import static tinworks.policy.Fleet.READ;
+import static tinworks.policy.Fleet.RULES;
+import static tinworks.policy.Fleet.SECOND;
+import static tinworks.policy.Fleet.settings;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static org.junit.jupiter.api.Assertions.fail;
 
-import cinderhollow.Protocol.*;
+import tinworks.policy.Protocol.*;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
--- a/src/test/java/cinderhollow/WireTest.java
+++ b/src/test/java/tinworks/sim/WireTest.java
@@ -1,4 +1,4 @@
-package cinderhollow;
+package tinworks.sim;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
