--- a/src/main/java/tinworks/Main.java
+++ b/src/main/java/tinworks/Main.java
@@ -1,6 +1,9 @@
 package tinworks;
 
 import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.charset.StandardCharsets;
+import tinworks.cli.CommandLineTool;
 import tinworks.control.Core;
 import tinworks.edge.Edge;
 import tinworks.net.Server;
@@ -9,11 +12,11 @@
 
 /**
  * The command line: {@code edge} and {@code core} are the system's processes, {@code serve} is the gateway of the
- * earlier protocol, {@code simhost} speaks the simulator's wire on standard input and output.
+ * earlier protocol, {@code simhost} speaks the simulator's wire on standard input and output. All else is
+ * {@link CommandLineTool}'s.
  */
 public final class Main {
     private static final int EXIT_BAD_INPUT = 1;
-    private static final int EXIT_BAD_USAGE = 2;
 
     private Main() { }
 
@@ -26,14 +29,9 @@
                 case "core" -> Core.run(NodeProcess.start(System.getenv()));
                 case "serve" -> Server.serve(System.getenv());
                 case "simhost" -> new Wire(System.in, System.out).run();
-                default -> {
-                    System.err.println("usage: java -jar tinworks.jar edge | core | serve | simhost");
-                    System.err.println("  edge      be an edge gateway of the system, as the file in TINWORKS_BOOT says");
-                    System.err.println("  core      be a core machine of the system, as the file in TINWORKS_BOOT says");
-                    System.err.println("  serve     be the gateway that the LB_ variables describe");
-                    System.err.println("  simhost   decide for the gateways on standard input, on the lbsim wire");
-                    System.exit(EXIT_BAD_USAGE);
-                }
+                // Not at the platform's commands: the library that reads arguments costs a start too much.
+                default -> System.exit(CommandLineTool.run(new PrintWriter(System.out, true, StandardCharsets.UTF_8),
+                        new PrintWriter(System.err, true, StandardCharsets.UTF_8), args));
             }
         } catch (Wire.MalformedInput | IllegalArgumentException e) {
             fail(e.getMessage());
--- a/src/main/java/tinworks/edge/ServiceSettings.java
+++ b/src/main/java/tinworks/edge/ServiceSettings.java
@@ -20,6 +20,11 @@
     private static final double COLD_FROM = 0.5, LATE_WORTH = 0.5;
     /** The cold rule of the earlier protocol isn't one here: a fresh host is slow and not to be spared. */
     private static final double NO_COLD_BUDGET = 1e9;
+    /**
+     * Below the slack that deployments name (58 and 60). With the tenth of its requests that each edge adds, all stay
+     * within a fifth of the requests and the slack even when half of the edges start anew within one window.
+     */
+    private static final double FURTHER_ARRIVALS = 30;
     private static final int MOST_TRIES = 32, NO_NUMBER = -1;
     private static final int MIDDLE_PRIO = 2;
 
@@ -50,7 +55,8 @@
 
     /** What a service's module starts with. */
     static Settings settings(List<RequestClass> classes, int gateways, String zone) {
-        Rules rules = new Rules(0, 0, Long.MAX_VALUE, COLD_FROM, WARM_UP_NANOS, NO_COLD_BUDGET, TimeUnit.SECONDS.toNanos(1));
+        Rules rules = new Rules(0, 0, Long.MAX_VALUE, COLD_FROM, WARM_UP_NANOS, NO_COLD_BUDGET, TimeUnit.SECONDS.toNanos(1),
+                FURTHER_ARRIVALS);
         return new Settings(gateways, NO_NUMBER, zone, false, TimeUnit.MILLISECONDS.toNanos(1), classes, List.of(), 1,
                 new Allowed(MOST_TRIES, true, false), rules);
     }
--- a/src/main/java/tinworks/policy/Choice.java
+++ b/src/main/java/tinworks/policy/Choice.java
@@ -94,7 +94,7 @@
     private final Map<Integer, Heard> peers = new LinkedHashMap<>();
     private byte[] told = { };
     private long toldAt;
-    private double total = 1, lateness, warmRate, extra = MOST_EXTRA, pressure, leastPressure, bestValue;
+    private double total = 1, lateness, warmRate, extra, pressure, leastPressure, bestValue;
     private int gateways, inFlight, inDoubt, arrivals, refusals, failedAsks;
     private long now, tickStart, endsAt = Long.MAX_VALUE;
     private boolean started, sweeping;
@@ -105,6 +105,7 @@
         this.actions = actions;
         rules = settings.rules();
         gateways = settings.gateways();
+        extra = mostExtra();
         random = new SplittableRandom(seed);
         sweepNanos = Math.max(settings.resolutionNanos(), SWEEP_NANOS);
         takeClasses(settings.classes());
@@ -191,7 +192,7 @@
         Request r = new Request(e.id(), kind, overShare(e.tenant()), firstAsked(e, kind), deadline);
         open.put(r.id, r);
         arrivals++;
-        extra = Math.min(MOST_EXTRA, extra + EXTRA_PER_REQUEST);
+        extra = Math.min(mostExtra(), extra + EXTRA_PER_REQUEST);
         r.value = value(r);
         if (shed(r)) {
             finish(r);
@@ -562,7 +563,8 @@
 
     /** A further try; one that may repeat work comes out of the budget. {@link #maySend} decides where to. */
     private void tryAgain(Request r, Outcome outcome) {
-        double cost = outcome.provesItNeverRan() ? 0 : 1;
+        boolean arrived = outcome == Outcome.FULL && rules.furtherArrivals() > 0;
+        double cost = outcome.provesItNeverRan() && !arrived ? 0 : 1;
         boolean may = r.kind.spec.effect() != Effect.UNSAFE || r.firstThatMayRun() == null;
         boolean left = r.attempts.size() < mostAttempts(r) && now < r.deadline;
         if (may && left && extra >= cost) {
@@ -573,6 +575,11 @@
         }
     }
 
+    /** Guards against a storm that all gateways make together: each saves up its part, and is safe when cut off. */
+    private double mostExtra() {
+        return rules.furtherArrivals() > 0 ? Math.max(1, rules.furtherArrivals() / gateways) : MOST_EXTRA;
+    }
+
     private void finish(Request r) {
         if (mayRefuse(r)) {
             refusals++;
--- a/src/main/java/tinworks/policy/Protocol.java
+++ b/src/main/java/tinworks/policy/Protocol.java
@@ -67,9 +67,21 @@
     /** What a gateway may do. */
     record Allowed(int maxAttempts, boolean cancel, boolean peers) { }
 
-    /** The figures of the four rules. */
+    /**
+     * The figures of the rules.
+     *
+     * @param furtherArrivals arrivals beyond the first of each request that all gateways together may save up for one
+     *     service, and then every arrival counts, turned away or not; 0 where only those count that may have run
+     */
     record Rules(long answerSlackNanos, long drainGraceNanos, long askWithinNanos, double coldFrom,
-                 long warmUpNanos, double overloadFactor, long overloadForNanos) { }
+                 long warmUpNanos, double overloadFactor, long overloadForNanos, double furtherArrivals) {
+        /** Those of a deployment that doesn't count arrivals. */
+        public Rules(long answerSlackNanos, long drainGraceNanos, long askWithinNanos, double coldFrom,
+                     long warmUpNanos, double overloadFactor, long overloadForNanos) {
+            this(answerSlackNanos, drainGraceNanos, askWithinNanos, coldFrom, warmUpNanos, overloadFactor,
+                    overloadForNanos, 0);
+        }
+    }
 
     /**
      * What a gateway is told at its start.
@@ -94,6 +106,7 @@
             require(resolutionNanos > 0, "resolutionNanos", resolutionNanos);
             require(allowed.maxAttempts() >= 1, "maxAttempts", allowed.maxAttempts());
             require(rules.coldFrom() > 0 && rules.coldFrom() <= 1, "coldFrom", rules.coldFrom());
+            require(rules.furtherArrivals() >= 0, "furtherArrivals", rules.furtherArrivals());
             require(rules.warmUpNanos() >= 0, "warmUpNanos", rules.warmUpNanos());
             require(rules.drainGraceNanos() >= 0, "drainGraceNanos", rules.drainGraceNanos());
             require(rules.overloadFactor() > 0, "overloadFactor", rules.overloadFactor());
--- /dev/null
+++ b/src/test/java/tinworks/policy/SystemRulesTest.java
@@ -0,0 +1,135 @@
+package tinworks.policy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import tinworks.policy.Protocol.*;
+
+/** What the decision module does for the system beyond what the earlier protocol asks. */
+class SystemRulesTest {
+    private static final long MS = 1_000_000L, SECOND = 1_000 * MS;
+    private static final long TIMEOUT = 1_200 * MS;
+    private final Sent sent = new Sent();
+
+    private static final class Sent implements Actions {
+        final List<String> requests = new ArrayList<>();
+        final List<String> servers = new ArrayList<>();
+        int refused;
+
+        @Override
+        public void send(String request, String server, long timeoutNanos) {
+            requests.add(request);
+            servers.add(server);
+        }
+
+        @Override
+        public void refuse(String request, long pauseNanos) {
+            refused++;
+        }
+
+        @Override
+        public void fail(String request) {
+            refused++;
+        }
+
+        @Override
+        public void cancel(String request, int attempt) { }
+
+        @Override
+        public void setTimer(long delayNanos, long token) { }
+
+        @Override
+        public void subscribe() { }
+    }
+
+    private static RequestClass kind(String name, Effect effect) {
+        return new RequestClass(name, effect, Group.ALL, 0, 300 * MS, TIMEOUT, 1, 0.5, false, 2, TIMEOUT);
+    }
+
+    private Choice choice(int gateways, Effect effect) {
+        Rules rules = new Rules(0, 0, Long.MAX_VALUE, 0.5, 3 * SECOND, 1e9, SECOND, 30);
+        Choice choice = new Choice(new Settings(gateways, -1, "z", false, MS, List.of(kind("r", effect)), List.of(), 1,
+                new Allowed(32, true, false), rules), 1, sent);
+        List<ServerInfo> servers = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            servers.add(new ServerInfo("i-" + i, "z", "", 0, Readiness.READY, 3, 0));
+        }
+        choice.on(0, new ListReceived(ListKind.WHOLE, servers));
+        return choice;
+    }
+
+    private static RequestArrived request(int number) {
+        return new RequestArrived("q" + number, "r", null, null, TIMEOUT, 0, false);
+    }
+
+    /** Sends requests one after the other, each attempt ending in this way; returns the arrivals beyond the first. */
+    private int further(Choice choice, int requests, Outcome outcome) {
+        for (int i = 0; i < requests; i++) {
+            long now = i * 100 * MS;
+            int before = sent.servers.size();
+            choice.on(now, request(i));
+            for (int n = 0; before + n < sent.servers.size(); n++) {
+                choice.on(now + MS, new AttemptEnded("q" + i, n, sent.servers.get(before + n), outcome, MS, false, null));
+            }
+        }
+        return sent.servers.size() - (int) sent.requests.stream().distinct().count();
+    }
+
+    @Test
+    void arrivalsThatAHostTurnsAwayAreChargedToTheBudgetThatAllGatewaysShare() {
+        int further = further(choice(10, Effect.SAFE), 100, Outcome.FULL);
+        assertTrue(further > 0, "a first refusal is tried again");
+        assertTrue(further <= 100 / 10 + 30 / 10, "a tenth of the requests and a tenth of what all may save: " + further);
+    }
+
+    @Test
+    void whatNeverArrivedIsNotCharged() {
+        assertEquals(1, further(choice(100, Effect.UNSAFE), 1, Outcome.CONNECT_FAILED), "a second server, and no third");
+    }
+
+    @Test
+    void whatMayHaveRunIsNotTriedAgainWhereThatDoesHarm() {
+        assertEquals(0, further(choice(10, Effect.UNSAFE), 20, Outcome.RESET));
+    }
+
+    @Test
+    void aVersionInTheMiddleOfATickKeepsWhatWasLearnedAndTakesItsNewTries() {
+        Choice choice = choice(10, Effect.SAFE);
+        choice.on(MS, request(1));
+        RequestClass once = new RequestClass("r", Effect.SAFE, Group.ALL, 0, 300 * MS, TIMEOUT, 1, 0.5, false, 1, TIMEOUT);
+        choice.on(2 * MS, new Reconfigured(List.of(once, kind("new", Effect.UNSAFE)), 5));
+        choice.on(3 * MS, new AttemptEnded("q1", 0, sent.servers.get(0), Outcome.FULL, MS, false, null));
+        assertEquals(1, sent.servers.size(), "one try is all that the new version allows");
+        assertEquals(1, sent.refused);
+        choice.on(4 * MS, new RequestArrived("q2", "new", null, null, TIMEOUT, 0, false));
+        assertEquals(2, sent.servers.size());
+    }
+
+    @Test
+    void aFastFailureSamplesAsTheWholeTimeOutAndLosesShare() {
+        Choice choice = choice(1, Effect.SAFE);
+        int[] first = new int[2];
+        for (int i = 0; i < 2_000; i++) {
+            long now = i * 10 * MS;
+            choice.on(now, request(i));
+            String server = sent.servers.get(sent.servers.size() - 1);
+            boolean bad = server.equals("i-0");
+            first[i / 1_000] += bad ? 1 : 0;
+            int attempt = 0;
+            choice.on(now + MS, new AttemptEnded("q" + i, attempt, server, bad ? Outcome.ERROR : Outcome.SERVED,
+                    bad ? MS : 50 * MS, !bad, null));
+            if (bad && sent.requests.get(sent.requests.size() - 1).equals("q" + i)
+                    && !sent.servers.get(sent.servers.size() - 1).equals("i-0")) {
+                choice.on(now + 2 * MS, new AttemptEnded("q" + i, 1, sent.servers.get(sent.servers.size() - 1),
+                        Outcome.SERVED, 50 * MS, true, null));
+            }
+            if (i % 100 == 99) {
+                choice.on(now + 3 * MS, new TimerFired(1));
+            }
+        }
+        assertTrue(first[1] < 100, "of 1,000 later requests " + first[1] + " went to the server that fails at once");
+    }
+}
--- /dev/null
+++ b/src/test/java/tinworks/system/WholeSystemTest.java
@@ -0,0 +1,218 @@
+package tinworks.system;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.sun.net.httpserver.HttpServer;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import tinworks.control.CoreNode;
+import tinworks.edge.EdgeNode;
+import tinworks.node.BootSettings;
+import tinworks.raft.HardState;
+import tinworks.raft.Member;
+import tinworks.raft.Snapshot;
+import tinworks.store.CoreStore;
+
+/** Three core machines and an edge over loopback, beside stand-ins of the platform and of a host. */
+@Timeout(value = 60, unit = TimeUnit.SECONDS)
+class WholeSystemTest {
+    private static final long LONGEST_WAIT_SECONDS = 20;
+
+    @TempDir
+    private Path disks;
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final List<CoreNode> cores = new ArrayList<>();
+    private HttpServer platform;
+    private HttpServer host;
+    private EdgeNode edge;
+    private int inner;
+    private int ctl;
+    private int http;
+    private int readyz;
+
+    @BeforeEach
+    void start() throws Exception {
+        platform = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 0);
+        host = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 0);
+        platform.createContext("/hosts", call -> answer(call, "{\"hosts\":[{\"svc\":\"s\",\"addr\":\"127.0.0.1:"
+                + host.getAddress().getPort() + "\",\"az\":\"z\",\"slots\":3,\"status\":\"ready\",\"warmupMs\":0,\"id\":\"i-1\"}],"
+                + "\"nextCursor\":null}"));
+        host.createContext("/", call -> {
+            call.getResponseHeaders().add("Origin-Seal", "seal");
+            call.getResponseHeaders().add("Attempt-Id", call.getRequestHeaders().getFirst("Attempt-Id"));
+            answer(call, "ran " + call.getRequestURI() + " for " + call.getRequestHeaders().getFirst("Want-Host"));
+        });
+        platform.start();
+        host.start();
+        List<Integer> ports = freePorts();
+        inner = ports.get(0);
+        ctl = ports.get(1);
+        http = ports.get(2);
+        readyz = ports.get(3);
+        List<Member> voters = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            voters.add(new Member(i + 1, ip(i) + ":" + inner));
+        }
+        for (int i = 0; i < 3; i++) {
+            CoreStore store = CoreStore.open(disks.resolve("core" + i));
+            store.found(i + 1, HardState.NONE, new Snapshot(0, 0, voters, new byte[0]));
+            long id = i + 1;
+            BootSettings settings = settings("core-" + i, ip(i));
+            CoreNode core = on(() -> new CoreNode(loop, settings, store, id, store.load()));
+            cores.add(core);
+            on(core::start).forEach(bound -> assertTrue(bound.awaitUninterruptibly().isSuccess(), String.valueOf(bound.cause())));
+        }
+        edge = on(() -> new EdgeNode(loop, settings("edge-1", "127.0.0.9"), 77));
+        on(edge::start).forEach(bound -> assertTrue(bound.awaitUninterruptibly().isSuccess(), String.valueOf(bound.cause())));
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        for (CoreNode core : cores) {
+            on(() -> {
+                core.close();
+                return true;
+            });
+            core.awaitClosed(5_000);
+        }
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).await(5, TimeUnit.SECONDS);
+        platform.stop(0);
+        host.stop(0);
+    }
+
+    private static String ip(int i) {
+        return "127.0.0." + (i + 2);
+    }
+
+    private BootSettings settings(String node, String ip) {
+        return new BootSettings(node, "z", new InetSocketAddress(ip, http), new InetSocketAddress(ip, readyz),
+                new InetSocketAddress(ip, ctl), new InetSocketAddress(ip, inner),
+                List.of(ip(0) + ":" + inner, ip(1) + ":" + inner, ip(2) + ":" + inner), true, 1_000, null, 1, 6_000,
+                platform.getAddress());
+    }
+
+    private static List<Integer> freePorts() throws IOException {
+        List<Integer> ports = new ArrayList<>();
+        List<ServerSocket> held = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.2"));
+            held.add(socket);
+            ports.add(socket.getLocalPort());
+        }
+        for (ServerSocket socket : held) {
+            socket.close();
+        }
+        return ports;
+    }
+
+    private <T> T on(Callable<T> work) {
+        CompletableFuture<T> done = new CompletableFuture<>();
+        loop.execute(() -> {
+            try {
+                done.complete(work.call());
+            } catch (Exception e) {
+                done.completeExceptionally(e);
+            }
+        });
+        return done.join();
+    }
+
+    private static void answer(com.sun.net.httpserver.HttpExchange call, String text) throws IOException {
+        byte[] body = text.getBytes(StandardCharsets.UTF_8);
+        call.getRequestBody().readAllBytes();
+        call.sendResponseHeaders(200, body.length);
+        call.getResponseBody().write(body);
+        call.close();
+    }
+
+    /** One call on a connection of its own; the whole answer as text, or empty where there was none. */
+    private static String call(String ip, int port, String head, String body) throws IOException {
+        try (Socket socket = new Socket()) {
+            socket.connect(new InetSocketAddress(ip, port), 2_000);
+            socket.setSoTimeout(5_000);
+            socket.getOutputStream().write((head + "\r\nConnection: close\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
+                    .getBytes(StandardCharsets.UTF_8));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        } catch (IOException e) {
+            return "";
+        }
+    }
+
+    private static void await(String what, Callable<Boolean> holds) throws Exception {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(LONGEST_WAIT_SECONDS);
+        while (!holds.call()) {
+            assertTrue(System.nanoTime() < until, "waited in vain: " + what);
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+    }
+
+    private static String configuration(int rev, String prefix) {
+        return "{\"rev\":" + rev + ",\"routes\":[{\"name\":\"r\",\"domain\":\"x.example\",\"prefix\":\"" + prefix
+                + "\",\"type\":\"mutating\",\"timeoutMs\":3000,\"targetMs\":500,\"svc\":\"s\"}],\"svcs\":[{\"name\":\"s\"}]}";
+    }
+
+    private String replace(int core, long base, String body) throws IOException {
+        return call(ip(core), ctl, "POST /-/config/replace HTTP/1.1\r\nHost: ctl\r\nBase-Rev: " + base, body);
+    }
+
+    private String ask(String path, String id) throws IOException {
+        return call("127.0.0.9", http, "POST " + path + " HTTP/1.1\r\nHost: x.example\r\nDeadline-Ms: 3000\r\nAttempt-Id: " + id, "");
+    }
+
+    private static boolean is(String answer, int status) {
+        return answer.startsWith("HTTP/1.1 " + status + " ");
+    }
+
+    @Test
+    void aConfigurationReachesTheEdgeAndOutlivesTheLeader() throws Exception {
+        assertTrue(is(ask("/p/1", "a0"), 503), "without a configuration nothing is said of routes");
+        await("the first configuration is taken", () -> is(replace(0, 0, configuration(2, "/p/")), 200));
+        await("the edge is ready", () -> is(call("127.0.0.9", readyz, "GET /-/readyz HTTP/1.1\r\nHost: e", ""), 200));
+        await("a request is served", () -> ask("/p/1?x=1", "a" + System.nanoTime()).endsWith("ran /p/1?x=1 for i-1"));
+        assertTrue(is(ask("/q/1", "a2"), 404));
+
+        assertTrue(is(replace(1, 2, configuration(3, "/p/").replace("\"svc\":\"s\"", "\"svc\":\"t\"")), 400));
+        assertTrue(is(replace(1, 1, configuration(3, "/p/")), 412), "built on a version that is not current");
+        assertTrue(is(replace(2, 0, configuration(2, "/p/")), 200), "the same call again, elsewhere");
+
+        int leader = -1;
+        for (int i = 0; i < 3; i++) {
+            if (call(ip(i), ctl, "GET /-/status HTTP/1.1\r\nHost: c", "").contains("\"role\":\"LEADER\"")) {
+                leader = i;
+            }
+        }
+        assertTrue(leader >= 0);
+        CoreNode gone = cores.remove(leader);
+        on(() -> {
+            gone.close();
+            return true;
+        });
+        gone.awaitClosed(5_000);
+        int other = (leader + 1) % 3;
+        await("the others agree without it", () -> is(replace(other, 2, configuration(5, "/q/")), 200));
+        await("the edge follows", () -> is(ask("/q/1", "b" + System.nanoTime()), 200));
+        assertTrue(is(ask("/p/1", "b2"), 404), "the route that was dropped");
+        String shown = call(ip((leader + 2) % 3), ctl, "GET /-/config/show HTTP/1.1\r\nHost: c", "");
+        assertEquals(configuration(5, "/q/"), shown.substring(shown.indexOf("\r\n\r\n") + 4));
+    }
+}
