Go through the agreement exhaustively within small bounds, with the production state machine

No invariant broke. A disk that skips its syncs is found out within 60,000 ways by chance; the same ways with syncs break nothing.

--- a/src/main/java/tinworks/raft/Entry.java
+++ b/src/main/java/tinworks/raft/Entry.java
@@ -23,4 +23,10 @@
     public int hashCode() {
         return Long.hashCode(index * 31 + term);
     }
+
+    /** The same for equal entries. */
+    @Override
+    public String toString() {
+        return index + "." + term + " " + kind + " " + body.length + " bytes #" + Integer.toHexString(Arrays.hashCode(body));
+    }
 }
--- a/src/test/java/tinworks/raft/Cluster.java
+++ b/src/test/java/tinworks/raft/Cluster.java
@@ -285,7 +285,7 @@
         }
     }
 
-    private static Stored written(Stored before, Output output) {
+    static Stored written(Stored before, Output output) {
         HardState hard = output.hard() != null ? output.hard() : before.hard();
         Snapshot snapshot = output.snapshot() != null ? output.snapshot() : before.snapshot();
         List<Entry> entries = new ArrayList<>(before.entries());
--- /dev/null
+++ b/src/test/java/tinworks/raft/ModelTest.java
@@ -0,0 +1,73 @@
+package tinworks.raft;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.condition.EnabledIfSystemProperty;
+import tinworks.raft.Model.Bounds;
+import tinworks.raft.Model.Found;
+
+/** The agreement gone through exhaustively within small bounds; docs/design/system.md has the counts. */
+@Timeout(value = 900, unit = TimeUnit.SECONDS)
+class ModelTest {
+    private static Found search(int machines, Bounds bounds) {
+        long began = System.nanoTime();
+        Found found = new Model(machines, true, Model::plain).search(3, bounds);
+        System.out.println(machines + " machines, " + bounds + ": " + found + " in "
+                + TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - began) + " ms");
+        return found;
+    }
+
+    @Test
+    void anElectionAndACommandWithABrokenConnection() {
+        Found found = search(3, new Bounds(1, 0, 1, 1, 0, 0));
+        assertTrue(found.states() > 10_000 && found.committed() == 3, found.toString());
+    }
+
+    @Test
+    void anElectionAndACommandWithACrash() {
+        Found found = search(3, new Bounds(1, 0, 1, 0, 1, 0));
+        assertTrue(found.states() > 10_000 && found.committed() == 3, found.toString());
+    }
+
+    @Test
+    void anEmptyMachineIsMadeAVoter() {
+        Found found = search(4, new Bounds(1, 0, 0, 0, 0, 1));
+        assertTrue(found.states() > 1_000 && found.committed() == 3, found.toString());
+    }
+
+    @Test
+    @EnabledIfSystemProperty(named = "model", matches = "large")
+    void twoElectionsWithACommandOrACrashAndAReplacement() {
+        search(3, new Bounds(2, 0, 0, 0, 0, 0));
+        search(3, new Bounds(1, 1, 1, 0, 1, 0));
+        search(4, new Bounds(1, 0, 0, 0, 0, 2));
+        search(3, new Bounds(2, 0, 1, 0, 0, 0));
+        search(3, new Bounds(2, 0, 0, 0, 1, 0));
+    }
+
+    private static final Bounds LONG = new Bounds(3, 1, 2, 1, 2, 2);
+    private static final int WAYS = 3_000;
+
+    @Test
+    void longWaysByChanceKeepTheInvariants() {
+        assertEquals(-1, new Model(4, true, Model::plain).walk(3, LONG, List.of(), 1, WAYS));
+    }
+
+    @Test
+    void aDiskThatOnlySaysItHasSyncedElectsTwoLeadersInATerm() {
+        Bounds bounds = new Bounds(2, 0, 0, 0, 1, 0);
+        assertTrue(leadersTwice(false, bounds) >= 0);
+        assertEquals(-1, leadersTwice(true, bounds), "with syncs the same ways are safe");
+    }
+
+    /** After the first member was elected by the second's vote; the second may now crash, and the third stand. */
+    private static int leadersTwice(boolean syncs, Bounds bounds) {
+        Model model = new Model(3, syncs, Model::plain);
+        return model.walk(3, bounds, model.election(0, 0, 1, 1, 0, 0, 1, 1, 0), 1, 20 * WAYS);
+    }
+}
