Play a whole deployment on loopback: tinworks demo

Why: who clones the repository had no way to see the system work. WholeSystemTest runs all in one process, so nothing of starts, signals and restarts.

--- /dev/null
+++ b/src/main/java/tinworks/cli/DemoCommand.java
@@ -0,0 +1,80 @@
+package tinworks.cli;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Spec;
+import tinworks.demo.Demo;
+import tinworks.demo.Fault;
+
+/** Plays a whole deployment on loopback. */
+@Command(name = "demo", mixinStandardHelpOptions = true,
+        description = "Plays a whole deployment on this machine's loopback addresses: core and edge processes, hosts, clients.",
+        footer = {"", "Faults: kill-leader, kill-edge, kill-all, term-edge, slow-host, drain-host, end-host, config.",
+            "Exit code 1 where a request ran twice or against a promise, or none was served."})
+final class DemoCommand implements Callable<Integer> {
+    private static final int MOST_MACHINES = 50, MOST_HOSTS = 300, MOST_PER_SECOND = 2_000, MOST_SECONDS = 3_600;
+
+    @Spec
+    private CommandSpec spec;
+    @Option(names = "--for", paramLabel = "SECONDS", defaultValue = "15", description = "how long clients ask (${DEFAULT-VALUE})")
+    private int seconds;
+    @Option(names = "--rate", paramLabel = "N", defaultValue = "150", description = "requests a second (${DEFAULT-VALUE})")
+    private double rate;
+    @Option(names = "--cores", paramLabel = "N", defaultValue = "3", description = "core machines (${DEFAULT-VALUE})")
+    private int cores;
+    @Option(names = "--edges", paramLabel = "N", defaultValue = "4", description = "edges (${DEFAULT-VALUE})")
+    private int edges;
+    @Option(names = "--hosts", paramLabel = "N", defaultValue = "6", description = "hosts of each of three services (${DEFAULT-VALUE})")
+    private int hosts;
+    @Option(names = "--seed", paramLabel = "N", defaultValue = "1", description = "of arrivals, work and picks (${DEFAULT-VALUE})")
+    private long seed;
+    @Option(names = "--fault", paramLabel = "SECONDS:KIND", description = "something that goes wrong; may be repeated")
+    private List<String> faults = new ArrayList<>();
+    @Option(names = "--java-option", paramLabel = "OPTION",
+            description = "an option of each process of the system, in place of the usual ones; {node} is its machine's name")
+    private List<String> javaOptions = new ArrayList<>(List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m"));
+
+    @Override
+    public Integer call() throws IOException, InterruptedException {
+        within("--for", seconds, 1, MOST_SECONDS);
+        within("--rate", rate, 1, MOST_PER_SECOND);
+        within("--cores", cores, 3, MOST_MACHINES);
+        within("--edges", edges, 1, MOST_MACHINES);
+        within("--hosts", hosts, 2, MOST_HOSTS);
+        List<Fault> wanted = new ArrayList<>();
+        for (String fault : faults) {
+            try {
+                wanted.add(Fault.of(fault));
+            } catch (IllegalArgumentException e) {
+                throw new ParameterException(spec.commandLine(), e.getMessage(), e);
+            }
+        }
+        Demo demo = new Demo(new Demo.Plan(cores, edges, hosts, rate, seconds, seed, wanted, javaOptions), spec.commandLine().getOut());
+        Thread atCtrlC = new Thread(() -> close(demo), "end of the demo");
+        Runtime.getRuntime().addShutdownHook(atCtrlC);
+        try (demo) {
+            return demo.play() ? 0 : 1;
+        }
+    }
+
+    private static void close(Demo demo) {
+        try {
+            demo.close();
+        } catch (IOException e) {
+            System.err.println("tinworks: can't delete the demo's folder: " + e.getMessage());
+        }
+    }
+
+    private void within(String option, double value, double least, double most) {
+        if (!(value >= least && value <= most)) {
+            throw new ParameterException(spec.commandLine(), option + ": wanted a number from " + (long) least + " to " + (long) most
+                    + ", not " + value);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/tinworks/load/package-info.java
@@ -0,0 +1,2 @@
+/** Clients that ask at times fixed beforehand, and what they were answered. */
+package tinworks.load;
--- /dev/null
+++ b/src/test/java/tinworks/demo/DemoTest.java
@@ -0,0 +1,41 @@
+package tinworks.demo;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+class DemoTest {
+    @Test
+    @Timeout(value = 90, unit = TimeUnit.SECONDS)
+    void aLeaderAndAnEdgeAreKilledAndNothingRunsTwice() throws IOException, InterruptedException {
+        StringWriter said = new StringWriter();
+        List<Fault> faults = List.of(Fault.of("1:kill-leader"), Fault.of("1.5:kill-edge"), Fault.of("2:config"), Fault.of("2:drain-host"));
+        long before = children();
+        try (Demo demo = new Demo(new Demo.Plan(3, 2, 3, 80, 5, 1, faults, List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
+                "-Xmx64m")), new PrintWriter(said, true))) {
+            assertTrue(demo.play(), said.toString());
+        }
+        assertTrue(said.toString().contains("restarts: 2"), said.toString());
+        assertEquals(before, children(), "no process is left");
+    }
+
+    private static long children() {
+        return ProcessHandle.current().children().filter(ProcessHandle::isAlive).count();
+    }
+
+    @Test
+    void aFaultIsReadOrRefusedWithWhatWasWanted() {
+        assertEquals(new Fault(2.5, Fault.Kind.KILL_LEADER), Fault.of("2.5:kill-leader"));
+        for (String wrong : List.of("", "5", "5:", "x:kill-edge", "-1:kill-edge", "5:kill_edge", "NaN:kill-edge")) {
+            assertThrows(IllegalArgumentException.class, () -> Fault.of(wrong), wrong);
+        }
+    }
+}
