--- a/src/main/java/tinworks/control/Core.java
+++ b/src/main/java/tinworks/control/Core.java
@@ -91,10 +91,10 @@
         return sum.getValue() + 1;
     }
 
-    private static long newId(String address) {
+    static long newId(String address) {
         long seed = System.nanoTime() ^ Long.rotateLeft(System.currentTimeMillis(), 32) ^ address.hashCode();
         // Above all ids of a first start.
-        return new SplittableRandom(seed).nextLong() | 1L << 62 & Long.MAX_VALUE;
+        return (new SplittableRandom(seed).nextLong() | 1L << 62) & Long.MAX_VALUE;
     }
 
     private static void end(NodeProcess process, CoreNode node) throws InterruptedException {
--- a/src/main/java/tinworks/control/CoreNode.java
+++ b/src/main/java/tinworks/control/CoreNode.java
@@ -213,9 +213,10 @@
             seen.add(new VoterPlan.Seen(p.member(), p.match() >= raft.commit() && p.match() > 0, now - p.heardAt()));
         }
         if (raft.mayChangeMembers()) {
-            plan.next(id, raft.members(), seen).ifPresent(next -> {
+            List<Member> before = raft.members();
+            plan.next(id, before, seen).ifPresent(next -> {
                 if (raft.changeMembers(next)) {
-                    LOG.info("voters change from {} to {}", raft.members(), next);
+                    LOG.info("voters change from {} to {}", before, next);
                 }
             });
         }
