--- a/src/main/java/tinworks/control/OperatorServer.java
+++ b/src/main/java/tinworks/control/OperatorServer.java
@@ -29,6 +29,7 @@
 import tinworks.config.ConfigurationHistory.Verdict;
 import tinworks.config.ConfigurationReader;
 import tinworks.config.InvalidConfiguration;
+import tinworks.metrics.MetricsPage;
 import tinworks.net.ClientServer;
 import tinworks.net.ClientServer.BadRequest;
 import tinworks.net.ClientServer.Reply;
@@ -44,7 +45,7 @@
 final class OperatorServer implements ClientServer.Listener {
     private static final Logger LOG = LoggerFactory.getLogger(OperatorServer.class);
     private static final String REPLACE = "/-/config/replace", SHOW = "/-/config/show", STATUS = "/-/status",
-            READYZ = "/-/readyz", BASE = "Base-Rev";
+            READYZ = "/-/readyz", METRICS = "/-/metrics", BASE = "Base-Rev";
     private static final int CONNECTIONS = 128, LONGEST_HEAD = 16_384, LONGEST_BODY = 8 << 20;
     /** Callers move on after a second of silence. */
     private static final long ANSWER_MILLIS = 850;
@@ -104,6 +105,10 @@
         } else if (path.equals(STATUS)) {
             need(request, HttpMethod.GET);
             write(reply, new CallAnswer(0, OK, status().getBytes(StandardCharsets.UTF_8)));
+        } else if (path.equals(METRICS)) {
+            need(request, HttpMethod.GET);
+            reply.write(HttpResponseStatus.OK, new DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, MetricsPage.CONTENT_TYPE),
+                    Unpooled.wrappedBuffer(metrics().text()), 0);
         } else {
             throw new BadRequest(HttpResponseStatus.NOT_FOUND, "no such call");
         }
@@ -268,6 +273,20 @@
         return text.replaceAll("[\\p{Cntrl}]", " ").replace("\\", "\\\\").replace("\"", "\\\"");
     }
 
+    private MetricsPage metrics() {
+        Raft raft = node.agreement().raft();
+        return new MetricsPage().gauge("leads", "1 at the leader", raft.role() == Raft.Role.LEADER ? 1 : 0)
+                .gauge("in_touch", "1 where a leader is heard", raft.inTouch() ? 1 : 0)
+                .gauge("term", "The present term of the agreement", raft.term())
+                .gauge("commit_index", "The last entry known to be committed", raft.commit())
+                .gauge("log_entries", "Entries behind the snapshot", raft.length())
+                .gauge("voters", "Machines that vote", raft.members().size())
+                .gauge("configuration_version", "The newest version that was applied here", node.agreement().history().rev())
+                .gauge("hosts", "Hosts on the list", node.hosts().hosts().size())
+                .gauge("edges", "Edges that are linked here or known", node.edges().size())
+                .gauge("calls_waiting", "Operator's calls without an answer", waiting.size());
+    }
+
     private String status() {
         Raft raft = node.agreement().raft();
         StringBuilder json = new StringBuilder(256).append("{\"node\":\"").append(escaped(node.settings().node()))
--- a/src/main/java/tinworks/edge/EdgeNode.java
+++ b/src/main/java/tinworks/edge/EdgeNode.java
@@ -1,7 +1,9 @@
 package tinworks.edge;
 
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -19,10 +21,9 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import tinworks.channel.Conversation;
-import tinworks.channel.HostList;
 import tinworks.channel.HostList.Host;
+import tinworks.channel.HostList;
 import tinworks.channel.Links;
-import tinworks.channel.Signal;
 import tinworks.channel.Signal.Announce;
 import tinworks.channel.Signal.ConfigurationBody;
 import tinworks.channel.Signal.Hello;
@@ -30,18 +31,20 @@
 import tinworks.channel.Signal.Part;
 import tinworks.channel.Signal.PullConfiguration;
 import tinworks.channel.Signal.PullHosts;
+import tinworks.channel.Signal;
 import tinworks.channel.SteadyClock;
-import tinworks.config.Configuration;
 import tinworks.config.Configuration.Limits;
 import tinworks.config.Configuration.Route;
 import tinworks.config.Configuration.Split;
 import tinworks.config.Configuration.Type;
+import tinworks.config.Configuration;
 import tinworks.config.ConfigurationReader;
 import tinworks.config.InvalidConfiguration;
 import tinworks.json.Address;
-import tinworks.net.ClientServer;
+import tinworks.metrics.MetricsPage;
 import tinworks.net.ClientServer.BadRequest;
 import tinworks.net.ClientServer.Reply;
+import tinworks.net.ClientServer;
 import tinworks.net.Forwarding;
 import tinworks.net.GatewayClock;
 import tinworks.net.HostPool;
@@ -64,7 +67,7 @@
  */
 public final class EdgeNode implements Conversation.Listener, Forwarding.Owner {
     private static final Logger LOG = LoggerFactory.getLogger(EdgeNode.class);
-    private static final String READYZ = "/-/readyz";
+    private static final String READYZ = "/-/readyz", METRICS = "/-/metrics";
     private static final int PROBES = 32, PROBE_HEAD = 4_096, LARGEST_ANSWER = 8 << 20, LARGEST_REQUEST = 8 << 20;
     private static final long TICK_MILLIS = 250, PULL_AGAIN_MILLIS = 400, PLAIN_START_MILLIS = 3_000, ALONE_MILLIS = 3_000;
     private static final long DIAL_NANOS = TimeUnit.MILLISECONDS.toNanos(400), HOST_IDLE_NANOS = TimeUnit.SECONDS.toNanos(9);
@@ -188,6 +191,14 @@
         return configuration != null && listed && (newest.reached() || waited) && !ending;
     }
 
+    private MetricsPage metrics() {
+        double silent = (double) (SteadyClock.millis() - heardLeaderAt) / TimeUnit.SECONDS.toMillis(1);
+        MetricsPage page = EdgeMetrics.page(ready(), configuration == null ? 0 : configuration.rev(), gateways, known.size(),
+                hosts.connections(), silent);
+        services.forEach((service, forwarding) -> EdgeMetrics.add(page, service, forwarding));
+        return page;
+    }
+
     // ---- what the core machines tell
 
     @Override
@@ -351,7 +362,11 @@
 
         @Override
         public void requested(FullHttpRequest request, long at, Reply reply) throws BadRequest {
-            throw new BadRequest(HttpResponseStatus.NOT_FOUND, "only " + READYZ + " is asked here");
+            if (!request.uri().equals(METRICS)) {
+                throw new BadRequest(HttpResponseStatus.NOT_FOUND, "only " + READYZ + " and " + METRICS + " are asked here");
+            }
+            reply.write(HttpResponseStatus.OK, new DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, MetricsPage.CONTENT_TYPE),
+                    Unpooled.wrappedBuffer(metrics().text()), 0);
         }
     }
 
--- a/src/main/java/tinworks/net/Forwarding.java
+++ b/src/main/java/tinworks/net/Forwarding.java
@@ -69,6 +69,7 @@
     private final Choice choice;
     private final Map<String, OpenRequest> open = new HashMap<>();
     private final ArrayDeque<Stamped> events = new ArrayDeque<>();
+    private final Tally tally = new Tally();
     private long last = Long.MIN_VALUE;
     private boolean deciding;
 
@@ -92,10 +93,16 @@
         }
         OpenRequest r = new OpenRequest(arrived, request.retain(), reply);
         open.put(r.id, r);
+        tally.began();
         reply.onLeft(r::clientLeft);
         tell(at, arrived);
     }
 
+    /** What became of requests so far; it goes on counting. */
+    public Tally tally() {
+        return tally;
+    }
+
     /** How many requests are open. */
     public int open() {
         return open.size();
@@ -144,6 +151,7 @@
     public void refuse(String request, long pauseNanos) {
         OpenRequest r = open.get(request);
         if (r != null) {
+            tally.refused();
             style.refused(r.reply, pauseNanos);
             r.forgetIfOver();
         }
@@ -153,6 +161,7 @@
     public void fail(String request) {
         OpenRequest r = open.get(request);
         if (r != null) {
+            tally.failed();
             style.failed(r.reply, r.lastAnswer);
             r.forgetIfOver();
         }
@@ -216,6 +225,7 @@
         public void ended(HostPool.Attempt attempt, Outcome outcome, long at, LoadReport load, Answer answer) {
             int number = attempts.indexOf(attempt);
             outstanding--;
+            tally.attempted(outcome, (double) attempt.elapsed(at) / TimeUnit.SECONDS.toNanos(1));
             if (outcome == Outcome.SERVED) {
                 style.served(reply, answer);
             } else if (outcome == Outcome.ERROR) {
--- a/src/test/java/tinworks/system/WholeSystemTest.java
+++ b/src/test/java/tinworks/system/WholeSystemTest.java
@@ -182,6 +182,10 @@
         await("the edge is ready", () -> is(call("127.0.0.9", readyz, "GET /-/readyz HTTP/1.1\r\nHost: e", ""), 200));
         await("a request is served", () -> ask("/p/1?x=1", "a" + System.nanoTime()).endsWith("ran /p/1?x=1 for i-1"));
         assertTrue(is(ask("/q/1", "a2"), 404));
+        String edgeMetrics = call("127.0.0.9", readyz, "GET /-/metrics HTTP/1.1\r\nHost: e", "");
+        assertTrue(edgeMetrics.contains("tinworks_configuration_version 2.0"), edgeMetrics);
+        assertTrue(edgeMetrics.contains("tinworks_attempts_total{outcome=\"served\",service=\"s\"} 1.0"), edgeMetrics);
+        assertTrue(call(ip(0), ctl, "GET /-/metrics HTTP/1.1\r\nHost: c", "").contains("tinworks_voters 3.0"));
 
         assertTrue(is(replace(1, 2, configuration(3, "/p/").replace("\"svc\":\"s\"", "\"svc\":\"t\"")), 400));
         assertTrue(is(replace(1, 1, configuration(3, "/p/")), 412), "built on a version that is not current");
