--- a/src/main/java/tinworks/control/Agreement.java
+++ b/src/main/java/tinworks/control/Agreement.java
@@ -80,6 +80,11 @@
         pump();
     }
 
+    /** A member can be reached that could not be before. */
+    void reached(long member) {
+        raft.reached(SteadyClock.millis(), member);
+    }
+
     /** Proposes a command; the verdict follows, or null where it is open what becomes of it. */
     void propose(byte[] command, Consumer<Verdict> told) {
         long index = raft.propose(command);
