--- a/src/main/java/tinworks/control/Agreement.java
+++ b/src/main/java/tinworks/control/Agreement.java
@@ -80,11 +80,6 @@
         pump();
     }
 
-    /** A member can be reached that could not be before. */
-    void reached(long member) {
-        raft.reached(SteadyClock.millis(), member);
-    }
-
     /** Proposes a command; the verdict follows, or null where it is open what becomes of it. */
     void propose(byte[] command, Consumer<Verdict> told) {
         long index = raft.propose(command);
--- a/src/main/java/tinworks/control/CoreNode.java
+++ b/src/main/java/tinworks/control/CoreNode.java
@@ -273,8 +273,6 @@
         conversations.add(conversation);
         if (!conversation.dialled()) {
             conversation.send(said());
-            // Who was dialled was there first, and has asked in vain; the other side has yet to ask.
-            agreement.reached(conversation.peer().id());
         }
     }
 
--- a/src/main/java/tinworks/raft/Raft.java
+++ b/src/main/java/tinworks/raft/Raft.java
@@ -119,19 +119,6 @@
         }
     }
 
-    /**
-     * Tells that another member can be reached that could not be before. Questions asked of it until then are lost, so
-     * where no leader is heard of the next one goes out soon. Of two members only one should be told of the other:
-     * otherwise both stand at once, and neither may win.
-     */
-    public void reached(long nowMillis, long member) {
-        now = Math.max(now, nowMillis);
-        boolean leaderless = role != Role.LEADER && leader == 0 && now - heardLeaderAt >= timing.electionMillis();
-        if (leaderless && isVoter(member)) {
-            electionAt = Math.min(electionAt, now + random.nextLong(timing.heartbeatMillis() / 4));
-        }
-    }
-
     /** Writes a command to the log and returns its index, or 0 where this member doesn't lead. */
     public long propose(byte[] command) {
         return role == Role.LEADER ? write(Kind.COMMAND, command) : 0;
--- a/src/test/java/tinworks/raft/RaftTest.java
+++ b/src/test/java/tinworks/raft/RaftTest.java
@@ -66,31 +66,6 @@
         }), "without its guard the same events commit it");
     }
 
-    private static boolean asksBy(Raft raft, long millis) {
-        raft.drain();
-        raft.tick(millis);
-        return raft.drain().messages().stream().anyMatch(e -> e.message() instanceof Message.VoteRequest);
-    }
-
-    @Test
-    void aMemberWithoutALeaderAsksSoonOnceAVoterCanBeReached() {
-        HardState hard = new HardState(3, 0);
-        long soon = Cluster.TIMING.heartbeatMillis() / 4;
-        Raft alone = new Raft(1, stored(hard), Cluster.TIMING, 1, 0);
-        assertFalse(asksBy(alone, soon), "its own time-out is longer");
-        alone.reached(soon, 2);
-        assertTrue(asksBy(alone, 2 * soon));
-
-        Raft stranger = new Raft(1, stored(hard), Cluster.TIMING, 1, 0);
-        stranger.reached(0, 9);
-        assertFalse(asksBy(stranger, soon), "one that doesn't vote can't help");
-
-        Raft led = new Raft(1, stored(hard), Cluster.TIMING, 1, 0);
-        led.receive(0, 3, new Message.Append(3, 0, 0, 0, 0, List.of()));
-        led.reached(1, 2);
-        assertFalse(asksBy(led, 1 + soon), "it hears a leader");
-    }
-
     private static boolean votes(HardState hard) {
         Raft raft = new Raft(1, stored(hard), Cluster.TIMING, 1, 0);
         raft.receive(1, 3, new Message.VoteRequest(5, false, 9, 4, false));
