--- a/src/main/java/tinworks/channel/Links.java
+++ b/src/main/java/tinworks/channel/Links.java
@@ -74,11 +74,6 @@
         }
     }
 
-    /** The addresses that are wanted. */
-    public Set<String> wanted() {
-        return Set.copyOf(links.keySet());
-    }
-
     /** The dialled connections that are open. */
     public List<Conversation> open() {
         List<Conversation> open = new ArrayList<>();
@@ -86,12 +81,6 @@
         return open;
     }
 
-    /** The open connection to an address, or null. */
-    public Conversation to(String address) {
-        Link link = links.get(address);
-        return link != null && link.isOpen() ? link.conversation : null;
-    }
-
     /** Ends all. */
     public void close() {
         closed = true;
--- a/src/main/java/tinworks/cli/CommandLineTool.java
+++ b/src/main/java/tinworks/cli/CommandLineTool.java
@@ -170,49 +170,49 @@
             return history;
         }
 
-        @Command(name = "verify", mixinStandardHelpOptions = true, description = "Checks every record's checksum and order.")
-        static final class Verify implements Callable<Integer> {
+        /** Reads the disk that it is given; one that can't be read is told in a line. */
+        abstract static class Reading implements Callable<Integer> {
             @Spec
             private CommandSpec spec;
             @Parameters(paramLabel = "DATADIR", description = "the machine's data folder, or a copy of it")
             private Path folder;
 
             @Override
-            public Integer call() throws IOException {
+            public final Integer call() {
                 try {
-                    Stored stored = load(folder);
-                    say(spec, "term " + stored.hard().term() + ", snapshot at " + stored.snapshot().index() + ", "
-                            + stored.entries().size() + " entries, configuration " + history(stored).rev());
-                    for (Member member : stored.snapshot().members()) {
-                        say(spec, "voter in the snapshot: " + HexFormat.of().toHexDigits(member.id()) + " at " + member.address());
-                    }
-                    return OK;
+                    return read(spec, load(folder));
                 } catch (CoreStore.Damaged | IOException e) {
                     return complain(spec, e.getMessage());
                 }
             }
+
+            abstract int read(CommandSpec at, Stored stored);
+        }
+
+        @Command(name = "verify", mixinStandardHelpOptions = true, description = "Checks every record's checksum and order.")
+        static final class Verify extends Reading {
+            @Override
+            int read(CommandSpec at, Stored stored) {
+                say(at, "term " + stored.hard().term() + ", snapshot at " + stored.snapshot().index() + ", "
+                        + stored.entries().size() + " entries, configuration " + history(stored).rev());
+                for (Member member : stored.snapshot().members()) {
+                    say(at, "voter in the snapshot: " + HexFormat.of().toHexDigits(member.id()) + " at " + member.address());
+                }
+                return OK;
+            }
         }
 
         @Command(name = "export", mixinStandardHelpOptions = true,
                 description = "Prints the newest configuration on the disk as it was sent; it may not have been acknowledged.")
-        static final class Export implements Callable<Integer> {
-            @Spec
-            private CommandSpec spec;
-            @Parameters(paramLabel = "DATADIR", description = "the machine's data folder, or a copy of it")
-            private Path folder;
-
+        static final class Export extends Reading {
             @Override
-            public Integer call() throws IOException {
-                try {
-                    ConfigurationHistory history = history(load(folder));
-                    if (history.rev() == 0) {
-                        return complain(spec, "no configuration on this disk");
-                    }
-                    say(spec, new String(history.body(), StandardCharsets.UTF_8));
-                    return OK;
-                } catch (CoreStore.Damaged | IOException e) {
-                    return complain(spec, e.getMessage());
+            int read(CommandSpec at, Stored stored) {
+                ConfigurationHistory history = history(stored);
+                if (history.rev() == 0) {
+                    return complain(at, "no configuration on this disk");
                 }
+                say(at, new String(history.body(), StandardCharsets.UTF_8));
+                return OK;
             }
         }
     }
--- a/src/main/java/tinworks/cli/DemoCommand.java
+++ b/src/main/java/tinworks/cli/DemoCommand.java
@@ -7,7 +7,6 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
-import picocli.CommandLine.ParameterException;
 import picocli.CommandLine.Spec;
 import tinworks.demo.Demo;
 import tinworks.demo.Fault;
@@ -34,28 +33,21 @@
     private int hosts;
     @Option(names = "--seed", paramLabel = "N", defaultValue = "1", description = "of arrivals, work and picks (${DEFAULT-VALUE})")
     private long seed;
-    @Option(names = "--fault", paramLabel = "SECONDS:KIND", description = "something that goes wrong; may be repeated")
-    private List<String> faults = new ArrayList<>();
+    @Option(names = "--fault", paramLabel = "SECONDS:KIND", converter = Arguments.FaultConverter.class,
+            description = "something that goes wrong; may be repeated")
+    private List<Fault> faults = new ArrayList<>();
     @Option(names = "--java-option", paramLabel = "OPTION",
             description = "an option of each process of the system, in place of the usual ones; {node} is its machine's name")
     private List<String> javaOptions = new ArrayList<>(List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m"));
 
     @Override
     public Integer call() throws IOException, InterruptedException {
-        within("--for", seconds, 1, MOST_SECONDS);
-        within("--rate", rate, 1, MOST_PER_SECOND);
-        within("--cores", cores, 3, MOST_MACHINES);
-        within("--edges", edges, 1, MOST_MACHINES);
-        within("--hosts", hosts, 2, MOST_HOSTS);
-        List<Fault> wanted = new ArrayList<>();
-        for (String fault : faults) {
-            try {
-                wanted.add(Fault.of(fault));
-            } catch (IllegalArgumentException e) {
-                throw new ParameterException(spec.commandLine(), e.getMessage(), e);
-            }
-        }
-        Demo demo = new Demo(new Demo.Plan(cores, edges, hosts, rate, seconds, seed, wanted, javaOptions), spec.commandLine().getOut());
+        Arguments.within(spec, "--for", seconds, 1, MOST_SECONDS);
+        Arguments.within(spec, "--rate", rate, 1, MOST_PER_SECOND);
+        Arguments.within(spec, "--cores", cores, 3, MOST_MACHINES);
+        Arguments.within(spec, "--edges", edges, 1, MOST_MACHINES);
+        Arguments.within(spec, "--hosts", hosts, 2, MOST_HOSTS);
+        Demo demo = new Demo(new Demo.Plan(cores, edges, hosts, rate, seconds, seed, faults, javaOptions), spec.commandLine().getOut());
         Thread atCtrlC = new Thread(() -> close(demo), "end of the demo");
         Runtime.getRuntime().addShutdownHook(atCtrlC);
         try (demo) {
@@ -70,11 +62,4 @@
             System.err.println("tinworks: can't delete the demo's folder: " + e.getMessage());
         }
     }
-
-    private void within(String option, double value, double least, double most) {
-        if (!(value >= least && value <= most)) {
-            throw new ParameterException(spec.commandLine(), option + ": wanted a number from " + (long) least + " to " + (long) most
-                    + ", not " + value);
-        }
-    }
 }
--- a/src/main/java/tinworks/cli/LoadCommand.java
+++ b/src/main/java/tinworks/cli/LoadCommand.java
@@ -19,7 +19,6 @@
 import picocli.CommandLine.ParameterException;
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
-import tinworks.json.Address;
 import tinworks.load.LoadClients;
 import tinworks.load.RequestKind;
 import tinworks.load.Results;
@@ -35,8 +34,9 @@
 
     @Spec
     private CommandSpec spec;
-    @Parameters(paramLabel = "ADDRESS", arity = "1..*", description = "a gateway's http address, ip:port")
-    private List<String> addresses;
+    @Parameters(paramLabel = "ADDRESS", arity = "1..*", converter = Arguments.AddressConverter.class,
+            description = "a gateway's http address, ip:port")
+    private List<InetSocketAddress> gateways;
     @Option(names = "--host", paramLabel = "NAME", required = true, description = "the Host that requests ask for")
     private String host;
     @Option(names = "--prefix", paramLabel = "PATH", required = true, description = "what paths begin with; begins and ends with /")
@@ -62,49 +62,32 @@
 
     @Override
     public Integer call() throws IOException, InterruptedException {
-        within("--rate", rate, 0.1, MOST_PER_SECOND);
-        within("--for", seconds, 1, MOST_SECONDS);
-        within("--warm-up", warmUp, 0, MOST_SECONDS);
-        within("--aim", aim, 1, MOST_MILLIS);
-        within("--deadline", deadline, 1, MOST_MILLIS);
+        Arguments.within(spec, "--rate", rate, 0.1, MOST_PER_SECOND);
+        Arguments.within(spec, "--for", seconds, 1, MOST_SECONDS);
+        Arguments.within(spec, "--warm-up", warmUp, 0, MOST_SECONDS);
+        Arguments.within(spec, "--aim", aim, 1, MOST_MILLIS);
+        Arguments.within(spec, "--deadline", deadline, 1, MOST_MILLIS);
         if (!prefix.startsWith("/") || !prefix.endsWith("/")) {
             throw new ParameterException(spec.commandLine(), "--prefix: wanted a path that begins and ends with /, not " + prefix);
         }
-        List<InetSocketAddress> gateways = new ArrayList<>();
-        for (String address : addresses) {
-            try {
-                gateways.add(Address.read(address));
-            } catch (IllegalArgumentException e) {
-                throw new ParameterException(spec.commandLine(), e.getMessage(), e);
-            }
-        }
         MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         try {
             if (warmUp > 0) {
-                play(group.next(), gateways, warmUp, null);
+                play(group.next(), warmUp, null);
             }
-            return report(play(group.next(), gateways, seconds, csv)) ? 0 : 1;
+            return report(play(group.next(), seconds, csv)) ? 0 : 1;
         } finally {
             group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).await(1_000);
         }
     }
 
-    private void within(String option, double value, double least, double most) {
-        if (!(value >= least && value <= most)) {
-            throw new ParameterException(spec.commandLine(), String.format(Locale.ROOT, "%s: wanted a number from %s to %s, not %s",
-                    option, least, most, value));
-        }
-    }
-
-    private Results play(EventLoop loop, List<InetSocketAddress> gateways, int length, Path lines)
-            throws IOException, InterruptedException {
+    private Results play(EventLoop loop, int length, Path lines) throws IOException, InterruptedException {
         PrintWriter out = spec.commandLine().getOut();
         RequestKind kind = new RequestKind("load", host, prefix, once, rate, aim, deadline);
         LoadClients clients = NodeProcess.call(loop, () -> new LoadClients(loop, List.of(kind), seed, LoadClients.Watcher.NOBODY));
-        NodeProcess.call(loop, () -> {
+        NodeProcess.run(loop, () -> {
             clients.gateways(gateways);
             clients.start(TimeUnit.SECONDS.toMillis(length));
-            return true;
         });
         List<String> rows = new ArrayList<>(List.of("second,sent,served,in_aim,refused,failed,open,p50_ms,p99_ms"));
         long began = System.nanoTime();
--- a/src/main/java/tinworks/control/Core.java
+++ b/src/main/java/tinworks/control/Core.java
@@ -98,15 +98,9 @@
     }
 
     private static void end(NodeProcess process, CoreNode node) throws InterruptedException {
-        process.call(() -> {
-            node.retire();
-            return true;
-        });
+        NodeProcess.run(process.loop(), node::retire);
         TimeUnit.MILLISECONDS.sleep(HAND_OVER_MILLIS);
-        process.call(() -> {
-            node.close();
-            return true;
-        });
+        NodeProcess.run(process.loop(), node::close);
         node.awaitClosed(CLOSE_MILLIS);
     }
 }
--- a/src/main/java/tinworks/demo/Demo.java
+++ b/src/main/java/tinworks/demo/Demo.java
@@ -5,9 +5,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.io.PrintWriter;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -17,6 +15,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
+import tinworks.json.Json;
 import tinworks.load.LoadClients;
 import tinworks.load.RequestKind;
 import tinworks.load.Results;
@@ -47,7 +46,7 @@
     private static final double[] WORK_MILLIS = {40, 60, 110};
     private static final double[] PARTS = {0.5, 0.25, 0.25};
     private static final int SLOTS = 4, QUEUE = 8, PLATFORM_RATE = 50;
-    private static final long LAG_MILLIS = 400, WARMUP_MILLIS = 1_500, START_MILLIS = 15_000, LAST_ANSWERS_MILLIS = 5_000,
+    private static final long LAG_MILLIS = 400, START_MILLIS = 15_000, LAST_ANSWERS_MILLIS = 5_000,
             DRAIN_MILLIS = 2_000;
     private static final double SLOWDOWN = 6;
     private static final int FIRST_CORE = 11, FIRST_EDGE = 101;
@@ -80,7 +79,7 @@
         random = new SplittableRandom(plan.seed());
         folder = Files.createTempDirectory("tinworks-demo");
         machines = new Machines(folder, plan.javaOptions());
-        List<Integer> ports = freePorts();
+        List<Integer> ports = FreePorts.at("127.0.0." + FIRST_CORE, 4);
         ctl = ports.get(0);
         http = ports.get(1);
         readyz = ports.get(2);
@@ -90,17 +89,7 @@
                 new RequestKind("lookup", "demo.example", "/lookup/", false, plan.perSecond() * PARTS[0], 200, 1_500),
                 new RequestKind("book", "demo.example", "/book/", true, plan.perSecond() * PARTS[1], 300, 2_000),
                 new RequestKind("archive", "demo.example", "/archive/", false, plan.perSecond() * PARTS[2], 500, 3_000));
-        clients = NodeProcess.call(loop, () -> new LoadClients(loop, kinds, random.nextLong(), new LoadClients.Watcher() {
-            @Override
-            public void sent(String attemptId, boolean once) {
-                ledger.sent(attemptId, once);
-            }
-
-            @Override
-            public void promisedNotRun(String attemptId) {
-                ledger.promisedNotRun(attemptId);
-            }
-        }));
+        clients = NodeProcess.call(loop, () -> new LoadClients(loop, kinds, random.nextLong(), ledger));
         faults = new ArrayList<>(plan.faults());
         faults.sort(Comparator.comparingDouble(Fault::atSeconds));
     }
@@ -113,21 +102,6 @@
         return "127.0.0." + (FIRST_EDGE + i);
     }
 
-    /** Ports of this machine that are free; each is used at several of its loopback addresses. */
-    private static List<Integer> freePorts() throws IOException {
-        List<Integer> ports = new ArrayList<>();
-        List<ServerSocket> held = new ArrayList<>();
-        for (int i = 0; i < 4; i++) {
-            ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0." + FIRST_CORE));
-            held.add(socket);
-            ports.add(socket.getLocalPort());
-        }
-        for (ServerSocket socket : held) {
-            socket.close();
-        }
-        return ports;
-    }
-
     /** Plays the plan; true where requests were served and none ran twice or against a promise. */
     public boolean play() throws IOException, InterruptedException {
         long began = System.nanoTime();
@@ -152,22 +126,19 @@
         NodeProcess.call(loop, () -> platform.listen(new InetSocketAddress("127.0.0.1", 0))).syncUninterruptibly();
         for (int service = 0; service < SERVICES.length; service++) {
             for (int i = 0; i < plan.hostsPerService(); i++) {
-                addHost(service, i, 0);
+                addHost(service, i);
             }
         }
     }
 
-    private void addHost(int service, int number, long warmupMillis) {
+    private void addHost(int service, int number) {
         // Speeds from 0.75 to 1.25 of the average: the loop has something to learn.
         double speed = 0.75 + 0.5 * number / Math.max(1, plan.hostsPerService() - 1);
         StandInHost host = NodeProcess.call(loop, () -> new StandInHost(loop, new StandInHost.Nature(
                 "i-" + Long.toHexString(random.nextLong()), SERVICES[service], "zone-" + number % 2, SLOTS, QUEUE,
-                WORK_MILLIS[service], speed, warmupMillis), random.nextLong(), ledger));
+                WORK_MILLIS[service], speed, 0), random.nextLong(), ledger));
         NodeProcess.call(loop, () -> host.listen(new InetSocketAddress("127.0.0.1", 0))).syncUninterruptibly();
-        NodeProcess.call(loop, () -> {
-            platform.add(List.of(host));
-            return true;
-        });
+        NodeProcess.run(loop, () -> platform.add(List.of(host)));
     }
 
     private void startMachines() throws IOException {
@@ -228,18 +199,12 @@
                 ready.add(address);
             }
         }
-        NodeProcess.call(loop, () -> {
-            clients.gateways(ready.isEmpty() ? all : ready);
-            return true;
-        });
+        NodeProcess.run(loop, () -> clients.gateways(ready.isEmpty() ? all : ready));
         return ready.size();
     }
 
     private void traffic() throws IOException, InterruptedException {
-        NodeProcess.call(loop, () -> {
-            clients.start(TimeUnit.SECONDS.toMillis(plan.seconds()));
-            return true;
-        });
+        NodeProcess.run(loop, () -> clients.start(TimeUnit.SECONDS.toMillis(plan.seconds())));
         out.println("    s  sent/s  served   p50 ms   p99 ms  edges  leader, versions   arrivals by host, least and most");
         long began = System.nanoTime();
         long sentBefore = 0;
@@ -253,7 +218,7 @@
         }
     }
 
-    private long line(int second, int ready, long sentBefore) throws InterruptedException {
+    private long line(int second, int ready, long sentBefore) throws IOException, InterruptedException {
         Results all = NodeProcess.call(loop, clients::all);
         List<Long> arrivals = NodeProcess.call(loop, () -> platform.hosts().stream().map(StandInHost::arrivals).sorted().toList());
         out.printf(Locale.ROOT, "%5d %7d %7d %8.1f %8.1f %6d  %-18s %d to %d%n", second, all.sentInAll() - sentBefore,
@@ -263,18 +228,17 @@
         return all.sentInAll();
     }
 
-    private String leaders() throws InterruptedException {
+    private String leaders() throws IOException, InterruptedException {
         String leader = "none";
-        StringBuilder versions = new StringBuilder();
+        List<String> versions = new ArrayList<>();
         for (int i = 0; i < plan.cores(); i++) {
-            String status = operator.status(i).orElse("");
-            if (status.contains("\"role\":\"LEADER\"")) {
+            Json status = Json.read(operator.status(i).orElse("{}"));
+            if (status.field("role").text().equals("LEADER")) {
                 leader = "core-" + i;
             }
-            String[] parts = status.split("\"rev\":", 2);
-            versions.append(versions.length() == 0 ? "" : "/").append(parts.length < 2 ? "-" : parts[1].split(",", 2)[0]);
+            versions.add(status.field("rev").value() != null ? status.field("rev").text() : "-");
         }
-        return leader + ", " + versions;
+        return leader + ", " + String.join("/", versions);
     }
 
     private void inject(double atSeconds) throws IOException, InterruptedException {
@@ -306,10 +270,7 @@
                     rev++;
                 }
             }
-            case SLOW_HOST, DRAIN_HOST, END_HOST -> NodeProcess.call(loop, () -> {
-                host(kind);
-                return true;
-            });
+            case SLOW_HOST, DRAIN_HOST, END_HOST -> NodeProcess.run(loop, () -> host(kind));
             default -> throw new IllegalStateException(kind.toString());
         }
     }
@@ -341,11 +302,7 @@
         out.println("kind         sent   served  in aim  refused  failed   p50 ms   p99 ms");
         long served = 0;
         for (RequestKind kind : kinds) {
-            Results results = NodeProcess.call(loop, () -> {
-                Results copy = new Results();
-                copy.add(clients.results().get(kind));
-                return copy;
-            });
+            Results results = NodeProcess.call(loop, () -> clients.results().get(kind).copy());
             served += results.servedInAll();
             out.printf(Locale.ROOT, "%-10s %6d %8d %7d %8d %7d %8.1f %8.1f%n", kind.name(), results.sentInAll(), results.servedInAll(),
                     results.servedInAim(), results.refusedInAll(), results.failedInAll(), results.percentileMillis(50),
--- a/src/main/java/tinworks/load/LoadClients.java
+++ b/src/main/java/tinworks/load/LoadClients.java
@@ -43,7 +43,7 @@
             public void promisedNotRun(String attemptId) { }
         };
 
-        /** A try is about to be sent. */
+        /** A try is about to be sent; its request may run {@code once} at most, or again and again. */
         void sent(String attemptId, boolean once);
 
         /** An answer promises that the try has not run and never will. */
--- a/src/main/java/tinworks/load/Results.java
+++ b/src/main/java/tinworks/load/Results.java
@@ -33,6 +33,13 @@
         }
     }
 
+    /** These as they are now. */
+    public Results copy() {
+        Results copy = new Results();
+        copy.add(this);
+        return copy;
+    }
+
     /** Adds another's to these. */
     public void add(Results other) {
         served.add(other.served);
--- a/src/main/java/tinworks/net/Forwarding.java
+++ b/src/main/java/tinworks/net/Forwarding.java
@@ -225,7 +225,7 @@
         public void ended(HostPool.Attempt attempt, Outcome outcome, long at, LoadReport load, Answer answer) {
             int number = attempts.indexOf(attempt);
             outstanding--;
-            tally.attempted(outcome, (double) attempt.elapsed(at) / TimeUnit.SECONDS.toNanos(1));
+            tally.attempted(outcome, attempt.elapsed(at));
             if (outcome == Outcome.SERVED) {
                 style.served(reply, answer);
             } else if (outcome == Outcome.ERROR) {
--- a/src/main/java/tinworks/net/HostPool.java
+++ b/src/main/java/tinworks/net/HostPool.java
@@ -17,7 +17,6 @@
 import io.netty.util.concurrent.Future;
 import java.net.SocketAddress;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
--- a/src/main/java/tinworks/net/Tally.java
+++ b/src/main/java/tinworks/net/Tally.java
@@ -1,17 +1,18 @@
 package tinworks.net;
 
+import java.util.Arrays;
 import java.util.EnumMap;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import tinworks.policy.Protocol.Outcome;
 
 /** What became of one service's requests since the process started, and of the attempts made for them. One thread's. */
 public final class Tally {
-    private final Map<Outcome, Long> attempts = new EnumMap<>(Outcome.class);
+    private final long[] attempts = new long[Outcome.values().length];
     private long requests;
-    private long served;
     private long refused;
     private long failed;
-    private double attemptSeconds;
+    private long attemptNanos;
 
     void began() {
         requests++;
@@ -25,12 +26,9 @@
         failed++;
     }
 
-    void attempted(Outcome outcome, double seconds) {
-        attempts.merge(outcome, 1L, Long::sum);
-        attemptSeconds += seconds;
-        if (outcome == Outcome.SERVED) {
-            served++;
-        }
+    void attempted(Outcome outcome, long nanos) {
+        attempts[outcome.ordinal()]++;
+        attemptNanos += nanos;
     }
 
     /** Requests taken on. */
@@ -38,11 +36,6 @@
         return requests;
     }
 
-    /** Attempts that brought a success. */
-    public long requestsServed() {
-        return served;
-    }
-
     /** Requests given up without having run. */
     public long requestsRefused() {
         return refused;
@@ -53,13 +46,16 @@
         return failed;
     }
 
-    /** Attempts by how they ended. */
+    /** Attempts by how they ended, without the ways in which none did. */
     public Map<Outcome, Long> attemptsByOutcome() {
-        return Map.copyOf(attempts);
+        Map<Outcome, Long> counts = new EnumMap<>(Outcome.class);
+        Arrays.stream(Outcome.values()).filter(outcome -> attempts[outcome.ordinal()] > 0)
+                .forEach(outcome -> counts.put(outcome, attempts[outcome.ordinal()]));
+        return counts;
     }
 
     /** The time of all attempts together, in seconds. */
     public double secondsOfAttempts() {
-        return attemptSeconds;
+        return (double) attemptNanos / TimeUnit.SECONDS.toNanos(1);
     }
 }
--- a/src/main/java/tinworks/node/NodeProcess.java
+++ b/src/main/java/tinworks/node/NodeProcess.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.logging.Level;
@@ -65,6 +66,11 @@
         return call(loop, work);
     }
 
+    /** Does something on an event loop and waits until it is done. */
+    public static void run(EventLoop loop, Runnable work) {
+        call(loop, Executors.callable(work));
+    }
+
     /** Does something on an event loop and waits for what comes of it. */
     public static <T> T call(EventLoop loop, Callable<T> work) {
         CompletableFuture<T> done = new CompletableFuture<>();
--- a/src/main/java/tinworks/standin/Ledger.java
+++ b/src/main/java/tinworks/standin/Ledger.java
@@ -2,12 +2,13 @@
 
 import java.util.LinkedHashMap;
 import java.util.Map;
+import tinworks.load.LoadClients;
 
 /**
  * What hosts ran and what clients were told, to find requests that ran twice and promises that were broken. A request's
  * tries carry its name, a dash and their own number. Used on one event loop; the oldest requests are forgotten.
  */
-public final class Ledger {
+public final class Ledger implements LoadClients.Watcher {
     private static final int REQUESTS_KEPT = 200_000;
 
     private static final class Account {
@@ -16,27 +17,24 @@
         private boolean toldNotRun;
     }
 
-    private final Map<String, Account> accounts = new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Account> eldest) {
-            return size() > REQUESTS_KEPT;
-        }
-    };
-    private final Map<String, Account> tries = new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Account> eldest) {
-            return size() > REQUESTS_KEPT;
-        }
-    };
+    private final Map<String, Account> accounts = bounded();
+    private final Map<String, Account> tries = bounded();
     private long twice;
     private long brokenPromises;
     private long unasked;
 
-    /** A client sends a try of a request, which may run {@code once} at most or again and again. */
+    private static Map<String, Account> bounded() {
+        return new LinkedHashMap<>() {
+            private static final long serialVersionUID = 1L;
+
+            @Override
+            protected boolean removeEldestEntry(Map.Entry<String, Account> eldest) {
+                return size() > REQUESTS_KEPT;
+            }
+        };
+    }
+
+    @Override
     public void sent(String attemptId, boolean once) {
         request(attemptId).once = once;
         tries.put(attemptId, new Account());
@@ -60,7 +58,7 @@
         }
     }
 
-    /** A client was promised that a try has not run and never will. */
+    @Override
     public void promisedNotRun(String attemptId) {
         Account attempt = tries.get(attemptId);
         if (attempt != null) {
--- a/src/test/java/tinworks/system/WholeSystemTest.java
+++ b/src/test/java/tinworks/system/WholeSystemTest.java
@@ -8,9 +8,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
@@ -24,6 +22,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import tinworks.control.CoreNode;
+import tinworks.demo.FreePorts;
 import tinworks.edge.EdgeNode;
 import tinworks.node.BootSettings;
 import tinworks.node.NodeProcess;
@@ -64,7 +63,7 @@
         });
         platform.start();
         host.start();
-        List<Integer> ports = freePorts();
+        List<Integer> ports = FreePorts.at("127.0.0.2", 4);
         inner = ports.get(0);
         ctl = ports.get(1);
         http = ports.get(2);
@@ -111,20 +110,6 @@
                 platform.getAddress());
     }
 
-    private static List<Integer> freePorts() throws IOException {
-        List<Integer> ports = new ArrayList<>();
-        List<ServerSocket> held = new ArrayList<>();
-        for (int i = 0; i < 4; i++) {
-            ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.2"));
-            held.add(socket);
-            ports.add(socket.getLocalPort());
-        }
-        for (ServerSocket socket : held) {
-            socket.close();
-        }
-        return ports;
-    }
-
     private <T> T on(Callable<T> work) {
         return NodeProcess.call(loop, work);
     }
