--- a/src/main/java/tinworks/cli/CommandLineTool.java
+++ b/src/main/java/tinworks/cli/CommandLineTool.java
@@ -35,7 +35,8 @@
             "  core      be a core machine, as the file in TINWORKS_BOOT says",
             "  serve     be a gateway of the earlier protocol, as the LB_ variables say",
             "  simhost   decide for the gateways on standard input, on the lbsim wire"},
-        subcommands = {CommandLineTool.Check.class, CommandLineTool.Status.class, CommandLineTool.State.class, DemoCommand.class})
+        subcommands = {CommandLineTool.Check.class, CommandLineTool.Status.class, CommandLineTool.State.class,
+            DemoCommand.class, LoadCommand.class})
 public final class CommandLineTool {
     private static final int OK = 0, BAD_INPUT = 1;
 
--- a/src/main/java/tinworks/load/LoadClients.java
+++ b/src/main/java/tinworks/load/LoadClients.java
@@ -34,6 +34,15 @@
 public final class LoadClients {
     /** Told of each try, so that what hosts ran can be set against it. */
     public interface Watcher {
+        /** Whom nothing is told. */
+        Watcher NOBODY = new Watcher() {
+            @Override
+            public void sent(String attemptId, boolean once) { }
+
+            @Override
+            public void promisedNotRun(String attemptId) { }
+        };
+
         /** A try is about to be sent. */
         void sent(String attemptId, boolean once);
 
--- a/src/test/java/tinworks/cli/CommandLineToolTest.java
+++ b/src/test/java/tinworks/cli/CommandLineToolTest.java
@@ -3,19 +3,28 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
 import java.io.PrintWriter;
 import java.io.StringWriter;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import tinworks.config.ConfigurationHistory;
+import tinworks.json.Json;
+import tinworks.node.NodeProcess;
 import tinworks.raft.Entry;
 import tinworks.raft.HardState;
 import tinworks.raft.Output;
 import tinworks.raft.Snapshot;
+import tinworks.standin.Ledger;
+import tinworks.standin.StandInHost;
 import tinworks.store.CoreStore;
 
 class CommandLineToolTest {
@@ -71,4 +80,38 @@
         assertTrue(out.toString().contains("{\"rev\":3}"));
         assertEquals(1, run("state", "verify", folder.resolve("nowhere").toString()));
     }
+
+    @Test
+    void loadReportsWhatAServerAnswered() throws Exception {
+        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        EventLoop loop = group.next();
+        StandInHost host = NodeProcess.call(loop, () -> new StandInHost(loop,
+                new StandInHost.Nature("i-1", "s", "z", 50, 50, 2, 1, 0), 1, new Ledger()));
+        NodeProcess.call(loop, () -> host.listen(new InetSocketAddress("127.0.0.1", 0))).syncUninterruptibly();
+        Path json = folder.resolve("figures.json");
+        Path csv = folder.resolve("seconds.csv");
+        String address = "127.0.0.1:" + host.address().getPort();
+        try {
+            assertEquals(0, run("load", address, "--host", "x.example", "--prefix", "/p/", "--rate", "100", "--for", "1",
+                    "--json", json.toString(), "--csv", csv.toString()), err.toString());
+        } finally {
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly(5_000);
+        }
+        Json figures = Json.read(Files.readString(json));
+        assertTrue(figures.field("sent").number(0).intValue() > 50, figures.text());
+        assertEquals(figures.field("sent").number(0), figures.field("served").number(1));
+        assertTrue(figures.field("ms").field("p50.0").number(0).doubleValue() >= 1, "half of the work is sure");
+        assertTrue(Files.readAllLines(csv).size() >= 2);
+    }
+
+    @Test
+    void loadAndDemoNameTheOptionAtFault() {
+        assertEquals(2, run("load", "127.0.0.1:1", "--host", "x", "--prefix", "/p"));
+        assertTrue(err.toString().contains("--prefix"), err.toString());
+        assertEquals(2, run("load", "nowhere", "--host", "x", "--prefix", "/p/"));
+        assertTrue(err.toString().contains("nowhere"), err.toString());
+        assertEquals(2, run("demo", "--rate", "0"));
+        assertEquals(2, run("demo", "--fault", "3:unheard-of"));
+        assertTrue(err.toString().contains("unheard-of"), err.toString());
+    }
 }
