--- a/src/main/java/tinworks/cli/CommandLineTool.java
+++ b/src/main/java/tinworks/cli/CommandLineTool.java
@@ -1,11 +1,13 @@
 package tinworks.cli;
 
 import java.io.IOException;
+import java.io.InputStream;
 import java.io.PrintWriter;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -36,7 +38,7 @@
             "  serve     be a gateway of the earlier protocol, as the LB_ variables say",
             "  simhost   decide for the gateways on standard input, on the lbsim wire"},
         subcommands = {CommandLineTool.Check.class, CommandLineTool.Status.class, CommandLineTool.State.class,
-            DemoCommand.class, LoadCommand.class})
+            CommandLineTool.Schema.class, DemoCommand.class, LoadCommand.class})
 public final class CommandLineTool {
     private static final int OK = 0, BAD_INPUT = 1;
 
@@ -75,7 +77,7 @@
         public Integer call() {
             try {
                 byte[] bytes = Files.readAllBytes(file);
-                String text = new String(bytes, java.nio.charset.StandardCharsets.UTF_8);
+                String text = new String(bytes, StandardCharsets.UTF_8);
                 if (text.contains("\"portRange\"")) {
                     BootSettings settings = BootSettings.read(file);
                     say(spec, "settings of " + settings.node() + ": in order");
@@ -95,6 +97,21 @@
         }
     }
 
+    /** Prints what a configuration has to look like. */
+    @Command(name = "schema", mixinStandardHelpOptions = true, description = "Prints the JSON Schema of the operator's configuration.")
+    static final class Schema implements Callable<Integer> {
+        @Spec
+        private CommandSpec spec;
+
+        @Override
+        public Integer call() throws IOException {
+            try (InputStream in = ConfigurationReader.class.getResourceAsStream("configuration.schema.json")) {
+                say(spec, new String(in.readAllBytes(), StandardCharsets.UTF_8).trim());
+                return OK;
+            }
+        }
+    }
+
     /** Asks core machines how they are. */
     @Command(name = "status", mixinStandardHelpOptions = true, description = "Asks core machines for their state, one line each.")
     static final class Status implements Callable<Integer> {
@@ -191,7 +208,7 @@
                     if (history.rev() == 0) {
                         return complain(spec, "no configuration on this disk");
                     }
-                    say(spec, new String(history.body(), java.nio.charset.StandardCharsets.UTF_8));
+                    say(spec, new String(history.body(), StandardCharsets.UTF_8));
                     return OK;
                 } catch (CoreStore.Damaged | IOException e) {
                     return complain(spec, e.getMessage());
--- a/src/test/java/tinworks/cli/CommandLineToolTest.java
+++ b/src/test/java/tinworks/cli/CommandLineToolTest.java
@@ -53,6 +53,12 @@
         assertEquals(2, run("chekc"));
     }
 
+    @Test
+    void schemaPrintsJson() throws Exception {
+        assertEquals(0, run("schema"));
+        assertEquals("object", Json.read(out.toString()).field("type").text());
+    }
+
     @Test
     void checkNamesTheFieldAtFault() throws Exception {
         assertEquals(0, run("check", file(SETTINGS)), err.toString());
--- /dev/null
+++ b/src/test/java/tinworks/fuzz/DecodersTest.java
@@ -0,0 +1,145 @@
+package tinworks.fuzz;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.List;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.ShrinkingMode;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import tinworks.channel.SignalCodec;
+import tinworks.config.Configuration;
+import tinworks.config.ConfigurationHistory;
+import tinworks.config.ConfigurationReader;
+import tinworks.config.InvalidConfiguration;
+import tinworks.json.Json;
+import tinworks.node.BootSettings;
+import tinworks.raft.Member;
+import tinworks.raft.Members;
+
+/** Whatever comes in, a decoder reads it or refuses it in its own words; nothing else comes out of it. */
+class DecodersTest {
+    private static final String SEED = "20261201";
+    private static final int TRIES = 3_000;
+    private static final String CONFIGURATION = "{\"rev\":7,\"routes\":[{\"name\":\"a\",\"domain\":\"x.example\",\"prefix\":\"/p/\","
+            + "\"type\":\"idem\",\"timeoutMs\":2500,\"targetMs\":600,\"prio\":2,\"split\":[{\"svc\":\"s\",\"weight\":90},"
+            + "{\"svc\":\"t\",\"weight\":10}],\"tries\":2}],\"svcs\":[{\"name\":\"s\",\"check\":\"/h\",\"maxconn\":110},{\"name\":\"t\"}],"
+            + "\"limits\":{\"hdrBytes\":16384,\"bodyMaxBytes\":67108864,\"hdrMs\":3000,\"idleMs\":15000}}";
+    private static final String SETTINGS = "{\"node\":\"core-1\",\"az\":\"z\",\"ip\":\"10.1.0.9\",\"listen\":{\"ctl\":\"10.1.0.9:8544\"},"
+            + "\"portRange\":[7540,7555],\"seeds\":[\"10.1.0.9:8544\"],\"bootstrap\":true,\"limits\":{\"nofile\":4096},"
+            + "\"datadir\":\"/data\",\"survive\":{\"nodes\":1},\"bounds\":{\"graceS\":6},\"provider\":{\"addr\":\"10.2.0.1:80\"}}";
+    private static final List<String> PIECES = List.of("null", "-1", "0", "1e308", "9223372036854775808", "\"\"", "[]", "{}", "true",
+            "\"s\"", "[[[[", "}", ",", "\\u0000", "\"\\ud800\"", "NaN");
+
+    /** A text with some parts of it replaced by others. */
+    record Change(int at, int length, String by) { }
+
+    @Provide
+    Arbitrary<List<Change>> changes() {
+        return Combinators.combine(Arbitraries.integers().between(0, 700), Arbitraries.integers().between(0, 12),
+                Arbitraries.of(PIECES)).as(Change::new).list().ofMinSize(1).ofMaxSize(3);
+    }
+
+    private static String changed(String text, List<Change> changes) {
+        StringBuilder changed = new StringBuilder(text);
+        for (Change change : changes) {
+            int at = Math.min(change.at(), changed.length());
+            changed.replace(at, Math.min(at + change.length(), changed.length()), change.by());
+        }
+        return changed.toString();
+    }
+
+    @Property(tries = TRIES, seed = SEED, shrinking = ShrinkingMode.BOUNDED)
+    void aConfigurationIsReadOrRefusedWithItsPlace(@ForAll("changes") List<Change> changes) {
+        try {
+            Configuration read = ConfigurationReader.read(changed(CONFIGURATION, changes).getBytes(StandardCharsets.UTF_8));
+            assertFalse(read.routes().stream().anyMatch(route -> route.timeoutMs() <= 0 || !route.prefix().endsWith("/")));
+        } catch (InvalidConfiguration e) {
+            assertFalse(e.getMessage().isEmpty());
+        }
+    }
+
+    @Property(tries = TRIES, seed = SEED, shrinking = ShrinkingMode.BOUNDED)
+    void anyBytesAreNoConfigurationOrOne(@ForAll @Size(max = 200) byte[] bytes) {
+        try {
+            ConfigurationReader.read(bytes);
+        } catch (InvalidConfiguration e) {
+            assertFalse(e.getMessage().isEmpty());
+        }
+    }
+
+    @Property(tries = TRIES, seed = SEED, shrinking = ShrinkingMode.BOUNDED)
+    void settingsAreReadOrRefusedInOneLine(@ForAll("changes") List<Change> changes) {
+        try {
+            BootSettings.read(Json.read(changed(SETTINGS, changes)));
+        } catch (IOException | IllegalArgumentException e) {
+            assertFalse(e.getMessage().isEmpty());
+        }
+    }
+
+    @Property(tries = TRIES, seed = SEED, shrinking = ShrinkingMode.BOUNDED)
+    void framesBetweenOurProcessesAreReadOrMalformed(@ForAll @Size(max = 300) byte[] bytes, @ForAll @IntRange(max = 20) int kind) {
+        byte[] frame = bytes.clone();
+        if (frame.length > 0) {
+            // More of them get past the first byte.
+            frame[0] = (byte) kind;
+        }
+        try {
+            ByteBuffer again = SignalCodec.write(SignalCodec.read(ByteBuffer.wrap(frame)));
+            byte[] written = new byte[again.remaining()];
+            again.get(written);
+            assertEquals(frame.length, written.length);
+        } catch (SignalCodec.Malformed e) {
+            assertFalse(e.getMessage().isEmpty());
+        }
+    }
+
+    @Provide
+    Arbitrary<List<Member>> voters() {
+        return Combinators.combine(Arbitraries.longs(), Arbitraries.strings().alpha().numeric().ofMaxLength(40)).as(Member::new)
+                .list().ofMaxSize(20);
+    }
+
+    @Property(tries = 500, seed = SEED)
+    void votersComeBackAsTheyWereWritten(@ForAll("voters") List<Member> voters) {
+        assertEquals(voters, Members.read(Members.write(voters)));
+    }
+
+    @Property(tries = TRIES, seed = SEED, shrinking = ShrinkingMode.BOUNDED)
+    void anyBytesAreVotersOrRefused(@ForAll @Size(max = 120) byte[] bytes) {
+        try {
+            assertArrayEquals(bytes, Members.write(Members.read(bytes)));
+        } catch (IllegalArgumentException e) {
+            assertFalse(e.getMessage().isEmpty());
+        }
+    }
+
+    @Property(tries = TRIES, seed = SEED, shrinking = ShrinkingMode.BOUNDED)
+    void aSavedHistoryIsLoadedOrRefused(@ForAll @IntRange(max = 400) int at, @ForAll byte by, @ForAll @IntRange(max = 400) int length) {
+        ConfigurationHistory history = new ConfigurationHistory();
+        history.apply(ConfigurationHistory.command(0, 3, "{\"rev\":3}".getBytes(StandardCharsets.UTF_8)));
+        history.apply(ConfigurationHistory.command(3, 9, "{\"rev\":9}".getBytes(StandardCharsets.UTF_8)));
+        byte[] saved = history.save();
+        byte[] spoilt = Arrays.copyOf(saved, Math.min(length, saved.length + 4));
+        if (at < spoilt.length) {
+            spoilt[at] = by;
+        }
+        ConfigurationHistory loaded = new ConfigurationHistory();
+        try {
+            loaded.load(spoilt);
+        } catch (IllegalArgumentException e) {
+            assertFalse(e.getMessage().isEmpty());
+        }
+    }
+}
