Believe no answer that names another request, and wait on for the own one

Cause: EdgeStyle.outcome believed Not-Run and 421 before it looked at Attempt-Id, an answer without an id was believed, and one with another's id left its connection in use (EdgeStyle.java, HostPool.Connection.answered). A surplus answer that came late, where the next was due, passed as proof that a mutating request had not run, or could be kept as the last answer and handed on. Change: the reader asks whose an answer is as soon as its head is there. Another request's is passed over, since the own one is still to come, and its connection ends with it; one that names no request spoils the connection and its attempt ends as a failure of unknown effect. At most four are passed over.

--- a/src/main/java/tinworks/edge/EdgeStyle.java
+++ b/src/main/java/tinworks/edge/EdgeStyle.java
@@ -21,6 +21,7 @@
 import tinworks.net.Forwarding;
 import tinworks.net.HostPool;
 import tinworks.net.HostPool.Answer;
+import tinworks.net.HostPool.Whose;
 import tinworks.policy.Protocol.LoadReport;
 import tinworks.policy.Protocol.Outcome;
 
@@ -122,7 +123,14 @@
         }
     }
 
-    /** Guards against a success that isn't the host's own whole answer to this very request. */
+    /** Guards against believing an answer, or the proof in it that nothing ran, that is some other request's. */
+    @Override
+    public Whose whose(String request, HttpHeaders headers) {
+        String id = headers.get(ID);
+        return id == null ? Whose.NOBODYS : id.equals(request) ? Whose.OWN : Whose.ANOTHERS;
+    }
+
+    /** Guards against a success that isn't the host's own whole answer; {@link #whose} has judged its id. */
     @Override
     public Outcome outcome(String request, HttpResponse head, boolean framed) {
         int status = head.status().code();
@@ -132,8 +140,7 @@
         }
         boolean success = status >= 200 && status < 300;
         boolean whole = framed && headers.contains(SEAL) && !headers.contains(HttpHeaderNames.CONTENT_ENCODING);
-        String echoed = headers.get(ID);
-        return success && whole && (echoed == null || echoed.equals(request)) ? Outcome.SERVED : Outcome.ERROR;
+        return success && whole ? Outcome.SERVED : Outcome.ERROR;
     }
 
     @Override
--- a/src/main/java/tinworks/net/AnswerReader.java
+++ b/src/main/java/tinworks/net/AnswerReader.java
@@ -28,9 +28,12 @@
         /** Whether a request is out on the connection. */
         boolean waits();
 
+        /** Whose answer begins with this head, which is not an informational one. */
+        HostPool.Whose whose(HttpResponse head);
+
         /**
          * The answer has come whole; {@code framed} says that its head told its length, {@code clean} that
-         * nothing came behind it. The body is the listener's for the call's length.
+         * nothing came behind it, and no other answer before it. The body is the listener's for the call's length.
          */
         void answered(HttpResponse head, ByteBuf body, boolean framed, boolean clean);
 
@@ -40,6 +43,8 @@
 
     /** The longest body that the earlier protocol knows. */
     static final int USUAL_BODY = 64 * 1024;
+    /** Answers to other requests that are passed over on one connection before it is given up. */
+    private static final int MOST_PASSED_OVER = 4;
 
     private final Decoder decoder = new Decoder();
     private final Listener listener;
@@ -50,6 +55,9 @@
     private boolean whole;
     private boolean surplus;
     private boolean spoilt;
+    /** The answer that is being read is another request's. */
+    private boolean passingOver;
+    private int passedOver;
 
     AnswerReader(Listener listener, int largestBody) {
         this.listener = listener;
@@ -86,25 +94,40 @@
                     || response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS);
             framed = response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
                     || HttpUtil.isTransferEncodingChunked(response);
+            if (!spoilt && !informational()) {
+                judge(listener.whose(response));
+            }
             // Guards against waiting for the end of a body that only the end of its connection would tell.
-            whole = !framed && !informational();
+            whole = !framed && !informational() && !spoilt;
             body = ctx.alloc().compositeBuffer();
         }
         if (part instanceof HttpContent content) {
-            spoilt = body.readableBytes() + content.content().readableBytes() > largestBody;
+            spoilt |= body.readableBytes() + content.content().readableBytes() > largestBody;
             if (!spoilt) {
                 body.addComponent(true, content.content().retain());
             }
         }
         if (part instanceof LastHttpContent) {
             // Guards against taking what a host says ahead of its answer for the answer itself.
-            whole = !informational();
+            whole = !informational() && !passingOver;
             if (!whole) {
+                passingOver = false;
                 forget();
             }
         }
     }
 
+    /**
+     * Guards against an answer that comes late, where the next one is due: it would pass for this request's, and every
+     * later answer on the connection for that of the request before it. One that names another request is passed over,
+     * as the own one is still to come; one that names none proves nothing.
+     */
+    private void judge(HostPool.Whose whose) {
+        passingOver = whose == HostPool.Whose.ANOTHERS;
+        passedOver += passingOver ? 1 : 0;
+        spoilt = whose == HostPool.Whose.NOBODYS || passingOver && (!framed || passedOver > MOST_PASSED_OVER);
+    }
+
     private boolean informational() {
         return head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
     }
@@ -121,7 +144,7 @@
         } else if (whole) {
             HttpResponse answer = head;
             CompositeByteBuf bytes = body;
-            boolean clean = !surplus && !decoder.holdsBytes();
+            boolean clean = !surplus && !decoder.holdsBytes() && passedOver == 0;
             boolean hasLength = framed;
             body = null;
             forget();
--- a/src/main/java/tinworks/net/HostPool.java
+++ b/src/main/java/tinworks/net/HostPool.java
@@ -38,8 +38,16 @@
     /** A host's whole answer. */
     public record Answer(HttpResponse head, ByteBuf body) { }
 
+    /** Whose an answer is: by the id that it repeats, where hosts repeat ids. */
+    public enum Whose { OWN, ANOTHERS, NOBODYS }
+
     /** How hosts say what became of a request. */
     public interface Dialect {
+        /** Whether an answer with these headers is the one to the request of this id; so it is where none repeats an id. */
+        default Whose whose(String request, HttpHeaders headers) {
+            return Whose.OWN;
+        }
+
         /** What a whole answer to the request of this id means; {@code framed} says that its head told its length. */
         Outcome outcome(String request, HttpResponse head, boolean framed);
 
@@ -298,6 +306,12 @@
             return attempt != null && attempt.writing;
         }
 
+        @Override
+        public Whose whose(HttpResponse head) {
+            // An attempt that was called off within this very read is over, and its connection closed.
+            return attempt == null ? Whose.OWN : dialect.whose(attempt.id, head.headers());
+        }
+
         @Override
         public void answered(HttpResponse head, ByteBuf body, boolean framed, boolean clean) {
             Attempt answered = attempt;
--- a/src/test/java/tinworks/edge/EdgeTest.java
+++ b/src/test/java/tinworks/edge/EdgeTest.java
@@ -70,7 +70,6 @@
     void onlyTheHostsOwnWholeAnswerToThisRequestServes() {
         assertEquals(Outcome.SERVED, style.outcome("id", answer(200, "Origin-Seal", "s", "Attempt-Id", "id"), true));
         assertEquals(Outcome.SERVED, style.outcome("id", answer(201, "Origin-Seal", "s"), true));
-        assertEquals(Outcome.ERROR, style.outcome("id", answer(200, "Origin-Seal", "s", "Attempt-Id", "other"), true));
         assertEquals(Outcome.ERROR, style.outcome("id", answer(200, "Origin-Seal", "s"), false));
         assertEquals(Outcome.ERROR, style.outcome("id", answer(200), true));
         assertEquals(Outcome.ERROR, style.outcome("id", answer(200, "Origin-Seal", "s", "Content-Encoding", "gzip"), true));
--- /dev/null
+++ b/src/test/java/tinworks/edge/StrayAnswersTest.java
@@ -0,0 +1,144 @@
+package tinworks.edge;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import tinworks.net.GatewayClock;
+import tinworks.net.HostPool;
+import tinworks.net.ScriptedHost;
+import tinworks.net.Transport;
+import tinworks.policy.Protocol.Outcome;
+
+/** A host that stutters: answers that come late, where the next one is due. None may pass for another request's. */
+@Timeout(value = 30, unit = TimeUnit.SECONDS)
+class StrayAnswersTest {
+    private static final long LONG_NANOS = TimeUnit.SECONDS.toNanos(20), SHORT_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final HostPool pool = new HostPool(loop, Transport.TCP, new GatewayClock(),
+            new HostPool.Bounds(LONG_NANOS, LONG_NANOS, 8, 1 << 16), new EdgeStyle(1));
+
+    private record Ended(Outcome outcome, String body) { }
+
+    @AfterEach
+    void stop() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly(5_000);
+    }
+
+    private static String answer(String id, String status, String body, String... headers) {
+        StringBuilder text = new StringBuilder("HTTP/1.1 " + status + "\r\nContent-Length: " + body.length() + "\r\n");
+        if (!id.isEmpty()) {
+            text.append("Attempt-Id: ").append(id).append("\r\n");
+        }
+        for (String header : headers) {
+            text.append(header).append("\r\n");
+        }
+        return text.append("\r\n").append(body).toString();
+    }
+
+    private static String served(String id) {
+        return answer(id, "200 OK", "for " + id, "Origin-Seal: s");
+    }
+
+    /** Sends each run of bytes by itself: a bar stands between two. */
+    private static void send(Socket socket, String runs) throws java.io.IOException {
+        for (String run : runs.split("\\|")) {
+            ScriptedHost.write(socket, run);
+            socket.getOutputStream().flush();
+            // A piece of its own on the way, most of the time; the outcome is the same where it isn't.
+            Thread.yield();
+        }
+    }
+
+    private Ended ask(ScriptedHost host, String id, long timeoutNanos) {
+        CompletableFuture<Ended> ended = new CompletableFuture<>();
+        loop.execute(() -> {
+            pool.update(List.of(new HostPool.Place("h", host.address(), 0, true, false)), true);
+            FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/p/", Unpooled.EMPTY_BUFFER);
+            request.headers().set(EdgeStyle.ID, id);
+            pool.send("h", id, request, timeoutNanos, Long.MAX_VALUE, (attempt, outcome, at, load, answer) ->
+                    ended.complete(new Ended(outcome, answer == null ? null : answer.body().toString(StandardCharsets.US_ASCII))));
+        });
+        return ended.join();
+    }
+
+    private static String stray(String kind) {
+        return switch (kind) {
+            case "served" -> served("r1");
+            case "full" -> answer("r1", "503 Service Unavailable", "", "Not-Run: 1");
+            case "misdirected" -> answer("r1", "421 Misdirected Request", "", "Not-Run: 1");
+            case "hinted" -> "HTTP/1.1 103 Early Hints\r\n\r\n" + served("r1");
+            case "pieces" -> "HTTP/1.1 200 OK\r\nConte|nt-Length: 6\r\nAttempt-I|d: r1\r\nOrigin-Seal: s\r\n\r\nfor| r1";
+            default -> throw new IllegalArgumentException(kind);
+        };
+    }
+
+    @ParameterizedTest
+    @CsvSource({"served", "full", "misdirected", "hinted", "pieces"})
+    void anotherRequestsAnswerIsPassedOverAndTheOwnOneServed(String kind) throws Exception {
+        try (ScriptedHost host = new ScriptedHost((socket, request) -> {
+            String id = request.header(EdgeStyle.ID);
+            send(socket, id.equals("r2") ? stray(kind) + "|" + served(id) : served(id));
+        })) {
+            assertEquals(new Ended(Outcome.SERVED, "for r1"), ask(host, "r1", LONG_NANOS));
+            assertEquals(new Ended(Outcome.SERVED, "for r2"), ask(host, "r2", LONG_NANOS));
+            assertEquals(1, host.connections.size(), "the stray came on the connection that the second went on");
+            assertEquals(new Ended(Outcome.SERVED, "for r3"), ask(host, "r3", LONG_NANOS));
+            assertEquals(2, host.connections.size(), "a connection that stuttered is not used again");
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({"served", "full", "misdirected", "hinted", "pieces"})
+    void anotherRequestsAnswerProvesNothingWhereTheOwnOneNeverComes(String kind) throws Exception {
+        try (ScriptedHost host = new ScriptedHost((socket, request) -> send(socket, stray(kind)))) {
+            Ended ended = ask(host, "r2", SHORT_NANOS);
+            assertEquals(new Ended(Outcome.TIMED_OUT, null), ended);
+            assertFalse(ended.outcome().provesItNeverRan());
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({"200 OK,Origin-Seal: s", "503 Service Unavailable,Not-Run: 1", "421 Misdirected Request,Not-Run: 1"})
+    void anAnswerThatNamesNoRequestProvesNothingAndIsNotPassedOn(String status, String header) throws Exception {
+        try (ScriptedHost host = new ScriptedHost((socket, request) -> send(socket, answer("", status, "whose?", header)))) {
+            assertEquals(new Ended(Outcome.ERROR, null), ask(host, "r1", LONG_NANOS));
+        }
+    }
+
+    @Test
+    void aHostThatSendsNothingButStraysIsGivenUpOn() throws Exception {
+        try (ScriptedHost host = new ScriptedHost((socket, request) -> send(socket, served("r1").repeat(50)))) {
+            assertEquals(new Ended(Outcome.ERROR, null), ask(host, "r2", LONG_NANOS));
+        }
+    }
+
+    @Test
+    void anAnswerThatComesWhileTheConnectionRestsEndsIt() throws Exception {
+        try (ScriptedHost host = new ScriptedHost((socket, request) -> send(socket, served(request.header(EdgeStyle.ID))))) {
+            assertEquals(new Ended(Outcome.SERVED, "for r1"), ask(host, "r1", LONG_NANOS));
+            send(host.connections.get(0), served("r1"));
+            // Whether the stray is read before the next request goes out or after, it is nobody's.
+            assertEquals(new Ended(Outcome.SERVED, "for r2"), ask(host, "r2", LONG_NANOS));
+            assertEquals(new Ended(Outcome.SERVED, "for r3"), ask(host, "r3", LONG_NANOS));
+        }
+    }
+}
--- a/src/test/java/tinworks/net/AnswerFuzzTest.java
+++ b/src/test/java/tinworks/net/AnswerFuzzTest.java
@@ -51,6 +51,11 @@
             return answered == 0 && !isSpoilt;
         }
 
+        @Override
+        public HostPool.Whose whose(HttpResponse head) {
+            return HostPool.Whose.OWN;
+        }
+
         @Override
         public void answered(HttpResponse head, ByteBuf bytes, boolean framed, boolean nothingBehind) {
             answered++;
--- a/src/test/java/tinworks/net/ScriptedHost.java
+++ b/src/test/java/tinworks/net/ScriptedHost.java
@@ -15,15 +15,15 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 
 /** A server on a free loopback port that does with each request what its script says. */
-final class ScriptedHost implements AutoCloseable {
+public final class ScriptedHost implements AutoCloseable {
     /** What the server does once a request has come whole. */
-    interface Script {
+    public interface Script {
         void answer(Socket socket, Message request) throws IOException;
     }
 
     /** A message as it stood on the socket. */
-    record Message(String firstLine, List<String> headers, String body) {
-        String header(String name) {
+    public record Message(String firstLine, List<String> headers, String body) {
+        public String header(String name) {
             return headers.stream().filter(h -> h.regionMatches(true, 0, name + ":", 0, name.length() + 1))
                     .map(h -> h.substring(name.length() + 1).trim()).findFirst().orElse(null);
         }
@@ -60,10 +60,10 @@
     private final ServerSocket listener;
     private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
     private volatile Script script;
-    final List<Message> requests = new CopyOnWriteArrayList<>();
-    final List<Socket> connections = new CopyOnWriteArrayList<>();
+    public final List<Message> requests = new CopyOnWriteArrayList<>();
+    public final List<Socket> connections = new CopyOnWriteArrayList<>();
 
-    ScriptedHost(Script script) throws IOException {
+    public ScriptedHost(Script script) throws IOException {
         this.script = script;
         listener = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
         daemon(this::accept);
@@ -73,7 +73,7 @@
         script = next;
     }
 
-    InetSocketAddress address() {
+    public InetSocketAddress address() {
         return (InetSocketAddress) listener.getLocalSocketAddress();
     }
 
@@ -88,7 +88,7 @@
                 + "\r\n" + body);
     }
 
-    static void write(Socket socket, String text) throws IOException {
+    public static void write(Socket socket, String text) throws IOException {
         // In one call: once these bytes are there, the far side may close, and the socket give no stream any more.
         socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
     }
