--- a/src/main/java/tinworks/edge/Edge.java
+++ b/src/main/java/tinworks/edge/Edge.java
@@ -28,7 +28,7 @@
         // A life of its own: nothing of an earlier process is known to this one.
         long id = new SplittableRandom(System.nanoTime() ^ Long.rotateLeft(System.currentTimeMillis(), 32)
                 ^ settings.node().hashCode()).nextLong();
-        EdgeNode node = process.call(() -> new EdgeNode(process.loop(), settings, id));
+        EdgeNode node = process.call(() -> new EdgeNode(process.loop(), process.clock(), settings, id));
         List<ChannelFuture> bound = process.call(node::start);
         process.awaitBound(bound);
         process.onChange(node::changed);
--- a/src/main/java/tinworks/edge/EdgeNode.java
+++ b/src/main/java/tinworks/edge/EdgeNode.java
@@ -76,7 +76,7 @@
 
     private final EventLoop loop;
     private final BootSettings settings;
-    private final GatewayClock clock = new GatewayClock();
+    private final GatewayClock clock;
     private final SplittableRandom random;
     private final Links links;
     private final HostPoller poller;
@@ -104,8 +104,9 @@
     private boolean ending;
 
     /** An edge that knows its settings alone. */
-    public EdgeNode(EventLoop loop, BootSettings settings, long id) {
+    public EdgeNode(EventLoop loop, GatewayClock clock, BootSettings settings, long id) {
         this.loop = loop;
+        this.clock = clock;
         this.settings = settings;
         current = settings;
         random = new SplittableRandom(id);
--- a/src/main/java/tinworks/net/Forwarding.java
+++ b/src/main/java/tinworks/net/Forwarding.java
@@ -177,7 +177,7 @@
 
     @Override
     public void setTimer(long delayNanos, long token) {
-        loop.schedule(() -> tell(new TimerFired(token)), delayNanos, TimeUnit.NANOSECONDS);
+        loop.schedule(() -> tell(new TimerFired(token, clock.heldUpNanos())), delayNanos, TimeUnit.NANOSECONDS);
     }
 
     @Override
@@ -233,7 +233,7 @@
             }
             forgetIfOver();
             tell(at, new AttemptEnded(id, number, servers.get(number), outcome, attempt.elapsed(at), reply.isDone(),
-                    load));
+                    load, clock.heldUpNanos()));
         }
 
         private void keep(Answer answer) {
--- a/src/main/java/tinworks/net/GatewayClock.java
+++ b/src/main/java/tinworks/net/GatewayClock.java
@@ -1,6 +1,7 @@
 package tinworks.net;
 
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 /**
  * The gateway's one clock: monotonic, and set to Unix time once at the start. Discovery tells in Unix time
@@ -8,8 +9,24 @@
  * a conversion with two clocks at each list would not grant.
  */
 public final class GatewayClock {
+    private final LongSupplier lag;
     private final long offset = TimeUnit.MILLISECONDS.toNanos(System.currentTimeMillis()) - System.nanoTime();
 
+    /** A clock beside an event loop that nobody watches. */
+    public GatewayClock() {
+        this(() -> 0);
+    }
+
+    /** A clock beside an event loop; {@code lag} tells how long what is told now may have waited there, in nanoseconds. */
+    public GatewayClock(LongSupplier lag) {
+        this.lag = lag;
+    }
+
+    /** The most that what the network brings now can have lain unread; asked on the event loop. */
+    public long heldUpNanos() {
+        return lag.getAsLong();
+    }
+
     /** Nanoseconds, never going back. */
     public long nanos() {
         return System.nanoTime() + offset;
--- /dev/null
+++ b/src/main/java/tinworks/net/LoopLag.java
@@ -0,0 +1,141 @@
+package tinworks.net;
+
+import io.netty.channel.IoHandle;
+import io.netty.channel.IoHandler;
+import io.netty.channel.IoHandlerContext;
+import io.netty.channel.IoHandlerFactory;
+import io.netty.channel.IoRegistration;
+import io.netty.util.concurrent.ThreadAwareExecutor;
+
+/**
+ * How long what comes from the network may lie unread because the event loop is at other work. A pass of the loop looks
+ * at its sockets, reads what is there, and then runs what is due; whatever arrives meanwhile waits for the next look.
+ * Guards against a gateway that takes its own stall for its hosts'.
+ *
+ * <p>Stands round an {@link IoHandler} of one event loop; all but {@link #newHandler} belongs to that loop.
+ */
+public final class LoopLag implements IoHandlerFactory {
+    /** A look at the sockets that returns sooner found something there already. */
+    private static final long AT_ONCE_NANOS = 2_000_000L;
+
+    private final IoHandlerFactory wrapped;
+    /** When this pass began to look; when the last look ended; how long the pass before this one was at work. */
+    private long enteredAt = System.nanoTime();
+    private long lookedAt = enteredAt;
+    private long workBefore;
+    /** When the first thing of this look was told, 0 before that. */
+    private long firstAt;
+    private boolean reading;
+
+    /** Watches the one handler that this factory makes. */
+    public LoopLag(IoHandlerFactory wrapped) {
+        this.wrapped = wrapped;
+    }
+
+    /** The most that something which is told now can have waited here, in nanoseconds. */
+    public long nanos() {
+        long now = System.nanoTime();
+        if (!reading) {
+            return now - lookedAt;
+        }
+        firstAt = firstAt == 0 ? now : firstAt;
+        return now - firstAt + (firstAt - enteredAt < AT_ONCE_NANOS ? workBefore : 0);
+    }
+
+    @Override
+    public IoHandler newHandler(ThreadAwareExecutor executor) {
+        return new Watched(wrapped.newHandler(executor));
+    }
+
+    @Override
+    public boolean isChangingThreadSupported() {
+        return wrapped.isChangingThreadSupported();
+    }
+
+    /** A handler whose passes are timed. */
+    private final class Watched implements IoHandler {
+        private final IoHandler handler;
+        private final Context context = new Context();
+
+        Watched(IoHandler handler) {
+            this.handler = handler;
+        }
+
+        @Override
+        public int run(IoHandlerContext asked) {
+            enteredAt = System.nanoTime();
+            workBefore = enteredAt - lookedAt;
+            firstAt = 0;
+            reading = true;
+            context.asked = asked;
+            context.active = 0;
+            try {
+                return handler.run(context);
+            } finally {
+                reading = false;
+                lookedAt = System.nanoTime() - context.active;
+            }
+        }
+
+        @Override
+        public void initialize() {
+            handler.initialize();
+        }
+
+        @Override
+        public void prepareToDestroy() {
+            handler.prepareToDestroy();
+        }
+
+        @Override
+        public void destroy() {
+            handler.destroy();
+        }
+
+        @Override
+        public IoRegistration register(IoHandle handle) throws Exception {
+            return handler.register(handle);
+        }
+
+        @Override
+        public void wakeup() {
+            handler.wakeup();
+        }
+
+        @Override
+        public boolean isCompatible(Class<? extends IoHandle> type) {
+            return handler.isCompatible(type);
+        }
+    }
+
+    /** Asks the handler how long it read, and passes all else on. */
+    private static final class Context implements IoHandlerContext {
+        private IoHandlerContext asked;
+        private long active;
+
+        @Override
+        public boolean canBlock() {
+            return asked.canBlock();
+        }
+
+        @Override
+        public long delayNanos(long now) {
+            return asked.delayNanos(now);
+        }
+
+        @Override
+        public long deadlineNanos() {
+            return asked.deadlineNanos();
+        }
+
+        @Override
+        public boolean shouldReportActiveIoTime() {
+            return true;
+        }
+
+        @Override
+        public void reportActiveIoTime(long nanos) {
+            active += nanos;
+        }
+    }
+}
--- a/src/main/java/tinworks/node/NodeProcess.java
+++ b/src/main/java/tinworks/node/NodeProcess.java
@@ -17,6 +17,8 @@
 import java.util.logging.Level;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import tinworks.net.GatewayClock;
+import tinworks.net.LoopLag;
 
 /** A process of the system: its settings and their changes, its event loop, its signals. */
 public final class NodeProcess {
@@ -33,12 +35,13 @@
     private final Map<String, String> environment;
     private final MultiThreadIoEventLoopGroup group;
     private final EventLoop loop;
+    private final LoopLag lag = new LoopLag(NioIoHandler.newFactory());
     private BootSettings settings;
 
     private NodeProcess(Map<String, String> environment, BootSettings settings) {
         this.environment = environment;
         this.settings = settings;
-        group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        group = new MultiThreadIoEventLoopGroup(1, lag);
         loop = group.next();
     }
 
@@ -61,6 +64,11 @@
         return loop;
     }
 
+    /** A clock that knows how far the event loop is behind. */
+    public GatewayClock clock() {
+        return new GatewayClock(lag::nanos);
+    }
+
     /** Does something on the event loop and waits for what comes of it. */
     public <T> T call(Callable<T> work) {
         return call(loop, work);
--- a/src/main/java/tinworks/policy/Choice.java
+++ b/src/main/java/tinworks/policy/Choice.java
@@ -11,6 +11,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 
 /**
@@ -20,7 +21,7 @@
  * <p>The ordinary path is the paper's load shifting (section 4.1, Algorithm 1), run by each gateway over its
  * own attempts: a share for each server, a random draw by share, a renormalised multiplicative step. Around
  * it stands one shape, draw weight = share x gates. A gate is 1 on the ordinary path and falls only under the
- * condition written at it. Every send passes {@link #maySend}, every refusal {@link #mayRefuse}.
+ * condition written at it. Every send passes {@link #maySend} and the conditions in {@link #draw}, every refusal {@link #mayRefuse}.
  * Single-threaded, without a clock of its own, all chance from one seed.
  */
 public final class Choice {
@@ -59,8 +60,8 @@
     private static final double PRESSURE_STEP = 0.1;
     /** Up to 1 the zones share the load, from there on some is shed; chance alone must not shed. */
     private static final double ZONES_OPEN = 1, CALM = 0.9;
-    /** The least part of its share that another zone's server gets, and the least that is admitted. */
-    private static final double LEAST_CROSSING = 1e-3, LEAST_ADMITTED = 0.05;
+    /** The least part of its share that another zone's server gets, and the least that is admitted, of the best and of any. */
+    private static final double LEAST_CROSSING = 1e-3, LEAST_ADMITTED = 0.05, LEAST_OF_ANY = 0.01;
     /** The part of its share that a server of another gateway's portion gets: it is drawn on when none of the own is free. */
     private static final double LEAST_REACH = 1e-3;
     /** With each request that others have out at a server, it is so much less likely to be drawn. */
@@ -69,8 +70,12 @@
     private static final long TELL_NANOS = 20_000_000L, REPEAT_NANOS = 250_000_000L;
     /** So much time has to be seen before arrivals tell a rate. */
     private static final long LEAST_SEEN_NANOS = 50_000_000L;
-    /** How often held and overdue requests are looked at; short against any aim. */
+    /** How often held requests are looked at; short against any aim. */
     private static final long SWEEP_NANOS = 10_000_000L;
+    /** How often those that are out are looked at while none is held, in parts of the shortest aim and of its long work. */
+    private static final double CALM_SWEEP_OF_AIM = 0.05;
+    /** What pressure loses in a tick that brought no answer: what shuts all out is open again within two. */
+    private static final double RELAX_PER_TICK = 0.6;
     /** Time-outs this near to each other, in parts of the deadline, are one: the way here takes some time. */
     private static final double SAME_TIME_OUT = 0.02;
     /** Votes for the usual time-out that count, and answers until a class's mean is known. */
@@ -85,6 +90,8 @@
     private final SplittableRandom random;
     private final long sweepNanos;
     private final Map<String, Kind> kinds = new LinkedHashMap<>();
+    /** The classes that a server has failed at. */
+    private final Set<Kind> erring = new LinkedHashSet<>();
     private final Map<String, Quota> quotas = new HashMap<>();
     private final Map<String, Server> servers = new LinkedHashMap<>();
     private final List<Server> ready = new ArrayList<>();
@@ -95,9 +102,10 @@
     private byte[] told = { };
     private long toldAt;
     private double total = 1, lateness, warmRate, extra, pressure, leastPressure, bestValue;
-    private int gateways, inFlight, inDoubt, arrivals, refusals, failedAsks;
-    private long now, tickStart, endsAt = Long.MAX_VALUE;
-    private boolean started, sweeping;
+    private int gateways, inFlight, inDoubt, arrivals, answers, refusals, failedAsks;
+    private long now, heardUpTo, tickStart, calmSweepNanos, sweepAt = Long.MAX_VALUE, endsAt = Long.MAX_VALUE;
+    private List<RequestClass> classesTaken = List.of();
+    private boolean started;
 
     /** A gateway that has just started and knows its settings alone. */
     public Choice(Settings settings, long seed, Actions actions) {
@@ -135,6 +143,7 @@
         } else if (event instanceof AttemptEnded e) {
             ended(e);
         } else if (event instanceof TimerFired e) {
+            heardUpTo = now - e.heldUpNanos();
             timer(e.token());
         } else if (event instanceof ListReceived e) {
             list(e);
@@ -152,6 +161,10 @@
     }
 
     private void takeClasses(List<RequestClass> classes) {
+        if (classes == classesTaken) {
+            return;
+        }
+        classesTaken = classes;
         Map<String, Kind> known = new HashMap<>(kinds);
         kinds.clear();
         for (RequestClass c : classes) {
@@ -159,6 +172,19 @@
             kind.spec = c;
             kinds.put(c.name(), kind);
         }
+        erring.retainAll(kinds.values());
+        rankClasses();
+        double aim = kinds.values().stream().mapToLong(k -> k.spec.aimNanos()).min().orElse(0);
+        calmSweepNanos = settings.allowed().peers() ? sweepNanos
+                : Math.max(sweepNanos, (long) (aim * CALM_SWEEP_OF_AIM * rules.longWork()));
+    }
+
+    /** What the best of the classes is worth for its work; with {@link #took} between, looked for once a tick. */
+    private void rankClasses() {
+        bestValue = 0;
+        for (Kind k : kinds.values()) {
+            bestValue = Math.max(bestValue, k.spec.worth() / k.latency);
+        }
     }
 
     /** A new version in the middle of a tick: shares, samples and limits stay as they are. */
@@ -174,7 +200,7 @@
         if (token == STEP_TOKEN) {
             step();
         } else if (token == SWEEP_TOKEN) {
-            sweeping = false;
+            sweepAt = now >= sweepAt ? Long.MAX_VALUE : sweepAt;
             sweep();
             sweepLater();
         } else if (token == ASK_TOKEN) {
@@ -206,7 +232,9 @@
     private boolean shed(Request r) {
         double rank = bestValue / Math.max(r.value, Double.MIN_NORMAL);
         double admitted = 1 + ZONES_OPEN - pressure;
-        return admitted < 1 && random.nextDouble() >= Math.pow(admitted, Math.max(1, rank));
+        // Guards against a class of which none is ever admitted, and so none teaches that there is room again.
+        double least = sparse() ? leastAdmitted() : LEAST_OF_ANY;
+        return admitted < 1 && random.nextDouble() >= Math.max(least, Math.pow(admitted, Math.max(1, rank)));
     }
 
     /** Worth for work: less of it outside the tenant's share, or when it can only be answered late. */
@@ -299,14 +327,19 @@
         Server drawn = null;
         double sum = 0;
         double limits = 0;
+        boolean sparse = sparse();
+        boolean may = maySend(r);
         for (Server s : ready) {
             double cold = coldGate(s);
             limits += s.limit * cold;
-            double gates = Math.max(0, roomGate(s, cold)) * healthGate(s) * classGate(r.kind, s)
-                    * zoneGate(s) * portionGate(s) * crowdGate(s) * cold;
-            double weight = gates > 0 && maySend(r, s) ? s.share * gates : 0;
-            sum += weight;
-            drawn = weight > 0 && random.nextDouble() * sum < weight ? s : drawn;
+            double room = may ? roomGate(s, cold) : 0;
+            if (room > 0 && s.ready && coldBudget(s) >= 1 && effectAllows(r, s) && !r.wasAt(s)) {
+                double gates = room * cold * healthGate(s) * classGate(r.kind, s) * zoneGate(s)
+                        * (sparse ? portionGate(s) * crowdGate(s) : 1);
+                double weight = s.share * gates;
+                sum += weight;
+                drawn = weight > 0 && random.nextDouble() * sum < weight ? s : drawn;
+            }
         }
         total = limits;
         // Guards against holding back chance crowding: a part of the traffic crowds more than the whole.
@@ -325,15 +358,12 @@
      * holds. Each then keeps to a portion of the fleet's capacity, and goes beyond while that has no room.
      */
     private double portionGate(Server s) {
-        return sparse() ? Math.max(LEAST_REACH, s.portion) : 1;
+        return Math.max(LEAST_REACH, s.portion);
     }
 
     /** Guards against sending where other gateways' requests already wait: falls with what they said is out there. */
     private double crowdGate(Server s) {
-        if (s.elsewhere == 0 || !sparse()) {
-            return 1;
-        }
-        return s.elsewhere >= LEAST_IN_FLIGHT ? 0 : Math.pow(CROWDED, s.elsewhere);
+        return s.elsewhere == 0 ? 1 : s.elsewhere >= LEAST_IN_FLIGHT ? 0 : Math.pow(CROWDED, s.elsewhere);
     }
 
     /** Tells the other gateways what is out at which server, when that has changed, and anew after a while. */
@@ -471,14 +501,10 @@
         return s.silent || failures(s) >= FAILING;
     }
 
-    /** The one guard that every send passes: drains, further tries, effects, the cold budget. */
-    private boolean maySend(Request r, Server s) {
-        if (!s.ready || r.concluded || r.streaming || now >= r.deadline
-                || r.attempts.size() >= mostAttempts(r)
-                || r.outstanding > 0 || coldBudget(s) < 1) {
-            return false;
-        }
-        return effectAllows(r, s) && r.attempts.stream().noneMatch(a -> a.server() == s);
+    /** The guard that every send passes, wherever it goes: further tries, and none past the end. */
+    private boolean maySend(Request r) {
+        return !r.concluded && !r.streaming && now < r.deadline && r.attempts.size() < mostAttempts(r)
+                && r.outstanding == 0;
     }
 
     private int mostAttempts(Request r) {
@@ -551,7 +577,8 @@
             inFlight--;
         }
         if (e.outcome() != Outcome.NOT_SENT) {
-            learn(a, e.outcome(), e.elapsedNanos());
+            // Guards against judging a server by the time that its answer lay here, unread.
+            learn(a, e.outcome(), Math.max(0, e.elapsedNanos() - e.heldUpNanos()));
         }
         if (e.concluded() || r.concluded) {
             conclude(r);
@@ -606,6 +633,7 @@
     }
 
     private void learn(Attempt a, Outcome outcome, long elapsedNanos) {
+        answers++;
         Server s = a.server();
         Kind kind = a.request().kind;
         boolean served = outcome == Outcome.SERVED;
@@ -630,6 +658,9 @@
             double before = errors(h);
             h.errors = before + HEALTH_RATE * ((served ? 0 : 1) - before);
             h.errorsAt = now;
+            if (!served) {
+                erring.add(kind);
+            }
         }
         if (served || outcome == Outcome.FULL || outcome == Outcome.TIMED_OUT
                 || outcome == Outcome.CANCELLED) {
@@ -645,10 +676,11 @@
     }
 
     /** The class's mean over about the last hundred answers, and the least it has been once known. */
-    private static void took(Kind kind, long nanos) {
+    private void took(Kind kind, long nanos) {
         kind.served++;
         kind.latency += (nanos - kind.latency) * Math.max(1 / MEAN_SAMPLES, 1.0 / kind.served);
         kind.calmest = kind.served < LEAST_SAMPLES ? kind.latency : Math.min(kind.calmest, kind.latency);
+        bestValue = Math.max(bestValue, kind.spec.worth() / kind.latency);
     }
 
     /** Guards against aims that are short for the work: never below the mean answer at the calmest. */
@@ -678,20 +710,24 @@
         }
     }
 
+    /** Often while something is held, else so often that what is overdue is found in time. */
     private void sweepLater() {
-        if (!sweeping && !open.isEmpty()) {
-            sweeping = true;
-            actions.setTimer(sweepNanos, SWEEP_TOKEN);
+        long wait = held.isEmpty() ? calmSweepNanos : sweepNanos;
+        if (!open.isEmpty() && now + wait < sweepAt) {
+            sweepAt = now + wait;
+            actions.setTimer(wait, SWEEP_TOKEN);
         }
     }
 
     private void sweep() {
         tellPeers();
         forgetSilentPeers();
-        ready.forEach(this::listen);
-        bestValue = kinds.values().stream().mapToDouble(k -> k.spec.worth() / k.latency).max().orElse(0);
-        inDoubt = (int) ready.stream().filter(this::doubtful).count();
-        kinds.values().forEach(k -> k.failsEverywhere = ready.stream().allMatch(s -> fails(s, k)));
+        inDoubt = 0;
+        for (Server s : ready) {
+            listen(s);
+            inDoubt += doubtful(s) ? 1 : 0;
+        }
+        erring.forEach(k -> k.failsEverywhere = ready.stream().allMatch(s -> fails(s, k)));
         for (Request r : List.copyOf(held)) {
             r.value = value(r);
             if (endsBeforeSweep(r) || hopeless(r) && r.kind.spec.lateWorth() == 0) {
@@ -701,8 +737,14 @@
         dispatch();
     }
 
-    /** Guards against a silent server before time-outs tell: overdue attempts and no answer since. */
+    /**
+     * Guards against a silent server before time-outs tell: overdue attempts and no answer since. What came after
+     * {@code heardUpTo} lies here unread: while this gateway was held up itself, no server was silent.
+     */
     private void listen(Server s) {
+        if (s.waiting.isEmpty()) {
+            return;
+        }
         int overdue = 0;
         double slowness = Math.max(1, lateness);
         for (Iterator<Attempt> i = s.waiting.iterator(); i.hasNext();) {
@@ -712,7 +754,7 @@
                 continue;
             }
             // Guards against calling off long work, which would only begin anew elsewhere.
-            double outOfAim = (now - a.sentAt()) / (slowness * rules.longWork() * a.request().kind.spec.aimNanos());
+            double outOfAim = (heardUpTo - a.sentAt()) / (slowness * rules.longWork() * a.request().kind.spec.aimNanos());
             boolean atSilent = s.silent && rules.longWork() > 1;
             if (outOfAim > OVERTAKEN_OF_AIM && (a.sentAt() < s.answeredSentAt || atSilent)) {
                 i.remove();
@@ -781,12 +823,25 @@
             actions.log("refused " + refusals + " requests in this tick, " + arrivals + " came");
         }
         warmRate = Math.max(warmRate * 0.95, warmRate());
+        rankClasses();
+        relax();
         arrivals = 0;
+        answers = 0;
         refusals = 0;
         tickStart = now;
         actions.setTimer(TICK_NANOS, STEP_TOKEN);
     }
 
+    /**
+     * Guards against shutting out for good. What is refused teaches nothing, and a gateway of little traffic that admits
+     * a twentieth of it would be minutes in learning that it need not: the fewer answers a tick brought, the more of the
+     * pressure is no longer known to be there.
+     */
+    private void relax() {
+        double known = Math.min(1, (double) answers / LEAST_SAMPLES);
+        pressure = Math.max(leastPressure, pressure - RELAX_PER_TICK * (1 - known));
+    }
+
     private void normalise() {
         double sum = ready.stream().mapToDouble(s -> s.share).sum();
         for (Server s : ready) {
--- a/src/main/java/tinworks/policy/Protocol.java
+++ b/src/main/java/tinworks/policy/Protocol.java
@@ -148,9 +148,19 @@
     /** A streamed answer has begun: the attempt is the client's and no time-out runs any more. */
     record StreamStarted(String id, int attempt, String server) implements Event { }
 
-    /** An attempt ended; {@code concluded} says that the request has its final answer. */
+    /**
+     * An attempt ended; {@code concluded} says that the request has its final answer.
+     *
+     * @param heldUpNanos the part of {@code elapsedNanos} that the news may have waited here, while the gateway was busy
+     */
     record AttemptEnded(String id, int attempt, String server, Outcome outcome, long elapsedNanos,
-                        boolean concluded, LoadReport load) implements Event { }
+                        boolean concluded, LoadReport load, long heldUpNanos) implements Event {
+        /** One that was told of as soon as it ended. */
+        public AttemptEnded(String id, int attempt, String server, Outcome outcome, long elapsedNanos, boolean concluded,
+                            LoadReport load) {
+            this(id, attempt, server, outcome, elapsedNanos, concluded, load, 0);
+        }
+    }
 
     /** A probe ended. */
     record Probed(String server, Outcome outcome, long elapsedNanos, LoadReport load) implements Event { }
@@ -175,8 +185,17 @@
         }
     }
 
-    /** A timer that the module set. */
-    record TimerFired(long token) implements Event { }
+    /**
+     * A timer that the module set.
+     *
+     * @param heldUpNanos what came from hosts within so much time before now may not have been told yet
+     */
+    record TimerFired(long token, long heldUpNanos) implements Event {
+        /** One that fired when all that had come was told. */
+        public TimerFired(long token) {
+            this(token, 0);
+        }
+    }
 
     /**
      * What the module asks of its host. Each is called from within {@link Choice#on}, on its thread, and
--- a/src/main/java/tinworks/policy/State.java
+++ b/src/main/java/tinworks/policy/State.java
@@ -106,6 +106,16 @@
             this.deadline = deadline;
         }
 
+        /** Whether an attempt of it went to the server. */
+        boolean wasAt(Server server) {
+            for (int i = 0; i < attempts.size(); i++) {
+                if (attempts.get(i).server() == server) {
+                    return true;
+                }
+            }
+            return false;
+        }
+
         /** The first attempt that may have run or may yet run, or null. */
         Attempt firstThatMayRun() {
             int i = Long.numberOfTrailingZeros(~neverRan);
--- a/src/test/java/tinworks/policy/SystemRulesTest.java
+++ b/src/test/java/tinworks/policy/SystemRulesTest.java
@@ -19,7 +19,7 @@
         final List<String> servers = new ArrayList<>();
         int refused;
         int cancelled;
-
+        final List<String> lines = new ArrayList<>();
 
         @Override
         public void send(String request, String server, long timeoutNanos) {
@@ -47,6 +47,11 @@
 
         @Override
         public void subscribe() { }
+
+        @Override
+        public void log(String line) {
+            lines.add(line);
+        }
     }
 
     private static RequestClass kind(String name, Effect effect) {
@@ -155,6 +160,62 @@
         return sent.cancelled;
     }
 
+    /** Three requests a second, each taking so long by the clock, of which the gateway itself was held up; the refused. */
+    private int refusedOf(Choice choice, int from, int seconds, long elapsed, long heldUp) {
+        int before = sent.refused;
+        for (int i = 0; i < 3 * seconds; i++) {
+            long now = from * SECOND + i * SECOND / 3;
+            int out = sent.servers.size();
+            choice.on(now, new RequestArrived("h" + now, "r", null, null, TIMEOUT, 0, false));
+            if (sent.servers.size() > out) {
+                choice.on(now + 300 * MS, new AttemptEnded("h" + now, 0, sent.servers.get(out), Outcome.SERVED, elapsed, true,
+                        null, heldUp));
+            }
+            choice.on(now + 310 * MS, new TimerFired(2));
+            if (i % 3 == 2) {
+                choice.on(now + 320 * MS, new TimerFired(1));
+            }
+        }
+        return sent.refused - before;
+    }
+
+    @Test
+    void whatLayUnreadHereIsNotTheHosts() {
+        assertEquals(0, refusedOf(choice(64, Effect.SAFE), 0, 60, 900 * MS, 850 * MS));
+    }
+
+    @Test
+    void aGatewayThatShutAllOutIsOpenAgainWithinTwoSecondsOfCalm() {
+        Choice choice = choice(64, Effect.SAFE);
+        long now = 0;
+        for (int i = 0; i < 200; i++) { // a burst, all of it late: the pressure is at its most
+            now = i * 10 * MS;
+            int out = sent.servers.size();
+            choice.on(now, new RequestArrived("b" + i, "r", null, null, TIMEOUT, 0, false));
+            if (sent.servers.size() > out) {
+                choice.on(now, new AttemptEnded("b" + i, 0, sent.servers.get(out), Outcome.SERVED, 900 * MS, true, null));
+            }
+        }
+        assertTrue(sent.refused > 50, "shut: " + sent.refused);
+        refusedOf(choice, 2, 2, 50 * MS, 0);
+        assertEquals(0, refusedOf(choice, 4, 20, 50 * MS, 0));
+    }
+
+    @Test
+    void aServerIsNotSilentWhileItsAnswersLieUnread() {
+        Choice choice = choice(64, Effect.SAFE);
+        choice.on(0, request(0));
+        choice.on(0, request(1));
+        choice.on(1_000 * MS, new TimerFired(2, 990 * MS));
+        choice.on(1_001 * MS, new TimerFired(2, 0));
+        assertEquals(List.of("server " + sent.servers.get(0) + " is silent: no answer to 1 attempts"), sent.lines.subList(0, 1));
+        sent.lines.clear();
+        Choice held = choice(64, Effect.SAFE);
+        held.on(0, request(0));
+        held.on(1_000 * MS, new TimerFired(2, 990 * MS));
+        assertEquals(List.of(), sent.lines);
+    }
+
     @Test
     void longWorkIsLeftToEndAndWhatNeverEndsIsCalledOff() {
         assertEquals(0, calledOffAfter(400 * MS), "late, but it may still be at work");
--- a/src/test/java/tinworks/system/WholeSystemTest.java
+++ b/src/test/java/tinworks/system/WholeSystemTest.java
@@ -24,6 +24,7 @@
 import tinworks.control.CoreNode;
 import tinworks.demo.FreePorts;
 import tinworks.edge.EdgeNode;
+import tinworks.net.GatewayClock;
 import tinworks.node.BootSettings;
 import tinworks.node.NodeProcess;
 import tinworks.raft.HardState;
@@ -81,7 +82,7 @@
             cores.add(core);
             on(core::start).forEach(bound -> assertTrue(bound.awaitUninterruptibly().isSuccess(), String.valueOf(bound.cause())));
         }
-        edge = on(() -> new EdgeNode(loop, settings("edge-1", "127.0.0.9"), 77));
+        edge = on(() -> new EdgeNode(loop, new GatewayClock(), settings("edge-1", "127.0.0.9"), 77));
         on(edge::start).forEach(bound -> assertTrue(bound.awaitUninterruptibly().isSuccess(), String.valueOf(bound.cause())));
     }
 
