Tell edges changed hosts alone, and let no host that drained come back

Cause: each announcement named every edge to every edge, from every core machine, once a second and at each change: edges x edges bytes (1.6 kB each at 64 edges). Each change of the number of edges made all classes of all services anew. An edge took whatever list came with the higher number, and one that fetched for itself could be told an older list afterwards, in which a draining host was ready. Change: an announcement carries a count; PullHosts names the version held, and HostHistory answers with the changes since, or the whole list where it doesn't remember; an edge passes on only what is not as it was. Classes are made once for each configuration. Drained remembers ids that were once draining: they never become ready again. The bytes between processes have version 2. Tests: HostHistoryTest, DrainedTest, SignalCodecTest.

--- a/src/main/java/tinworks/channel/HostList.java
+++ b/src/main/java/tinworks/channel/HostList.java
@@ -22,6 +22,11 @@
      */
     public record Host(String id, String service, String address, String zone, int slots, boolean draining,
                        long warmupMs) {
+        /** The same host, about to end. */
+        public Host asDraining() {
+            return new Host(id, service, address, zone, slots, true, warmupMs);
+        }
+
         /** The same but for the time that passes by itself. */
         public boolean sameAs(Host other) {
             return id.equals(other.id) && service.equals(other.service) && address.equals(other.address)
--- a/src/main/java/tinworks/channel/Signal.java
+++ b/src/main/java/tinworks/channel/Signal.java
@@ -26,22 +26,19 @@
     /** A core machine that isn't a voter asks to be sent the log. */
     record Join(Member member) implements Signal { }
 
-    /** An edge that a core machine hears. */
-    record Edge(long id, String zone) { }
-
     /**
      * What a core machine has: newer versions may be pulled from it.
      *
      * @param fresh it hears a leader, so it isn't behind for long
      * @param leads it is the leader
      * @param cores the addresses of all core machines that the sender knows of
+     * @param edges how many edges are linked with the sender
      */
-    record Announce(long rev, HostListVersion hosts, boolean fresh, boolean leads, List<String> cores, List<Edge> edges)
+    record Announce(long rev, HostListVersion hosts, boolean fresh, boolean leads, List<String> cores, int edges)
             implements Signal {
-        /** Keeps its own lists. */
+        /** Keeps its own list. */
         public Announce {
             cores = List.copyOf(cores);
-            edges = List.copyOf(edges);
         }
     }
 
@@ -51,12 +48,15 @@
     /** A version of the configuration, as the operator sent it. */
     record ConfigurationBody(long rev, byte[] body) implements Signal { }
 
-    /** Asks for the list of hosts. */
-    record PullHosts() implements Signal { }
+    /** Asks for the list of hosts, or for what has changed in it since the version held. */
+    record PullHosts(HostListVersion held) implements Signal { }
 
     /** The list of hosts. */
     record Hosts(HostList list) implements Signal { }
 
+    /** What has changed in the list of hosts. */
+    record HostsChanged(HostChange change) implements Signal { }
+
     /** A caller's request that only the leader can answer. {@code body} is a command, or empty for a read. */
     record Call(long number, boolean read, byte[] body) implements Signal { }
 
--- a/src/main/java/tinworks/channel/SignalCodec.java
+++ b/src/main/java/tinworks/channel/SignalCodec.java
@@ -10,9 +10,9 @@
 import tinworks.channel.Signal.Call;
 import tinworks.channel.Signal.CallAnswer;
 import tinworks.channel.Signal.ConfigurationBody;
-import tinworks.channel.Signal.Edge;
 import tinworks.channel.Signal.Hello;
 import tinworks.channel.Signal.Hosts;
+import tinworks.channel.Signal.HostsChanged;
 import tinworks.channel.Signal.Join;
 import tinworks.channel.Signal.Part;
 import tinworks.channel.Signal.Ping;
@@ -39,13 +39,13 @@
     /** The first four bytes of a Hello: {@code TWCH}. */
     static final int MAGIC = 0x54574348;
     /** Raised whenever the bytes change; a connection between two versions is closed at its Hello. */
-    static final short VERSION = 1;
+    static final short VERSION = 2;
     /** The longest frame: a configuration of the longest body, and what stands round it. */
     static final int LONGEST = 16 << 20;
     private static final int LONGEST_TEXT = 4_096;
 
     private static final byte HELLO = 1, PING = 2, AGREEMENT = 3, JOIN = 4, ANNOUNCE = 5, PULL_CONFIGURATION = 6,
-            CONFIGURATION = 7, PULL_HOSTS = 8, HOSTS = 9, CALL = 10, CALL_ANSWER = 11;
+            CONFIGURATION = 7, PULL_HOSTS = 8, HOSTS = 9, CALL = 10, CALL_ANSWER = 11, HOSTS_CHANGED = 12;
     private static final byte VOTE_REQUEST = 1, VOTE_REPLY = 2, APPEND = 3, APPEND_REPLY = 4, INSTALL = 5, HAND_OVER = 6;
     private static final Entry.Kind[] KINDS = Entry.Kind.values();
     private static final Part[] PARTS = Part.values();
@@ -80,10 +80,20 @@
             out.one(PULL_CONFIGURATION);
         } else if (signal instanceof ConfigurationBody s) {
             out.one(CONFIGURATION).eight(s.rev()).bytes(s.body());
-        } else if (signal instanceof PullHosts) {
+        } else if (signal instanceof PullHosts s) {
             out.one(PULL_HOSTS);
+            writeVersion(out, s.held());
         } else if (signal instanceof Hosts s) {
-            writeHosts(out, s.list());
+            out.one(HOSTS);
+            writeVersion(out, s.list().version());
+            writeHosts(out, s.list().hosts());
+        } else if (signal instanceof HostsChanged s) {
+            out.one(HOSTS_CHANGED);
+            writeVersion(out, s.change().base());
+            writeVersion(out, s.change().version());
+            writeHosts(out, s.change().set());
+            out.four(s.change().gone().size());
+            s.change().gone().forEach(out::text);
         } else if (signal instanceof Call s) {
             out.one(CALL).eight(s.number()).flag(s.read()).bytes(s.body());
         } else if (signal instanceof CallAnswer s) {
@@ -118,8 +128,9 @@
             case ANNOUNCE -> readAnnounce(in);
             case PULL_CONFIGURATION -> new PullConfiguration();
             case CONFIGURATION -> new ConfigurationBody(in.eight(), in.bytes());
-            case PULL_HOSTS -> new PullHosts();
-            case HOSTS -> readHosts(in);
+            case PULL_HOSTS -> new PullHosts(readVersion(in));
+            case HOSTS -> new Hosts(new HostList(readVersion(in), readHosts(in)));
+            case HOSTS_CHANGED -> new HostsChanged(new HostChange(readVersion(in), readVersion(in), readHosts(in), readTexts(in)));
             case CALL -> new Call(in.eight(), in.flag(), in.bytes());
             case CALL_ANSWER -> new CallAnswer(in.eight(), in.four(), in.bytes());
             default -> throw new Malformed("no signal of kind " + kind);
@@ -138,44 +149,47 @@
     }
 
     private static void writeAnnounce(Writer out, Announce s) {
-        out.one(ANNOUNCE).eight(s.rev()).eight(s.hosts().term()).eight(s.hosts().count()).flag(s.fresh()).flag(s.leads());
-        out.four(s.cores().size());
+        out.one(ANNOUNCE).eight(s.rev());
+        writeVersion(out, s.hosts());
+        out.flag(s.fresh()).flag(s.leads()).four(s.cores().size());
         s.cores().forEach(out::text);
-        out.four(s.edges().size());
-        s.edges().forEach(edge -> out.eight(edge.id()).text(edge.zone()));
+        out.four(s.edges());
     }
 
     private static Announce readAnnounce(Reader in) throws Malformed {
-        long rev = in.eight();
-        HostListVersion version = new HostListVersion(in.eight(), in.eight());
-        boolean fresh = in.flag();
-        boolean leads = in.flag();
-        List<String> cores = new ArrayList<>();
+        return new Announce(in.eight(), readVersion(in), in.flag(), in.flag(), readTexts(in), in.four());
+    }
+
+    private static List<String> readTexts(Reader in) throws Malformed {
+        List<String> texts = new ArrayList<>();
         for (int i = in.count(Integer.BYTES); i > 0; i--) {
-            cores.add(in.text());
+            texts.add(in.text());
         }
-        List<Edge> edges = new ArrayList<>();
-        for (int i = in.count(Long.BYTES + Integer.BYTES); i > 0; i--) {
-            edges.add(new Edge(in.eight(), in.text()));
-        }
-        return new Announce(rev, version, fresh, leads, cores, edges);
+        return texts;
+    }
+
+    private static void writeVersion(Writer out, HostListVersion version) {
+        out.eight(version.term()).eight(version.count());
+    }
+
+    private static HostListVersion readVersion(Reader in) {
+        return new HostListVersion(in.eight(), in.eight());
     }
 
-    private static void writeHosts(Writer out, HostList list) {
-        out.one(HOSTS).eight(list.version().term()).eight(list.version().count()).four(list.hosts().size());
-        for (HostList.Host host : list.hosts()) {
+    private static void writeHosts(Writer out, List<HostList.Host> hosts) {
+        out.four(hosts.size());
+        for (HostList.Host host : hosts) {
             out.text(host.id()).text(host.service()).text(host.address()).text(host.zone()).four(host.slots())
                     .flag(host.draining()).eight(host.warmupMs());
         }
     }
 
-    private static Hosts readHosts(Reader in) throws Malformed {
-        HostListVersion version = new HostListVersion(in.eight(), in.eight());
+    private static List<HostList.Host> readHosts(Reader in) throws Malformed {
         List<HostList.Host> hosts = new ArrayList<>();
         for (int i = in.count(5 * Integer.BYTES + 1 + Long.BYTES); i > 0; i--) {
             hosts.add(new HostList.Host(in.text(), in.text(), in.text(), in.text(), in.four(), in.flag(), in.eight()));
         }
-        return new Hosts(new HostList(version, hosts));
+        return hosts;
     }
 
     private static void writeMessage(Writer out, Message message) {
--- a/src/main/java/tinworks/control/CoreNode.java
+++ b/src/main/java/tinworks/control/CoreNode.java
@@ -3,7 +3,6 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
@@ -15,6 +14,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import tinworks.channel.Conversation;
+import tinworks.channel.HostHistory;
 import tinworks.channel.HostList;
 import tinworks.channel.HostListVersion;
 import tinworks.channel.Links;
@@ -23,9 +23,9 @@
 import tinworks.channel.Signal.Call;
 import tinworks.channel.Signal.CallAnswer;
 import tinworks.channel.Signal.ConfigurationBody;
-import tinworks.channel.Signal.Edge;
 import tinworks.channel.Signal.Hello;
 import tinworks.channel.Signal.Hosts;
+import tinworks.channel.Signal.HostsChanged;
 import tinworks.channel.Signal.Join;
 import tinworks.channel.Signal.Part;
 import tinworks.channel.Signal.PullConfiguration;
@@ -66,7 +66,7 @@
     private final Map<Long, Long> joins = new HashMap<>();
     private final Set<String> announced = new HashSet<>();
     private BootSettings current;
-    private HostList hosts = HostList.NONE;
+    private final HostHistory hosts = new HostHistory();
     private long announcedRev = -1;
     private long announceAt;
     private long joinAt;
@@ -131,18 +131,19 @@
     }
 
     HostList hosts() {
-        return hosts;
+        return hosts.newest();
     }
 
     BootSettings settings() {
         return settings;
     }
 
-    List<Edge> edges() {
-        List<Edge> edges = new ArrayList<>();
-        conversations.stream().filter(c -> c.isOpen() && c.peer().part() == Part.EDGE)
-                .forEach(c -> edges.add(new Edge(c.peer().id(), c.peer().zone())));
-        edges.sort(Comparator.comparingLong(Edge::id));
+    /** How many edges are linked here. */
+    int edges() {
+        int edges = 0;
+        for (Conversation c : conversations) {
+            edges += c.isOpen() && c.peer().part() == Part.EDGE ? 1 : 0;
+        }
         return edges;
     }
 
@@ -239,9 +240,9 @@
         if (raft.role() != Raft.Role.LEADER) {
             return;
         }
-        HostListVersion old = hosts.version();
-        if (old.term() != raft.term() || !hosts.sameAs(list)) {
-            hosts = new HostList(new HostListVersion(raft.term(), old.term() == raft.term() ? old.count() + 1 : 1), list);
+        HostListVersion old = hosts().version();
+        if (old.term() != raft.term() || !hosts().sameAs(list)) {
+            hosts.advance(new HostList(new HostListVersion(raft.term(), old.term() == raft.term() ? old.count() + 1 : 1), list));
             announce();
         }
     }
@@ -263,7 +264,7 @@
         }
         raft.members().forEach(m -> cores.add(m.address()));
         cores.add(settings.innerAddress());
-        return new Announce(agreement.history().rev(), hosts.version(), raft.inTouch(), leads, List.copyOf(cores), edges());
+        return new Announce(agreement.history().rev(), hosts().version(), raft.inTouch(), leads, List.copyOf(cores), edges());
     }
 
     // ---- what it hears
@@ -295,14 +296,15 @@
             }
         } else if (signal instanceof PullConfiguration) {
             from.send(new ConfigurationBody(agreement.history().rev(), agreement.history().body()));
-        } else if (signal instanceof PullHosts) {
-            from.send(new Hosts(hosts));
+        } else if (signal instanceof PullHosts s) {
+            from.send(hosts.since(s.held()));
         } else if (signal instanceof Announce s) {
             heard(from, s);
         } else if (signal instanceof Hosts s) {
-            if (s.list().version().compareTo(hosts.version()) > 0) {
-                hosts = s.list();
-                announce();
+            took(s.list());
+        } else if (signal instanceof HostsChanged s) {
+            if (s.change().base().equals(hosts().version())) {
+                took(s.change().appliedTo(hosts()));
             }
         } else if (signal instanceof Call s) {
             operator.called(s, answer -> from.send(answer));
@@ -311,15 +313,23 @@
         }
     }
 
+    private void took(HostList list) {
+        pulledAt = 0;
+        if (list.version().compareTo(hosts().version()) > 0) {
+            hosts.advance(list);
+            announce();
+        }
+    }
+
     private void heard(Conversation from, Announce s) {
         if (s.leads() && raft.role() != Raft.Role.LEADER) {
             announced.clear();
             announced.addAll(s.cores());
         }
         long now = SteadyClock.millis();
-        if (s.hosts().compareTo(hosts.version()) > 0 && now - pulledAt > PULL_AGAIN_MILLIS) {
+        if (s.hosts().compareTo(hosts().version()) > 0 && now - pulledAt > PULL_AGAIN_MILLIS) {
             pulledAt = now;
-            from.send(new PullHosts());
+            from.send(new PullHosts(hosts().version()));
         }
     }
 
--- a/src/main/java/tinworks/control/OperatorServer.java
+++ b/src/main/java/tinworks/control/OperatorServer.java
@@ -283,7 +283,7 @@
                 .gauge("voters", "Machines that vote", raft.members().size())
                 .gauge("configuration_version", "The newest version that was applied here", node.agreement().history().rev())
                 .gauge("hosts", "Hosts on the list", node.hosts().hosts().size())
-                .gauge("edges", "Edges that are linked here or known", node.edges().size())
+                .gauge("edges", "Edges that are linked here or known", node.edges())
                 .gauge("calls_waiting", "Operator's calls without an answer", waiting.size());
     }
 
@@ -292,7 +292,7 @@
         StringBuilder json = new StringBuilder(256).append("{\"node\":\"").append(escaped(node.settings().node()))
                 .append("\",\"role\":\"").append(raft.role()).append("\",\"term\":").append(raft.term())
                 .append(",\"commit\":").append(raft.commit()).append(",\"rev\":").append(node.agreement().history().rev())
-                .append(",\"hosts\":").append(node.hosts().hosts().size()).append(",\"edges\":").append(node.edges().size())
+                .append(",\"hosts\":").append(node.hosts().hosts().size()).append(",\"edges\":").append(node.edges())
                 .append(",\"voters\":[");
         Iterator<tinworks.raft.Member> members = raft.members().iterator();
         while (members.hasNext()) {
--- a/src/main/java/tinworks/edge/EdgeNode.java
+++ b/src/main/java/tinworks/edge/EdgeNode.java
@@ -28,6 +28,7 @@
 import tinworks.channel.Signal.ConfigurationBody;
 import tinworks.channel.Signal.Hello;
 import tinworks.channel.Signal.Hosts;
+import tinworks.channel.Signal.HostsChanged;
 import tinworks.channel.Signal.Part;
 import tinworks.channel.Signal.PullConfiguration;
 import tinworks.channel.Signal.PullHosts;
@@ -93,8 +94,11 @@
     private Configuration configuration;
     private RouteTable routes = RouteTable.EMPTY;
     private HostList list = HostList.NONE;
-    /** The hosts as last told, by a core machine or by the platform itself. */
-    private List<Host> known = List.of();
+    /** The hosts by their ids as last told, by a core machine or by the platform itself. */
+    private Map<String, Host> known = Map.of();
+    private final Drained drained = new Drained();
+    /** The classes of each service under the present configuration. */
+    private final Map<String, List<RequestClass>> classes = new HashMap<>();
     private boolean listed;
     private Set<String> cores = Set.of();
     private int gateways = 1;
@@ -219,13 +223,22 @@
         } else if (signal instanceof ConfigurationBody s) {
             configured(s);
         } else if (signal instanceof Hosts s) {
-            if (s.list().version().compareTo(list.version()) > 0) {
-                list = s.list();
-                listed(list.hosts());
+            took(s.list());
+        } else if (signal instanceof HostsChanged s) {
+            if (s.change().base().equals(list.version())) {
+                took(s.change().appliedTo(list));
             }
         }
     }
 
+    private void took(HostList newer) {
+        pulledHostsAt = 0;
+        if (newer.version().compareTo(list.version()) > 0) {
+            list = newer;
+            listed(list.hosts());
+        }
+    }
+
     private void heard(Conversation from, Announce s) {
         long now = SteadyClock.millis();
         if (s.fresh()) {
@@ -233,7 +246,7 @@
         }
         if (s.leads()) {
             cores = Set.copyOf(s.cores());
-            count(s.edges().size());
+            count(s.edges());
         } else if (cores.isEmpty() && s.fresh()) {
             cores = Set.copyOf(s.cores());
         }
@@ -246,7 +259,7 @@
         newest.holds(rev);
         if (s.hosts().compareTo(list.version()) > 0 && now - pulledHostsAt > PULL_AGAIN_MILLIS) {
             pulledHostsAt = now;
-            from.send(new PullHosts());
+            from.send(new PullHosts(list.version()));
         }
     }
 
@@ -271,6 +284,9 @@
             configuration.routes().stream().filter(r -> r.type() == Type.MUTATING)
                     .forEach(r -> mutating.add(ServiceSettings.className(r)));
             style.mutating(mutating);
+            classes.clear();
+            configuration.services().keySet().forEach(service ->
+                    classes.put(service, List.copyOf(ServiceSettings.classes(configuration, service))));
             reconfigure();
             LOG.info("configuration {} with {} routes", configuration.rev(), configuration.routes().size());
         } catch (InvalidConfiguration e) {
@@ -283,12 +299,12 @@
             return;
         }
         for (String service : configuration.services().keySet()) {
-            List<RequestClass> classes = ServiceSettings.classes(configuration, service);
+            List<RequestClass> itsClasses = classes.get(service);
             Forwarding there = services.get(service);
             if (there != null) {
-                there.tell(new Reconfigured(classes, gateways));
-            } else if (!classes.isEmpty()) {
-                Forwarding made = new Forwarding(loop, clock, ServiceSettings.settings(classes, gateways, settings.zone()),
+                there.tell(new Reconfigured(itsClasses, gateways));
+            } else if (!itsClasses.isEmpty()) {
+                Forwarding made = new Forwarding(loop, clock, ServiceSettings.settings(itsClasses, gateways, settings.zone()),
                         random.nextLong(), hosts, style, this);
                 services.put(service, made);
                 made.tell(new ListReceived(ListKind.WHOLE, servers(service)));
@@ -303,39 +319,72 @@
 
     // ---- the hosts
 
-    /** A list that a core machine told or, while none does, one that this edge fetched itself. */
+    /**
+     * A list that a core machine told or, while none does, one that this edge fetched itself. Only what is not as it was
+     * is passed on: a release changes some hosts a second, of hundreds.
+     */
     private void listed(List<Host> found) {
-        boolean first = !listed;
-        listed = true;
-        long now = clock.nanos();
-        Set<String> ids = new HashSet<>();
+        Map<String, Host> next = new LinkedHashMap<>();
+        Map<String, List<ServerInfo>> changed = new HashMap<>();
         List<HostPool.Place> places = new ArrayList<>();
-        for (Host host : found) {
-            ids.add(host.id());
-            long warm = Math.min(ServiceSettings.WARM_UP_NANOS, TimeUnit.MILLISECONDS.toNanos(host.warmupMs()));
-            startedAt.putIfAbsent(host.id(), warm <= 0 ? 0 : now + warm - ServiceSettings.WARM_UP_NANOS);
-            places.add(new HostPool.Place(host.id(), Address.read(host.address()), startedAt.get(host.id()), !host.draining(), false));
+        for (Host told : found) {
+            Host host = drained.kept(told);
+            Host old = known.get(host.id());
+            next.put(host.id(), host);
+            if (old != null && !old.service().equals(host.service())) {
+                changed.computeIfAbsent(old.service(), service -> new ArrayList<>()).add(server(old, Readiness.GONE));
+            }
+            if (old == null || !old.sameAs(host)) {
+                startedAt.computeIfAbsent(host.id(), id -> startOf(host));
+                places.add(new HostPool.Place(host.id(), Address.read(host.address()), startedAt.get(host.id()), !host.draining(), false));
+                changed.computeIfAbsent(host.service(), service -> new ArrayList<>()).add(server(host));
+            }
+        }
+        for (Host old : known.values()) {
+            if (!next.containsKey(old.id())) {
+                places.add(new HostPool.Place(old.id(), Address.read(old.address()), startedAt.get(old.id()), false, true));
+                changed.computeIfAbsent(old.service(), service -> new ArrayList<>()).add(server(old, Readiness.GONE));
+            }
         }
-        startedAt.keySet().retainAll(ids);
-        known = found;
-        hosts.update(places, true);
-        services.forEach((service, forwarding) -> forwarding.tell(new ListReceived(ListKind.WHOLE, servers(service))));
-        if (first) {
+        startedAt.keySet().retainAll(next.keySet());
+        known = next;
+        hosts.update(places, false);
+        changed.forEach((service, servers) -> {
+            Forwarding forwarding = services.get(service);
+            if (forwarding != null) {
+                forwarding.tell(new ListReceived(ListKind.CHANGES, servers));
+            }
+        });
+        if (!listed) {
             LOG.info("{} hosts", found.size());
         }
+        listed = true;
+    }
+
+    /** In this edge's clock; 0 where the start is long ago. */
+    private long startOf(Host host) {
+        long warm = Math.min(ServiceSettings.WARM_UP_NANOS, TimeUnit.MILLISECONDS.toNanos(host.warmupMs()));
+        return warm <= 0 ? 0 : clock.nanos() + warm - ServiceSettings.WARM_UP_NANOS;
     }
 
     private List<ServerInfo> servers(String service) {
         List<ServerInfo> servers = new ArrayList<>();
-        for (Host host : known) {
+        for (Host host : known.values()) {
             if (host.service().equals(service)) {
-                servers.add(new ServerInfo(host.id(), host.zone(), "", 0, host.draining() ? Readiness.DRAINING : Readiness.READY,
-                        host.slots(), startedAt.get(host.id())));
+                servers.add(server(host));
             }
         }
         return servers;
     }
 
+    private ServerInfo server(Host host) {
+        return server(host, host.draining() ? Readiness.DRAINING : Readiness.READY);
+    }
+
+    private ServerInfo server(Host host, Readiness readiness) {
+        return new ServerInfo(host.id(), host.zone(), "", 0, readiness, host.slots(), startedAt.get(host.id()));
+    }
+
     // ---- Forwarding.Owner
 
     @Override
--- /dev/null
+++ b/src/test/java/tinworks/channel/HostHistoryTest.java
@@ -0,0 +1,79 @@
+package tinworks.channel;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import tinworks.channel.HostList.Host;
+
+class HostHistoryTest {
+    private static Host host(int number, boolean draining) {
+        return new Host(String.format("i-%08x", number), "slot-lookup", "10.128.0." + number % 250 + ":8080", "shah-alam", 3, draining, 0);
+    }
+
+    private static HostList list(long term, long count, int from, int to) {
+        List<Host> hosts = new ArrayList<>();
+        for (int i = from; i < to; i++) {
+            hosts.add(host(i, false));
+        }
+        return new HostList(new HostListVersion(term, count), hosts);
+    }
+
+    @Test
+    void whoeverHoldsAnOlderListComesToTheNewestByItsChanges() {
+        SplittableRandom random = new SplittableRandom(5);
+        HostHistory history = new HostHistory();
+        List<HostList> all = new ArrayList<>();
+        for (int i = 1; i <= 60; i++) {
+            List<Host> hosts = new ArrayList<>();
+            for (int n = 0; n < 40; n++) {
+                if (random.nextInt(4) > 0) {
+                    hosts.add(host(n, random.nextInt(3) == 0));
+                }
+            }
+            all.add(new HostList(new HostListVersion(1 + i / 20, i), hosts));
+            history.advance(all.get(all.size() - 1));
+        }
+        for (HostList held : all.subList(0, all.size() - 1)) {
+            HostChange change = assertInstanceOf(Signal.HostsChanged.class, history.since(held.version())).change();
+            assertEquals(history.newest(), change.appliedTo(held));
+        }
+    }
+
+    @Test
+    void whoHoldsNoneOrOneThatNobodyRemembersIsToldTheWholeList() {
+        HostHistory history = new HostHistory();
+        for (int i = 1; i <= 100; i++) {
+            history.advance(list(1, i, 0, i));
+        }
+        assertEquals(new Signal.Hosts(history.newest()), history.since(HostListVersion.NONE));
+        assertEquals(new Signal.Hosts(history.newest()), history.since(new HostListVersion(1, 1)));
+        assertEquals(new Signal.Hosts(history.newest()), history.since(new HostListVersion(9, 9)));
+        assertThrows(IllegalArgumentException.class, () -> HostChange.between(list(1, 1, 0, 2), list(1, 2, 0, 3)).appliedTo(list(1, 3, 0, 2)));
+    }
+
+    /** Held in CI: a changed host costs its own size, however many there are, and an announcement no more for more edges. */
+    @Test
+    void aChangedHostCostsItsOwnSizeAndAnAnnouncementTheSameForAnyNumberOfEdges() {
+        for (int hosts : new int[] {30, 250, 2_000}) {
+            HostHistory history = new HostHistory();
+            HostList first = list(1, 1, 0, hosts);
+            history.advance(first);
+            List<Host> changed = new ArrayList<>(first.hosts());
+            changed.set(7, host(7, true));
+            history.advance(new HostList(new HostListVersion(1, 2), changed));
+            int bytes = SignalCodec.write(history.since(first.version())).remaining();
+            assertTrue(bytes < 200, bytes + " bytes for one host of " + hosts);
+        }
+        for (int edges : new int[] {4, 16, 64, 256}) {
+            int bytes = SignalCodec.write(new Signal.Announce(9, new HostListVersion(3, 4), true, true,
+                    List.of("10.0.0.1:7540", "10.1.0.1:7540", "10.2.0.1:7540", "10.3.0.1:7540", "10.4.0.1:7540"), edges)).remaining();
+            assertTrue(bytes < 150, bytes + " bytes at " + edges + " edges");
+        }
+    }
+}
--- a/src/test/java/tinworks/channel/SignalCodecTest.java
+++ b/src/test/java/tinworks/channel/SignalCodecTest.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
-import tinworks.channel.Signal.Edge;
 import tinworks.channel.Signal.Part;
 import tinworks.raft.Entry;
 import tinworks.raft.Member;
@@ -19,10 +18,12 @@
     private static final Member MEMBER = new Member(-5, "10.1.0.9:7540");
     private static final List<Signal> ALL = List.of(
             new Signal.Hello(Part.EDGE, 7, "", "edge-1", "zone"), new Signal.Ping(), new Signal.Join(MEMBER),
-            new Signal.Announce(9, new HostListVersion(3, 4), true, false, List.of("a:1", "b:1"), List.of(new Edge(1, "z"))),
-            new Signal.PullConfiguration(), new Signal.ConfigurationBody(9, new byte[] {1, 2}), new Signal.PullHosts(),
+            new Signal.Announce(9, new HostListVersion(3, 4), true, false, List.of("a:1", "b:1"), 69),
+            new Signal.PullConfiguration(), new Signal.ConfigurationBody(9, new byte[] {1, 2}), new Signal.PullHosts(new HostListVersion(1, 1)),
             new Signal.Hosts(new HostList(new HostListVersion(1, 2),
                     List.of(new HostList.Host("i-1", "svc", "10.0.0.1:80", "z", 3, true, 900)))),
+            new Signal.HostsChanged(new HostChange(new HostListVersion(1, 2), new HostListVersion(2, 1),
+                    List.of(new HostList.Host("i-1", "svc", "10.0.0.1:80", "z", 3, true, 900)), List.of("i-2"))),
             new Signal.Call(3, false, new byte[] {5}), new Signal.CallAnswer(3, 412, new byte[] {6}),
             agreement(new Message.VoteRequest(4, true, 5, 6, false)), agreement(new Message.VoteReply(4, false, true)),
             agreement(new Message.Append(4, 1, 2, 3, 4, List.of(new Entry(2, 4, Entry.Kind.COMMAND, new byte[] {8})))),
--- /dev/null
+++ b/src/test/java/tinworks/edge/DrainedTest.java
@@ -0,0 +1,33 @@
+package tinworks.edge;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+import tinworks.channel.HostList.Host;
+
+class DrainedTest {
+    private final Drained drained = new Drained();
+
+    private static Host host(String id, boolean draining) {
+        return new Host(id, "s", "10.0.0.1:80", "z", 3, draining, 0);
+    }
+
+    @Test
+    void aHostOnceDrainingNeverComesBackUnderItsIdWhateverAnOlderListSays() {
+        assertFalse(drained.kept(host("i-1", false)).draining());
+        assertTrue(drained.kept(host("i-1", true)).draining());
+        assertTrue(drained.kept(host("i-1", false)).draining(), "told by a machine that had died and holds an older list");
+        assertEquals(host("i-2", false), drained.kept(host("i-2", false)));
+    }
+
+    @Test
+    void onlyTheNewestAreRemembered() {
+        for (int i = 0; i < 10_000; i++) {
+            drained.kept(host("i-" + i, true));
+        }
+        assertFalse(drained.kept(host("i-0", false)).draining());
+        assertTrue(drained.kept(host("i-9999", false)).draining());
+    }
+}
