Meet the code before the first client, and look at the settings file by its text

Cause: samples of 24 edges' first seconds (640): most is Netty and JDK code met for the first time. A look at the settings file every 2.5 s parsed it and compared records, whose comparison the runtime makes at its first use (3% of all samples); a refusal's Retry-After was formatted by locale (3%). The settings file is compared by its text, Retry-After written by hand. Tests: EdgeRehearsalTest, and those of the parts.

--- a/src/main/java/tinworks/channel/HostChange.java
+++ b/src/main/java/tinworks/channel/HostChange.java
@@ -36,7 +36,7 @@
 
     /** The later list. One that isn't of the version that this builds on is an {@link IllegalArgumentException}. */
     public HostList appliedTo(HostList list) {
-        if (!list.version().equals(base)) {
+        if (!list.version().is(base)) {
             throw new IllegalArgumentException("builds on " + base + ", not on " + list.version());
         }
         Map<String, Host> hosts = byId(list.hosts());
--- a/src/main/java/tinworks/channel/HostHistory.java
+++ b/src/main/java/tinworks/channel/HostHistory.java
@@ -30,7 +30,7 @@
         for (HostChange change : changes) {
             if (all != null) {
                 all = all.then(change);
-            } else if (change.base().equals(held) && held.compareTo(HostListVersion.NONE) > 0) {
+            } else if (change.base().is(held) && held.compareTo(HostListVersion.NONE) > 0) {
                 all = change;
             }
         }
--- a/src/main/java/tinworks/cli/CommandLineTool.java
+++ b/src/main/java/tinworks/cli/CommandLineTool.java
@@ -13,6 +13,7 @@
 import java.time.Duration;
 import java.util.HexFormat;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.Callable;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -79,7 +80,7 @@
                 byte[] bytes = Files.readAllBytes(file);
                 String text = new String(bytes, StandardCharsets.UTF_8);
                 if (text.contains("\"portRange\"")) {
-                    BootSettings settings = BootSettings.read(file);
+                    BootSettings settings = BootSettings.read(Map.of(BootSettings.VARIABLE, file.toString()));
                     say(spec, "settings of " + settings.node() + ": in order");
                 } else {
                     Configuration read = ConfigurationReader.read(bytes);
--- a/src/main/java/tinworks/control/CoreNode.java
+++ b/src/main/java/tinworks/control/CoreNode.java
@@ -303,7 +303,7 @@
         } else if (signal instanceof Hosts s) {
             took(s.list());
         } else if (signal instanceof HostsChanged s) {
-            if (s.change().base().equals(hosts().version())) {
+            if (s.change().base().is(hosts().version())) {
                 took(s.change().appliedTo(hosts()));
             }
         } else if (signal instanceof Call s) {
--- a/src/main/java/tinworks/edge/EdgeNode.java
+++ b/src/main/java/tinworks/edge/EdgeNode.java
@@ -35,8 +35,6 @@
 import tinworks.channel.Signal;
 import tinworks.channel.SteadyClock;
 import tinworks.config.Configuration.Limits;
-import tinworks.config.Configuration.Route;
-import tinworks.config.Configuration.Split;
 import tinworks.config.Configuration.Type;
 import tinworks.config.Configuration;
 import tinworks.config.ConfigurationReader;
@@ -57,7 +55,6 @@
 import tinworks.policy.Protocol.ListReceived;
 import tinworks.policy.Protocol.Readiness;
 import tinworks.policy.Protocol.Reconfigured;
-import tinworks.policy.Protocol.RequestArrived;
 import tinworks.policy.Protocol.RequestClass;
 import tinworks.policy.Protocol.ServerInfo;
 
@@ -83,6 +80,7 @@
     private final HostPoller poller;
     private final HostPool hosts;
     private final EdgeStyle style;
+    private final Requests requests;
     private final ClientServer clients;
     private final ClientServer probes;
     private final Map<String, Forwarding> services = new LinkedHashMap<>();
@@ -92,7 +90,6 @@
     private final long startMillis = SteadyClock.millis();
     private BootSettings current;
     private Configuration configuration;
-    private RouteTable routes = RouteTable.EMPTY;
     private HostList list = HostList.NONE;
     /** The hosts by their ids as last told, by a core machine or by the platform itself. */
     private Map<String, Host> known = Map.of();
@@ -119,7 +116,8 @@
         poller = new HostPoller(loop, clock, settings.provider(), id, this::listed, this::log);
         hosts = new HostPool(loop, Transport.TCP, clock,
                 new HostPool.Bounds(DIAL_NANOS, HOST_IDLE_NANOS, connections(), LARGEST_ANSWER), style);
-        clients = new ClientServer(loop, Transport.TCP, clock, clientBounds(Limits.USUAL), new Requests());
+        requests = new Requests(clock, random, style, services);
+        clients = new ClientServer(loop, Transport.TCP, clock, clientBounds(Limits.USUAL), requests);
         probes = new ClientServer(loop, Transport.TCP, clock, new ClientServer.Bounds(PROBES, TimeUnit.SECONDS.toNanos(2),
                 TimeUnit.SECONDS.toNanos(5), PROBE_HEAD, PROBE_HEAD, READYZ), new Probes());
         heardLeaderAt = startMillis;
@@ -141,6 +139,11 @@
     public List<ChannelFuture> start() {
         links.want(current.seeds());
         tick();
+        if (settings.bootstrap()) {
+            // No client can be there yet: time to meet the code before they do.
+            new EdgeRehearsal(loop, clock, clients::holdsAny, played -> LOG.info("rehearsed {} requests in {} ms: {}",
+                    played.answered(), played.millis(), played.why())).start();
+        }
         return List.of(probes.listen(settings.readyz()), clients.listen(settings.http()));
     }
 
@@ -225,7 +228,7 @@
         } else if (signal instanceof Hosts s) {
             took(s.list());
         } else if (signal instanceof HostsChanged s) {
-            if (s.change().base().equals(list.version())) {
+            if (s.change().base().is(list.version())) {
                 took(s.change().appliedTo(list));
             }
         }
@@ -277,7 +280,7 @@
         }
         try {
             configuration = ConfigurationReader.read(body.body());
-            routes = new RouteTable(configuration.routes());
+            requests.use(new RouteTable(configuration.routes()));
             newest.holds(configuration.rev());
             clients.rebound(clientBounds(configuration.limits()));
             Set<String> mutating = new HashSet<>();
@@ -419,60 +422,4 @@
                     Unpooled.wrappedBuffer(metrics().text()), 0);
         }
     }
-
-    private final class Requests implements ClientServer.Listener {
-        @Override
-        public boolean ready() {
-            return EdgeNode.this.ready();
-        }
-
-        @Override
-        public void requested(FullHttpRequest request, long arrivedAt, Reply reply) throws BadRequest {
-            if (configuration == null) {
-                style.refused(reply, TimeUnit.MILLISECONDS.toNanos(200));
-                return;
-            }
-            Route route = routes.find(request.headers().get(HttpHeaderNames.HOST), request.uri());
-            if (route == null) {
-                throw new BadRequest(HttpResponseStatus.NOT_FOUND, "no route");
-            }
-            List<String> ids = request.headers().getAll(EdgeStyle.ID);
-            if (ids.size() != 1 || ids.get(0).isEmpty()) {
-                throw new BadRequest(HttpResponseStatus.BAD_REQUEST, "wanted one " + EdgeStyle.ID);
-            }
-            long now = clock.nanos();
-            long left = TimeUnit.MILLISECONDS.toNanos(Math.min(route.timeoutMs(), deadline(request, route))) - (now - arrivedAt);
-            if (left <= 0) {
-                style.refused(reply, 0);
-                return;
-            }
-            Forwarding service = services.get(draw(route));
-            service.begin(now, new RequestArrived(ids.get(0), ServiceSettings.className(route), null, null, left, 0, false),
-                    request, reply);
-        }
-
-        private long deadline(FullHttpRequest request, Route route) throws BadRequest {
-            String text = request.headers().get(EdgeStyle.DEADLINE);
-            if (text == null) {
-                return route.timeoutMs();
-            }
-            try {
-                return Math.max(0, (long) Double.parseDouble(text));
-            } catch (NumberFormatException e) {
-                throw new BadRequest(HttpResponseStatus.BAD_REQUEST, "can't read " + EdgeStyle.DEADLINE);
-            }
-        }
-
-        private String draw(Route route) {
-            double sum = route.split().stream().mapToDouble(Split::weight).sum();
-            double at = route.split().size() == 1 ? 0 : random.nextDouble() * sum;
-            for (Split part : route.split()) {
-                at -= part.weight();
-                if (at < 0 && part.weight() > 0) {
-                    return part.service();
-                }
-            }
-            return route.split().stream().filter(part -> part.weight() > 0).findFirst().orElseThrow().service();
-        }
-    }
 }
--- /dev/null
+++ b/src/main/java/tinworks/edge/Requests.java
@@ -0,0 +1,103 @@
+package tinworks.edge;
+
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import tinworks.config.Configuration.Route;
+import tinworks.config.Configuration.Split;
+import tinworks.edge.RouteTable.Target;
+import tinworks.net.ClientServer;
+import tinworks.net.ClientServer.BadRequest;
+import tinworks.net.ClientServer.Reply;
+import tinworks.net.Forwarding;
+import tinworks.net.GatewayClock;
+import tinworks.policy.Protocol.RequestArrived;
+
+/** Takes clients' requests: finds each one's route, draws its service, and hands it to that service's module. */
+final class Requests implements ClientServer.Listener {
+    private static final long NO_ROUTES_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
+    private final GatewayClock clock;
+    private final SplittableRandom random;
+    private final EdgeStyle style;
+    private final Map<String, Forwarding> services;
+    /** Null before the first configuration. */
+    private RouteTable routes;
+
+    /** Without routes yet; the services are the caller's to fill, one for each that a route names. */
+    Requests(GatewayClock clock, SplittableRandom random, EdgeStyle style, Map<String, Forwarding> services) {
+        this.clock = clock;
+        this.random = random;
+        this.style = style;
+        this.services = services;
+    }
+
+    /** From now on requests go by these. */
+    void use(RouteTable changed) {
+        routes = changed;
+    }
+
+    @Override
+    public boolean ready() {
+        return routes != null;
+    }
+
+    @Override
+    public void requested(FullHttpRequest request, long arrivedAt, Reply reply) throws BadRequest {
+        if (routes == null) {
+            style.refused(reply, NO_ROUTES_PAUSE_NANOS);
+            return;
+        }
+        Target target = routes.find(request.headers().get(HttpHeaderNames.HOST), request.uri());
+        if (target == null) {
+            throw new BadRequest(HttpResponseStatus.NOT_FOUND, "no route");
+        }
+        Route route = target.route();
+        List<String> ids = request.headers().getAll(EdgeStyle.ID);
+        if (ids.size() != 1 || ids.get(0).isEmpty()) {
+            throw new BadRequest(HttpResponseStatus.BAD_REQUEST, "wanted one " + EdgeStyle.ID);
+        }
+        long now = clock.nanos();
+        long left = TimeUnit.MILLISECONDS.toNanos(Math.min(route.timeoutMs(), deadline(request, route))) - (now - arrivedAt);
+        if (left <= 0) {
+            style.refused(reply, 0);
+            return;
+        }
+        services.get(draw(route)).begin(now, new RequestArrived(ids.get(0), target.className(), null, null, left, 0, false),
+                request, reply);
+    }
+
+    private long deadline(FullHttpRequest request, Route route) throws BadRequest {
+        String text = request.headers().get(EdgeStyle.DEADLINE);
+        if (text == null) {
+            return route.timeoutMs();
+        }
+        try {
+            return Math.max(0, text.indexOf('.') < 0 ? Long.parseLong(text) : (long) Double.parseDouble(text));
+        } catch (NumberFormatException e) {
+            throw new BadRequest(HttpResponseStatus.BAD_REQUEST, "can't read " + EdgeStyle.DEADLINE);
+        }
+    }
+
+    /** A service by chance, in proportion to the weights, of which one at least is above 0. */
+    private String draw(Route route) {
+        List<Split> parts = route.split();
+        double sum = 0;
+        for (Split part : parts) {
+            sum += part.weight();
+        }
+        double at = parts.size() == 1 ? 0 : random.nextDouble() * sum;
+        String drawn = null;
+        for (Split part : parts) {
+            if (part.weight() > 0 && (drawn == null || at >= 0)) {
+                drawn = part.service();
+            }
+            at -= part.weight();
+        }
+        return drawn;
+    }
+}
--- a/src/main/java/tinworks/edge/RouteTable.java
+++ b/src/main/java/tinworks/edge/RouteTable.java
@@ -11,27 +11,29 @@
  * prefix for each slash of the path, however many routes there are.
  */
 final class RouteTable {
-    static final RouteTable EMPTY = new RouteTable(List.of());
+    /** Where a request goes; the name is the decision module's for the route. */
+    record Target(Route route, String className) { }
 
-    private final Map<String, Map<String, Route>> byDomain = new HashMap<>();
+    private final Map<String, Map<String, Target>> byDomain = new HashMap<>();
 
     RouteTable(List<Route> routes) {
         for (Route route : routes) {
-            byDomain.computeIfAbsent(route.domain(), domain -> new HashMap<>()).put(route.prefix(), route);
+            byDomain.computeIfAbsent(route.domain(), domain -> new HashMap<>())
+                    .put(route.prefix(), new Target(route, ServiceSettings.className(route)));
         }
     }
 
     /** The route of a Host header and a request's target, or null. */
-    Route find(String host, String target) {
-        Map<String, Route> prefixes = host == null ? null : byDomain.get(domain(host));
+    Target find(String host, String target) {
+        Map<String, Target> prefixes = host == null ? null : byDomain.get(domain(host));
         if (prefixes == null) {
             return null;
         }
         String path = path(target);
         for (int end = path.lastIndexOf('/'); end >= 0; end = end == 0 ? -1 : path.lastIndexOf('/', end - 1)) {
-            Route route = prefixes.get(path.substring(0, end + 1));
-            if (route != null) {
-                return route;
+            Target found = prefixes.get(path.substring(0, end + 1));
+            if (found != null) {
+                return found;
             }
         }
         return null;
--- a/src/main/java/tinworks/net/ClientServer.java
+++ b/src/main/java/tinworks/net/ClientServer.java
@@ -12,6 +12,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DuplexChannel;
+import io.netty.util.concurrent.Future;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -31,7 +32,6 @@
 import java.util.ArrayDeque;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -100,6 +100,7 @@
     private final Set<Connection> due = new LinkedHashSet<>();
     /** Those that have been told what is wrong and are about to be closed. */
     private final Set<Connection> lingering = new LinkedHashSet<>();
+    private final Future<?> sweeper;
     private Bounds bounds;
     private Channel acceptor;
     private boolean ending;
@@ -112,7 +113,7 @@
         this.clock = clock;
         this.bounds = bounds;
         this.listener = listener;
-        loop.scheduleWithFixedDelay(this::endOverdue, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+        sweeper = loop.scheduleWithFixedDelay(this::endOverdue, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     /** Starts to listen; the future fails where the address can't be had. */
@@ -156,6 +157,13 @@
         List.copyOf(due).stream().filter(connection -> !connection.begun).forEach(Connection::drop);
     }
 
+    /** Closes all connections without a word, and is of no further use. */
+    public void close() {
+        sweeper.cancel(false);
+        acceptor.close();
+        List.copyOf(connections).forEach(Connection::drop);
+    }
+
     /** Whether a client still waits for an answer, or for the rest of one. */
     public boolean holdsAny() {
         return !connections.isEmpty();
@@ -272,8 +280,7 @@
             answer.headers().add(headers);
             answer.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
             if (pauseNanos > 0) {
-                answer.headers().set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f",
-                        (double) pauseNanos / TimeUnit.SECONDS.toNanos(1)));
+                answer.headers().set(HttpHeaderNames.RETRY_AFTER, seconds(pauseNanos));
             }
             // What was sent ahead is still owed its answer.
             boolean spared = crowded() && connection.pipelined.isEmpty();
@@ -281,6 +288,13 @@
         }
     }
 
+    /** Seconds with three decimals, rounded up: a client that comes back too soon is refused again. */
+    static String seconds(long nanos) {
+        long millis = (nanos + 999_999) / 1_000_000;
+        String part = String.valueOf(1_000 + millis % 1_000);
+        return millis / 1_000 + "." + part.substring(1);
+    }
+
     /** A request, or what came in place of one, and when its last byte came. */
     private record Arrived(FullHttpRequest request, long at) { }
 
--- a/src/main/java/tinworks/net/Forwarding.java
+++ b/src/main/java/tinworks/net/Forwarding.java
@@ -72,6 +72,7 @@
     private final Tally tally = new Tally();
     private long last = Long.MIN_VALUE;
     private boolean deciding;
+    private boolean closed;
 
     private record Stamped(long at, Event event) { }
 
@@ -103,6 +104,11 @@
         return tally;
     }
 
+    /** From now on no timer goes off. */
+    public void close() {
+        closed = true;
+    }
+
     /** How many requests are open. */
     public int open() {
         return open.size();
@@ -177,7 +183,11 @@
 
     @Override
     public void setTimer(long delayNanos, long token) {
-        loop.schedule(() -> tell(new TimerFired(token, clock.heldUpNanos())), delayNanos, TimeUnit.NANOSECONDS);
+        loop.schedule(() -> {
+            if (!closed) {
+                tell(new TimerFired(token, clock.heldUpNanos()));
+            }
+        }, delayNanos, TimeUnit.NANOSECONDS);
     }
 
     @Override
--- a/src/main/java/tinworks/net/HostPool.java
+++ b/src/main/java/tinworks/net/HostPool.java
@@ -79,6 +79,7 @@
     private final Dialect dialect;
     private final Bootstrap bootstrap;
     private final Map<String, Host> hosts = new HashMap<>();
+    private final Future<?> sweeper;
     private int connections;
 
     /** A pool that knows no host yet. */
@@ -90,7 +91,7 @@
         bootstrap = new Bootstrap().group(loop).channel(transport.client())
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS,
                         (int) Math.max(1, TimeUnit.NANOSECONDS.toMillis(bounds.dialTimeoutNanos())));
-        loop.scheduleWithFixedDelay(this::retireIdle, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+        sweeper = loop.scheduleWithFixedDelay(this::retireIdle, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     /**
@@ -153,6 +154,13 @@
         return attempt;
     }
 
+    /** Closes all connections, those with a request on them too, and is of no further use. */
+    public void close() {
+        sweeper.cancel(false);
+        hosts.values().forEach(host -> List.copyOf(host.all).forEach(connection -> connection.channel.close()));
+        hosts.clear();
+    }
+
     /** Connections that are open or on their way. */
     public int connections() {
         return connections;
--- a/src/main/java/tinworks/net/Rehearsal.java
+++ b/src/main/java/tinworks/net/Rehearsal.java
@@ -8,14 +8,12 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
 import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.local.LocalAddress;
 import io.netty.channel.local.LocalIoHandler;
 import io.netty.channel.nio.NioIoHandler;
@@ -25,7 +23,6 @@
 import java.net.StandardProtocolFamily;
 import java.net.UnixDomainSocketAddress;
 import java.nio.channels.SocketChannel;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -46,10 +43,7 @@
     private static final int REQUESTS = 400;
     /** Without sockets less can be warmed: enough to meet the code once, and clients are served the sooner. */
     private static final int REQUESTS_IN_MEMORY = 24;
-    private static final int CLIENTS = 8, HOSTS = 4, NONE = -1, MARK = 0;
-    /** The mark stands at the end alone: a read may end anywhere. */
-    private static final byte[] BODY = (".".repeat(600) + (char) MARK).getBytes(StandardCharsets.US_ASCII);
-    private static final byte[] NOTHING = { };
+    private static final int CLIENTS = 8, HOSTS = 4;
     /** A gateway is wanted soon after its start: what isn't warm by then has to do. */
     static final long LONGEST_MILLIS = 4_000;
     private static final long END_MILLIS = 500, QUIET_MILLIS = 20;
@@ -189,35 +183,6 @@
         }
     }
 
-    /**
-     * Far sides know each other's words and so need no codec, whose own warming would only cost time: what
-     * they send ends in a mark, and nothing follows before it has its answer.
-     */
-    private abstract static class FarSide extends SimpleChannelInboundHandler<ByteBuf> {
-        private int first = NONE;
-
-        @Override
-        protected final void channelRead0(ChannelHandlerContext ctx, ByteBuf bytes) {
-            if (!bytes.isReadable()) {
-                return; // where there are no sockets between, a write of nothing arrives as such
-            }
-            first = first == NONE ? bytes.getByte(bytes.readerIndex()) : first;
-            int last = bytes.getByte(bytes.writerIndex() - 1);
-            if (isWhole(first, last, bytes)) {
-                first = NONE;
-                came(ctx);
-            }
-        }
-
-        abstract boolean isWhole(int first, int last, ByteBuf end);
-
-        abstract void came(ChannelHandlerContext ctx);
-
-        static void write(ChannelHandlerContext ctx, String head, byte[] body) {
-            ctx.writeAndFlush(Unpooled.wrappedBuffer((head + "\r\n").getBytes(StandardCharsets.US_ASCII), body));
-        }
-    }
-
     private final class Client extends FarSide {
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
@@ -240,15 +205,13 @@
             write(ctx, safe ? head : head + "Content-Length: " + BODY.length + "\r\n", safe ? NOTHING : BODY);
         }
 
-        /** A host's body ends in the mark; the gateway's own line ends in a bare line feed, which no head does. */
         @Override
-        boolean isWhole(int first, int last, ByteBuf end) {
-            int ahead = end.readableBytes() < 2 ? MARK : end.getByte(end.writerIndex() - 2);
-            return last == MARK || last == '\n' && ahead != '\r';
+        protected boolean isWhole(int first, int last, ByteBuf end) {
+            return isWholeAnswer(last, end);
         }
 
         @Override
-        void came(ChannelHandlerContext ctx) {
+        protected void came(ChannelHandlerContext ctx) {
             if (++answered < requests) {
                 ask(ctx);
             } else {
@@ -264,14 +227,13 @@
 
         private int requests;
 
-        /** A POST has a body, which ends in the mark; a GET ends with its head. */
         @Override
-        boolean isWhole(int first, int last, ByteBuf end) {
-            return last == (first == 'P' ? MARK : '\n');
+        protected boolean isWhole(int first, int last, ByteBuf end) {
+            return isWholeRequest(first, last);
         }
 
         @Override
-        void came(ChannelHandlerContext ctx) {
+        protected void came(ChannelHandlerContext ctx) {
             requests++;
             boolean full = requests % FULL_EVERY == 0;
             String status = full ? "503 Full\r\nX-Not-Processed: 1\r\n"
--- a/src/main/java/tinworks/node/BootSettings.java
+++ b/src/main/java/tinworks/node/BootSettings.java
@@ -40,26 +40,40 @@
         seeds = List.copyOf(seeds);
     }
 
-    /** Reads the file that the environment names; what is wrong ends as an {@link IllegalArgumentException} of one line. */
-    public static BootSettings read(Map<String, String> environment) {
+    /** The text of the file that the environment names; one that can't be read is an {@link IllegalArgumentException}. */
+    public static String text(Map<String, String> environment) {
         String file = environment.get(VARIABLE);
         if (file == null || file.isEmpty()) {
             throw new IllegalArgumentException(VARIABLE + " is not set");
         }
-        return read(Path.of(file));
+        try {
+            return Files.readString(Path.of(file));
+        } catch (IOException e) {
+            throw unreadable(file, e);
+        }
+    }
+
+    /** Reads the file that the environment names, text and all. */
+    public static BootSettings read(Map<String, String> environment) {
+        return read(environment, text(environment));
     }
 
-    /** Reads a file. */
-    public static BootSettings read(Path file) {
+    /** Reads that text; what is wrong ends as an {@link IllegalArgumentException} of one line. */
+    public static BootSettings read(Map<String, String> environment, String text) {
+        String file = environment.get(VARIABLE);
         try {
-            return read(Json.read(Files.readString(file)));
+            return read(Json.read(text));
         } catch (IOException e) {
-            throw new IllegalArgumentException("can't read " + file + ": " + e.getMessage().lines().findFirst().orElse(""), e);
+            throw unreadable(file, e);
         } catch (IllegalArgumentException e) {
             throw new IllegalArgumentException(file + ": " + e.getMessage(), e);
         }
     }
 
+    private static IllegalArgumentException unreadable(String file, IOException e) {
+        return new IllegalArgumentException("can't read " + file + ": " + e.getMessage().lines().findFirst().orElse(""), e);
+    }
+
     /** Reads the file's text. */
     public static BootSettings read(Json json) {
         if (!json.isObject()) {
--- a/src/main/java/tinworks/node/NodeProcess.java
+++ b/src/main/java/tinworks/node/NodeProcess.java
@@ -36,10 +36,13 @@
     private final MultiThreadIoEventLoopGroup group;
     private final EventLoop loop;
     private final LoopLag lag = new LoopLag(NioIoHandler.newFactory());
-    private BootSettings settings;
+    private final BootSettings settings;
+    /** The settings file as it was last read. */
+    private String text;
 
-    private NodeProcess(Map<String, String> environment, BootSettings settings) {
+    private NodeProcess(Map<String, String> environment, String text, BootSettings settings) {
         this.environment = environment;
+        this.text = text;
         this.settings = settings;
         group = new MultiThreadIoEventLoopGroup(1, lag);
         loop = group.next();
@@ -49,9 +52,10 @@
     public static NodeProcess start(Map<String, String> environment) {
         // Guards against a search for logging libraries that aren't there, which costs a start as much as a list.
         InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
-        BootSettings settings = BootSettings.read(environment);
+        String text = BootSettings.text(environment);
+        BootSettings settings = BootSettings.read(environment, text);
         JsonLines.install(settings.node(), Level.parse(environment.getOrDefault(LEVEL, "INFO")));
-        return new NodeProcess(environment, settings);
+        return new NodeProcess(environment, text, settings);
     }
 
     /** The settings that it started with. */
@@ -110,11 +114,12 @@
 
     private void reload(Consumer<BootSettings> changed) {
         try {
-            BootSettings read = BootSettings.read(environment);
-            if (!read.equals(settings)) {
-                settings = read;
+            // By its text: a look every few seconds at a file that hardly ever changes should cost a comparison.
+            String read = BootSettings.text(environment);
+            if (!read.equals(text)) {
+                changed.accept(BootSettings.read(environment, read));
+                text = read;
                 LOG.info("the settings have changed");
-                changed.accept(read);
             }
         } catch (IllegalArgumentException e) {
             LOG.warn("kept the old settings: {}", e.getMessage());
--- /dev/null
+++ b/src/test/java/tinworks/edge/EdgeRehearsalTest.java
@@ -0,0 +1,44 @@
+package tinworks.edge;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import tinworks.net.GatewayClock;
+import tinworks.node.NodeProcess;
+
+@Timeout(value = 60, unit = TimeUnit.SECONDS)
+class EdgeRehearsalTest {
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+
+    @AfterEach
+    void stop() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly(5_000);
+    }
+
+    private EdgeRehearsal.Played play(boolean clientThere) {
+        CompletableFuture<EdgeRehearsal.Played> played = new CompletableFuture<>();
+        NodeProcess.run(loop, () -> new EdgeRehearsal(loop, new GatewayClock(), () -> clientThere, played::complete).start());
+        return played.join();
+    }
+
+    @Test
+    void itsRequestsAreServedThroughTheEdgesOwnParts() {
+        EdgeRehearsal.Played played = play(false);
+        assertTrue(played.answered() > 100, played.toString());
+        assertTrue(played.served() * 10 >= played.answered() * 9, "nearly all by a host: " + played);
+    }
+
+    @Test
+    void itEndsWithTheFirstAnswerOnceAClientIsThere() {
+        assertEquals(1, play(true).answered());
+    }
+}
--- a/src/test/java/tinworks/edge/EdgeTest.java
+++ b/src/test/java/tinworks/edge/EdgeTest.java
@@ -34,10 +34,10 @@
     void theLongestPrefixOfTheDomainIsTheRoute() {
         RouteTable table = new RouteTable(List.of(route("a", "x.example", "/"), route("b", "x.example", "/p/"),
                 route("c", "x.example", "/p/q/"), route("d", "y.example", "/p/")));
-        assertEquals("c", table.find("X.example:8080", "/p/q/r?x=/p/").name());
-        assertEquals("b", table.find("x.example", "/p/qq").name());
-        assertEquals("a", table.find("x.example", "/p").name());
-        assertEquals("d", table.find("y.example", "/p/").name());
+        assertEquals("c", table.find("X.example:8080", "/p/q/r?x=/p/").route().name());
+        assertEquals("b", table.find("x.example", "/p/qq").route().name());
+        assertEquals("a", table.find("x.example", "/p").route().name());
+        assertEquals("d", table.find("y.example", "/p/").route().name());
         assertNull(table.find("y.example", "/q/"));
         assertNull(table.find("z.example", "/p/"));
         assertNull(table.find(null, "/p/"));
@@ -52,7 +52,7 @@
         RouteTable table = new RouteTable(routes);
         long started = System.nanoTime();
         for (int i = 0; i < 100_000; i++) {
-            assertEquals("r" + i, table.find("x.example", "/p" + i + "/a/b/c").name());
+            assertEquals("r" + i, table.find("x.example", "/p" + i + "/a/b/c").route().name());
         }
         // A search through all would take minutes; the bound is wide for slow machines.
         assertFalse(System.nanoTime() - started > TimeUnit.SECONDS.toNanos(20));
