Read JSON by tokens and write the log without the runtime's own logging

Cause: of the time from a start to its first link, timed step by step, 70 ms went into reading the settings and 38 ms into the runtime's logging (Jackson's binding, LogManager, handlers, resource bundles); at 0.09 core that is a second. After all power is lost every edge pays it at once. Change: Json builds its maps and lists from Jackson's tokens, and no longer takes a text with something behind its value; tinworks.logging is a provider for SLF4J that writes the same lines of JSON, and Netty logs through it too. Losses: TINWORKS_LOG takes SLF4J's levels (ERROR, WARN, INFO, DEBUG, TRACE) in place of the runtime's. Tests: JsonLogTest; ConfigurationTest and DecodersTest for the reader.

--- a/src/main/java/tinworks/json/Json.java
+++ b/src/main/java/tinworks/json/Json.java
@@ -1,18 +1,61 @@
 package tinworks.json;
 
-import com.fasterxml.jackson.jr.ob.JSON;
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParseException;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
 /**
- * A value of a JSON text, as the library's plain maps, lists, strings, numbers and flags; null where there is
- * none. The library is Jackson's small one: the large one's tree costs a start as much CPU as the Java runtime.
+ * A value of a JSON text, as plain maps, lists, strings, numbers and flags; null where there is none. The library is
+ * Jackson's reader of tokens: its binding to objects costs a start nearly as much as the Java runtime.
  */
 public record Json(Object value) {
-    /** Reads one text; what can't be read is an {@link IOException}. */
+    private static final JsonFactory FACTORY = new JsonFactory();
+
+    /** Reads one text that holds one value; what can't be read is an {@link IOException}. */
     public static Json read(String text) throws IOException {
-        return new Json(JSON.std.anyFrom(text));
+        try (JsonParser parser = FACTORY.createParser(text)) {
+            parser.nextToken();
+            Object value = value(parser);
+            if (parser.nextToken() != null) {
+                throw new JsonParseException(parser, "something stands behind the value");
+            }
+            return new Json(value);
+        }
+    }
+
+    /** The value that begins with the present token; the library bounds how deep it may go. */
+    private static Object value(JsonParser parser) throws IOException {
+        JsonToken token = parser.currentToken();
+        if (token == JsonToken.START_OBJECT) {
+            Map<String, Object> fields = new LinkedHashMap<>();
+            while (parser.nextToken() != JsonToken.END_OBJECT) {
+                String name = parser.currentName();
+                parser.nextToken();
+                fields.put(name, value(parser));
+            }
+            return fields;
+        } else if (token == JsonToken.START_ARRAY) {
+            List<Object> entries = new ArrayList<>();
+            while (parser.nextToken() != JsonToken.END_ARRAY) {
+                entries.add(value(parser));
+            }
+            return entries;
+        } else if (token == JsonToken.VALUE_STRING) {
+            return parser.getText();
+        } else if (token == JsonToken.VALUE_NUMBER_INT || token == JsonToken.VALUE_NUMBER_FLOAT) {
+            return parser.getNumberValue();
+        } else if (token == JsonToken.VALUE_TRUE || token == JsonToken.VALUE_FALSE) {
+            return token == JsonToken.VALUE_TRUE;
+        } else if (token == JsonToken.VALUE_NULL) {
+            return null;
+        }
+        throw new JsonParseException(parser, "no value, but " + token);
     }
 
     /** A field, with no value where this is no object or lacks it. */
@@ -36,7 +79,14 @@
 
     /** The entries of an array, none of anything else. */
     public List<Json> entries() {
-        return value instanceof List<?> list ? list.stream().map(Json::new).toList() : List.of();
+        if (!(value instanceof List<?> list)) {
+            return List.of();
+        }
+        List<Json> entries = new ArrayList<>(list.size());
+        for (Object entry : list) {
+            entries.add(new Json(entry));
+        }
+        return entries;
     }
 
     public boolean isObject() {
--- /dev/null
+++ b/src/main/java/tinworks/logging/package-info.java
@@ -0,0 +1,2 @@
+/** Lines of JSON for everything that is logged through SLF4J. */
+package tinworks.logging;
--- a/src/main/java/tinworks/node/NodeProcess.java
+++ b/src/main/java/tinworks/node/NodeProcess.java
@@ -5,7 +5,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.internal.logging.InternalLoggerFactory;
-import io.netty.util.internal.logging.JdkLoggerFactory;
+import io.netty.util.internal.logging.Slf4JLoggerFactory;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Callable;
@@ -14,9 +14,10 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.logging.Level;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.slf4j.event.Level;
+import tinworks.logging.JsonLog;
 import tinworks.net.GatewayClock;
 import tinworks.net.LoopLag;
 
@@ -51,13 +52,21 @@
     /** A process with the settings that the environment names; bad ones are an {@link IllegalArgumentException}. */
     public static NodeProcess start(Map<String, String> environment) {
         // Guards against a search for logging libraries that aren't there, which costs a start as much as a list.
-        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
+        InternalLoggerFactory.setDefaultFactory(Slf4JLoggerFactory.INSTANCE);
         String text = BootSettings.text(environment);
         BootSettings settings = BootSettings.read(environment, text);
-        JsonLines.install(settings.node(), Level.parse(environment.getOrDefault(LEVEL, "INFO")));
+        JsonLog.install(settings.node(), level(environment.getOrDefault(LEVEL, "INFO")));
         return new NodeProcess(environment, text, settings);
     }
 
+    private static Level level(String name) {
+        try {
+            return Level.valueOf(name);
+        } catch (IllegalArgumentException e) {
+            throw new IllegalArgumentException(LEVEL + ": wanted one of " + List.of(Level.values()) + ", not " + name, e);
+        }
+    }
+
     /** The settings that it started with. */
     public BootSettings settings() {
         return settings;
