--- a/src/test/java/tinworks/raft/Cluster.java
+++ b/src/test/java/tinworks/raft/Cluster.java
@@ -198,7 +198,7 @@
             start();
         }
 
-        private void propose(int command) {
+        void propose(int command) {
             long index = raft.propose(ByteBuffer.allocate(Integer.BYTES).putInt(command).array());
             if (index > 0) {
                 open.put(index, command);
--- a/src/test/java/tinworks/raft/RaftTest.java
+++ b/src/test/java/tinworks/raft/RaftTest.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import tinworks.config.ConfigurationHistory;
 import tinworks.raft.Cluster.Flaw;
 import tinworks.raft.Cluster.Node;
 
@@ -175,6 +176,50 @@
         assertTrue(cluster.leader() != old);
     }
 
+    /** Two operators build on the same version, one on either side of a cut: one is confirmed, and the other never. */
+    @Test
+    void ofTwoChangesOnEitherSideOfACutOneAtMostIsConfirmedAndAllMachinesAgreeWhich() {
+        int confirmed = 0;
+        for (long seed = 1; seed <= 300; seed++) {
+            int voters = seed % 2 == 0 ? 5 : 3;
+            Cluster cluster = new Cluster(seed, voters, Flaw.NONE);
+            cluster.run(1_500);
+            Node old = cluster.leader();
+            assertNotNull(old);
+            int withOld = voters == 5 ? cluster.random.nextInt(2) : 0;
+            for (Node node : cluster.nodes) {
+                if (node != old && withOld > 0) {
+                    withOld--; // one more on the losing side, which still is a minority
+                    cluster.nodes.stream().filter(n -> n != old && n != node).forEach(n -> cluster.cut(n.number, node.number));
+                } else if (node != old) {
+                    cluster.cut(node.number, old.number);
+                }
+            }
+            old.propose(1);
+            cluster.run(cluster.now + 50 + cluster.random.nextInt(1_500));
+            Node other = cluster.leader();
+            if (other != null && other != old) {
+                other.propose(2);
+            }
+            cluster.run(cluster.now + 500);
+            assertFalse(cluster.acknowledged.contains(1), "seed " + seed + ": confirmed without a majority");
+            settle(cluster);
+            int taken = 0;
+            for (Node node : cluster.nodes) {
+                cluster.checkKept(node);
+                ConfigurationHistory history = new ConfigurationHistory();
+                for (int command : node.state) {
+                    boolean isTaken = history.apply(ConfigurationHistory.command(0, command, new byte[] {(byte) command}))
+                            == ConfigurationHistory.Verdict.TAKEN;
+                    assertTrue(!isTaken || taken == 0 || taken == command, "seed " + seed + ": " + taken + " and " + command);
+                    taken = isTaken ? command : taken;
+                }
+            }
+            confirmed += cluster.acknowledged.contains(2) ? 1 : 0;
+        }
+        assertTrue(confirmed > 100, "the majority's side is seldom heard: " + confirmed);
+    }
+
     private static Raft.Role notLeading(Raft.Role role) {
         return role == Raft.Role.ASKING ? Raft.Role.FOLLOWER : role;
     }
