Tell in the demo what an edge and a core machine cost, by what their threads are for

Cause: what a process costs by cause was counted by hand from /proc, and not kept. Tests: DemoTest.aProcessCostsWhatItsThreadsDid.

--- a/src/main/java/tinworks/demo/Demo.java
+++ b/src/main/java/tinworks/demo/Demo.java
@@ -313,6 +313,10 @@
         long unasked = NodeProcess.call(loop, ledger::unasked);
         out.printf(Locale.ROOT, "ran twice: %d, ran against a promise: %d, ran unasked: %d; restarts: %d; list calls: %d%n", twice,
                 broken, unasked, machines.restarts(), NodeProcess.call(loop, platform::answered));
+        out.println(ProcessCosts.heading());
+        for (String role : List.of("edge", "core")) {
+            out.println(machines.costs(role).line(role));
+        }
         out.flush();
         return served > 0 && twice == 0 && broken == 0 && unasked == 0;
     }
--- a/src/main/java/tinworks/demo/Machines.java
+++ b/src/main/java/tinworks/demo/Machines.java
@@ -87,6 +87,13 @@
         machines.get(name).process.destroy();
     }
 
+    /** What the processes of a role have cost since each one's last start. */
+    synchronized ProcessCosts costs(String role) {
+        ProcessCosts costs = new ProcessCosts();
+        machines.values().stream().filter(machine -> machine.role.equals(role)).forEach(machine -> costs.add(machine.process.pid()));
+        return costs;
+    }
+
     /** How often processes were started, the first time of each left out. */
     synchronized int restarts() {
         return machines.values().stream().mapToInt(machine -> machine.starts - 1).sum();
--- a/src/test/java/tinworks/demo/DemoTest.java
+++ b/src/test/java/tinworks/demo/DemoTest.java
@@ -24,6 +24,7 @@
             assertTrue(demo.play(), said.toString());
         }
         assertTrue(said.toString().contains("restarts: 2"), said.toString());
+        assertTrue(said.toString().contains(ProcessCosts.heading()), said.toString());
         assertEquals(before, children(), "no process is left");
     }
 
@@ -31,6 +32,18 @@
         return ProcessHandle.current().children().filter(ProcessHandle::isAlive).count();
     }
 
+    @Test
+    void aProcessCostsWhatItsThreadsDid() {
+        ProcessCosts costs = new ProcessCosts();
+        costs.add(ProcessHandle.current().pid());
+        assertEquals(1, costs.processes());
+        double all = costs.meanMillis().values().stream().mapToDouble(Double::doubleValue).sum();
+        assertTrue(all > 100, "this process has run for longer: " + all);
+        assertTrue(costs.meanMillis().get("compiler") > 0, costs.line("test"));
+        costs.add(-1);
+        assertEquals(1, costs.processes(), "one that isn't there is left out");
+    }
+
     @Test
     void aFaultIsReadOrRefusedWithWhatWasWanted() {
         assertEquals(new Fault(2.5, Fault.Kind.KILL_LEADER), Fault.of("2.5:kill-leader"));
