--- a/src/main/java/tinworks/demo/Demo.java
+++ b/src/main/java/tinworks/demo/Demo.java
@@ -143,23 +143,28 @@
 
     private void startMachines() throws IOException {
         for (int i = 0; i < plan.cores(); i++) {
-            machines.start("core-" + i, "core", settings("core-" + i, coreIp(i), "\"ctl\":\"" + coreIp(i) + ":" + ctl + "\"",
-                    "\"" + machines.disk("core-" + i) + "\"", i));
+            start("core-" + i, "core", coreIp(i), "\"ctl\":\"" + coreIp(i) + ":" + ctl + "\"",
+                    "\"" + machines.disk("core-" + i) + "\"", i);
         }
         for (int i = 0; i < plan.edges(); i++) {
-            machines.start("edge-" + i, "edge", settings("edge-" + i, edgeIp(i),
-                    "\"http\":\"" + edgeIp(i) + ":" + http + "\",\"readyz\":\"" + edgeIp(i) + ":" + readyz + "\"", "null", i));
+            start("edge-" + i, "edge", edgeIp(i),
+                    "\"http\":\"" + edgeIp(i) + ":" + http + "\",\"readyz\":\"" + edgeIp(i) + ":" + readyz + "\"", "null", i);
         }
     }
 
-    private String settings(String node, String ip, String listen, String disk, int number) {
+    /** As the platform does, it says of the first start alone that the whole system starts for the first time. */
+    private void start(String node, String role, String ip, String listen, String disk, int number) throws IOException {
+        machines.start(node, role, settings(node, ip, listen, disk, number, true), settings(node, ip, listen, disk, number, false));
+    }
+
+    private String settings(String node, String ip, String listen, String disk, int number, boolean bootstrap) {
         List<String> seeds = new ArrayList<>();
         for (int i = 0; i < Math.min(3, plan.cores()); i++) {
             seeds.add("\"" + coreIp(i) + ":" + ctl + "\"");
         }
         return "{\"node\":\"" + node + "\",\"az\":\"zone-" + number % 2 + "\",\"ip\":\"" + ip + "\",\"listen\":{" + listen
                 + "},\"portRange\":[" + inner + "," + inner + "],\"seeds\":[" + String.join(",", seeds)
-                + "],\"bootstrap\":true,\"limits\":{\"nofile\":4096},\"datadir\":" + disk
+                + "],\"bootstrap\":" + bootstrap + ",\"limits\":{\"nofile\":4096},\"datadir\":" + disk
                 + ",\"survive\":{\"nodes\":1},\"bounds\":{\"graceS\":6},\"provider\":{\"addr\":\"127.0.0.1:"
                 + platform.address().getPort() + "\"}}";
     }
--- a/src/main/java/tinworks/demo/Machines.java
+++ b/src/main/java/tinworks/demo/Machines.java
@@ -21,14 +21,16 @@
     /** One machine. */
     private static final class Machine {
         private final Path settings;
+        private final String laterSettings;
         private final String role;
         private final Path log;
         private Process process;
         private long endedAt;
         private int starts;
 
-        Machine(Path settings, String role, Path log) {
+        Machine(Path settings, String laterSettings, String role, Path log) {
             this.settings = settings;
+            this.laterSettings = laterSettings;
             this.role = role;
             this.log = log;
         }
@@ -53,12 +55,12 @@
         return folder.resolve(name + "-disk");
     }
 
-    /** Starts a machine with these settings. */
-    synchronized void start(String name, String role, String settings) throws IOException {
+    /** Starts a machine with these settings, and with the others whenever its process has ended. */
+    synchronized void start(String name, String role, String settings, String laterSettings) throws IOException {
         Path file = folder.resolve(name + ".json");
         Files.writeString(file, settings);
         Files.createDirectories(disk(name));
-        Machine machine = new Machine(file, role, folder.resolve(name + ".log"));
+        Machine machine = new Machine(file, laterSettings, role, folder.resolve(name + ".log"));
         machines.put(name, machine);
         launch(name, machine);
     }
@@ -120,6 +122,7 @@
                 machine.endedAt = now;
             } else if (now - machine.endedAt > TimeUnit.MILLISECONDS.toNanos(RESTART_MILLIS)) {
                 try {
+                    Files.writeString(machine.settings, machine.laterSettings);
                     launch(entry.getKey(), machine);
                 } catch (IOException e) {
                     machine.endedAt = now;
--- a/src/main/java/tinworks/edge/EdgeStyle.java
+++ b/src/main/java/tinworks/edge/EdgeStyle.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -10,10 +11,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
-import java.util.HashSet;
-import java.util.List;
-import java.util.Locale;
-import java.util.Map;
+import io.netty.util.AsciiString;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
@@ -27,11 +25,9 @@
 
 /** How requests and answers look in the system's protocol. */
 final class EdgeStyle implements Forwarding.Style, HostPool.Dialect {
-    static final String ID = "Attempt-Id", DEADLINE = "Deadline-Ms";
-    private static final String WANT = "Want-Host", SEAL = "Origin-Seal", NOT_RUN = "Not-Run";
-    /** Headers between two neighbours only, or made anew. */
-    private static final Set<String> NOT_PASSED_ON = Set.of("connection", "keep-alive", "proxy-connection", "te",
-            "trailer", "transfer-encoding", "upgrade", "expect", "content-length");
+    static final AsciiString ID = AsciiString.cached("Attempt-Id"), DEADLINE = AsciiString.cached("Deadline-Ms");
+    private static final AsciiString WANT = AsciiString.cached("Want-Host"), SEAL = AsciiString.cached("Origin-Seal"),
+            NOT_RUN = AsciiString.cached("Not-Run");
     /** Statuses that promise that the request has not run. */
     private static final Set<Integer> PROMISES = Set.of(408, 421, 429, 503);
     /**
@@ -56,40 +52,14 @@
 
     @Override
     public FullHttpRequest forHost(FullHttpRequest request, String host, long timeoutNanos) {
-        DefaultFullHttpRequest copy = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, request.method(), request.uri(),
-                request.content().retainedDuplicate());
-        copyEndToEnd(request.headers(), copy.headers());
-        copy.headers().set(DEADLINE, Math.max(1, TimeUnit.NANOSECONDS.toMillis(timeoutNanos)));
-        copy.headers().set(WANT, host);
+        HttpHeaders headers = EndToEnd.of(request.headers(), DEADLINE, WANT);
+        headers.add(DEADLINE, Math.max(1, TimeUnit.NANOSECONDS.toMillis(timeoutNanos)));
+        headers.add(WANT, host);
         if (request.content().isReadable() || !request.method().equals(HttpMethod.GET)) {
-            copy.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, request.content().readableBytes());
+            headers.setInt(HttpHeaderNames.CONTENT_LENGTH, request.content().readableBytes());
         }
-        return copy;
-    }
-
-    private static void copyEndToEnd(HttpHeaders from, HttpHeaders to) {
-        Set<String> named = namedByConnection(from);
-        for (Map.Entry<String, String> header : from) {
-            String name = header.getKey().toLowerCase(Locale.ROOT);
-            if (!NOT_PASSED_ON.contains(name) && !named.contains(name)) {
-                to.add(header.getKey(), header.getValue());
-            }
-        }
-    }
-
-    /** What the Connection header itself names concerns one connection only. */
-    private static Set<String> namedByConnection(HttpHeaders headers) {
-        List<String> values = headers.getAll(HttpHeaderNames.CONNECTION);
-        if (values.isEmpty()) {
-            return Set.of();
-        }
-        Set<String> named = new HashSet<>();
-        for (String value : values) {
-            for (String name : value.split(",")) {
-                named.add(name.trim().toLowerCase(Locale.ROOT));
-            }
-        }
-        return named;
+        return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, request.method(), request.uri(),
+                request.content().retainedDuplicate(), headers, EmptyHttpHeaders.INSTANCE);
     }
 
     @Override
@@ -99,9 +69,7 @@
 
     @Override
     public void served(Reply reply, Answer answer) {
-        HttpHeaders headers = new DefaultHttpHeaders();
-        copyEndToEnd(answer.head().headers(), headers);
-        reply.write(answer.head().status(), headers, answer.body().retain(), 0);
+        reply.write(answer.head().status(), EndToEnd.of(answer.head().headers()), answer.body().retain(), 0);
     }
 
     /** Guards against all who were refused in one moment coming back in another. */
@@ -118,8 +86,7 @@
         if (last != null && !PROMISES.contains(last.head().status().code()) && last.head().status().code() >= 300) {
             served(reply, last);
         } else {
-            HttpHeaders none = new DefaultHttpHeaders();
-            reply.write(HttpResponseStatus.BAD_GATEWAY, none, Unpooled.EMPTY_BUFFER, 0);
+            reply.write(HttpResponseStatus.BAD_GATEWAY, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER, 0);
         }
     }
 
--- a/src/main/java/tinworks/net/ClientServer.java
+++ b/src/main/java/tinworks/net/ClientServer.java
@@ -14,6 +14,7 @@
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.util.concurrent.Future;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpDecoderConfig;
@@ -266,21 +267,21 @@
         }
 
         private void write(HttpResponseStatus status, ByteBuf body, long pauseNanos) {
-            write(status, EmptyHttpHeaders.INSTANCE, body, pauseNanos);
+            write(status, new DefaultHttpHeaders(), body, pauseNanos);
         }
 
-        /** An answer with headers of its own; the body is the reply's from here on. */
+        /** An answer with headers of its own; they and the body are the reply's from here on. */
         public void write(HttpResponseStatus status, HttpHeaders headers, ByteBuf body, long pauseNanos) {
             if (done) {
                 body.release();
                 return;
             }
             done = true;
-            DefaultFullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
-            answer.headers().add(headers);
-            answer.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+            DefaultFullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body, headers,
+                    EmptyHttpHeaders.INSTANCE);
+            headers.setInt(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
             if (pauseNanos > 0) {
-                answer.headers().set(HttpHeaderNames.RETRY_AFTER, seconds(pauseNanos));
+                headers.set(HttpHeaderNames.RETRY_AFTER, seconds(pauseNanos));
             }
             // What was sent ahead is still owed its answer.
             boolean spared = crowded() && connection.pipelined.isEmpty();
--- a/src/main/java/tinworks/net/HostPool.java
+++ b/src/main/java/tinworks/net/HostPool.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.util.AsciiString;
 import io.netty.util.concurrent.Future;
 import java.net.SocketAddress;
 import java.util.ArrayDeque;
@@ -70,6 +71,7 @@
     /** Guards against a request that crosses the host's own closing of an idle connection. */
     private static final double IDLE_PART = 2.0 / 3;
     private static final long SWEEP_MILLIS = 500;
+    private static final AsciiString KEEP_ALIVE = AsciiString.cached("keep-alive");
     private static final String TIMEOUT = "timeout=";
     private static final int MOST_DIGITS = 6;
 
@@ -327,7 +329,7 @@
                 return; // called off within this very read, and closed
             }
             attempt = null;
-            host.told(head.headers().get("Keep-Alive"));
+            host.told(head.headers().get(KEEP_ALIVE));
             // A free connection first: the module may send again at once.
             release(clean && framed && HttpUtil.isKeepAlive(head) && answered.written);
             answered.end(dialect.outcome(answered.id, head, framed), dialect.load(head.headers()),
--- a/src/main/java/tinworks/net/RequestAssembler.java
+++ b/src/main/java/tinworks/net/RequestAssembler.java
@@ -7,6 +7,8 @@
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpMessage;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequest;
@@ -36,7 +38,7 @@
     @Override
     protected Object newContinueResponse(HttpMessage start, int most, ChannelPipeline pipeline) {
         boolean usual = !isContentLengthInvalid(start, most) && free.getAsBoolean();
-        return usual && start.headers().contains("Expect", "100-continue", true)
+        return usual && start.headers().contains(HttpHeaderNames.EXPECT, HttpHeaderValues.CONTINUE, true)
                 ? super.newContinueResponse(start, most, pipeline) : null;
     }
 
--- a/src/test/java/tinworks/edge/StrayAnswersTest.java
+++ b/src/test/java/tinworks/edge/StrayAnswersTest.java
@@ -95,7 +95,7 @@
     @CsvSource({"served", "full", "misdirected", "hinted", "pieces"})
     void anotherRequestsAnswerIsPassedOverAndTheOwnOneServed(String kind) throws Exception {
         try (ScriptedHost host = new ScriptedHost((socket, request) -> {
-            String id = request.header(EdgeStyle.ID);
+            String id = request.header(EdgeStyle.ID.toString());
             send(socket, id.equals("r2") ? stray(kind) + "|" + served(id) : served(id));
         })) {
             assertEquals(new Ended(Outcome.SERVED, "for r1"), ask(host, "r1", LONG_NANOS));
@@ -133,7 +133,7 @@
 
     @Test
     void anAnswerThatComesWhileTheConnectionRestsEndsIt() throws Exception {
-        try (ScriptedHost host = new ScriptedHost((socket, request) -> send(socket, served(request.header(EdgeStyle.ID))))) {
+        try (ScriptedHost host = new ScriptedHost((socket, request) -> send(socket, served(request.header(EdgeStyle.ID.toString()))))) {
             assertEquals(new Ended(Outcome.SERVED, "for r1"), ask(host, "r1", LONG_NANOS));
             send(host.connections.get(0), served("r1"));
             // Whether the stray is read before the next request goes out or after, it is nobody's.
