Send edges the configuration as bytes by hand, and of a new version its changes alone

Cause: a version was sent to each edge as the operator's JSON, whole and deflated, whatever had changed in it; the edge inflated it and read it as JSON in code that is cold after a start, on 0.09 core.

Change: a pull names the version held. ConfigurationFeed (a core machine) answers with the routes and services that have changed since, by domain and prefix, for the last 16 versions, or with the whole; ConfigurationCodec writes both by hand in ByteBuffers, deflated above 4 kB. Reading stays on the edge's own thread; a change applies to its base alone, and one of another base is asked for again at once. SignalCodec's reader and writer became classes of their own for both codecs; the channel's version is 4.

--- /dev/null
+++ b/src/main/java/tinworks/channel/ByteReader.java
@@ -0,0 +1,64 @@
+package tinworks.channel;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+
+/** Reads with every length checked against what is there, before anything is made of that size. */
+record ByteReader(ByteBuffer buffer) {
+    private static final int LONGEST_TEXT = 4_096;
+
+    byte one() {
+        return buffer.get();
+    }
+
+    boolean flag() throws Malformed {
+        byte value = buffer.get();
+        if (value != 0 && value != 1) {
+            throw new Malformed("a flag of " + value);
+        }
+        return value == 1;
+    }
+
+    short two() {
+        return buffer.getShort();
+    }
+
+    int four() {
+        return buffer.getInt();
+    }
+
+    long eight() {
+        return buffer.getLong();
+    }
+
+    <T> T among(T[] values) throws Malformed {
+        int at = buffer.get();
+        if (at < 0 || at >= values.length) {
+            throw new Malformed("no value of number " + at);
+        }
+        return values[at];
+    }
+
+    /** A count of things that take so many bytes each at least. */
+    int count(int leastBytes) throws Malformed {
+        int count = buffer.getInt();
+        if (count < 0 || count > buffer.remaining() / leastBytes) {
+            throw new Malformed("a count of " + count);
+        }
+        return count;
+    }
+
+    byte[] bytes() throws Malformed {
+        byte[] value = new byte[count(1)];
+        buffer.get(value);
+        return value;
+    }
+
+    String text() throws Malformed {
+        byte[] value = bytes();
+        if (value.length > LONGEST_TEXT) {
+            throw new Malformed("a text of " + value.length + " bytes");
+        }
+        return new String(value, StandardCharsets.UTF_8);
+    }
+}
--- a/src/main/java/tinworks/channel/Conversation.java
+++ b/src/main/java/tinworks/channel/Conversation.java
@@ -148,14 +148,14 @@
             } else if (!(signal instanceof Ping)) {
                 listener.received(this, signal);
             }
-        } catch (SignalCodec.Malformed e) {
+        } catch (Malformed e) {
             close("can't read a frame: " + e.getMessage());
         }
     }
 
-    private void greeted(Signal signal) throws SignalCodec.Malformed {
+    private void greeted(Signal signal) throws Malformed {
         if (!(signal instanceof Hello hello)) {
-            throw new SignalCodec.Malformed("no Hello at the start");
+            throw new Malformed("no Hello at the start");
         }
         peer = hello;
         listener.opened(this);
--- a/src/main/java/tinworks/channel/Packed.java
+++ b/src/main/java/tinworks/channel/Packed.java
@@ -7,14 +7,22 @@
 import java.util.zip.Deflater;
 import java.util.zip.Inflater;
 
-/** Long texts on narrow links: the length of the whole (4 bytes), then its bytes deflated. */
+/**
+ * Long texts on narrow links: the length of the whole (4 bytes), then its bytes, deflated where the length is above
+ * {@link #PLAIN}.
+ */
 public final class Packed {
     private static final int CHUNK = 8_192;
+    /** What takes a few packets at most travels as it is: to inflate it takes an edge longer than to receive it. */
+    static final int PLAIN = 4_096;
 
     private Packed() { }
 
     /** Packs bytes; a configuration of many routes comes to about a tenth. */
     public static byte[] pack(byte[] whole) {
+        if (whole.length <= PLAIN) {
+            return ByteBuffer.allocate(Integer.BYTES + whole.length).putInt(whole.length).put(whole).array();
+        }
         Deflater deflater = new Deflater();
         try {
             deflater.setInput(whole);
@@ -37,6 +45,12 @@
         if (length < 0 || length > most) {
             throw new IllegalArgumentException("packed: a length of " + length);
         }
+        if (length <= PLAIN) {
+            if (packed.length - Integer.BYTES != length) {
+                throw new IllegalArgumentException("packed: " + (packed.length - Integer.BYTES) + " of " + length + " bytes");
+            }
+            return Arrays.copyOfRange(packed, Integer.BYTES, packed.length);
+        }
         Inflater inflater = new Inflater();
         try {
             inflater.setInput(packed, Integer.BYTES, packed.length - Integer.BYTES);
--- a/src/main/java/tinworks/channel/Signal.java
+++ b/src/main/java/tinworks/channel/Signal.java
@@ -42,12 +42,15 @@
         }
     }
 
-    /** Asks for the configuration. */
-    record PullConfiguration() implements Signal { }
+    /** Asks for the configuration, or for what has changed in it since the version held, 0 for none. */
+    record PullConfiguration(long held) implements Signal { }
 
-    /** A version of the configuration, as the operator sent it, {@link Packed}. */
+    /** A version of the configuration: {@link ConfigurationCodec}'s bytes, {@link Packed}. */
     record ConfigurationBody(long rev, byte[] packed) implements Signal { }
 
+    /** What leads from one version of the configuration to a later one: {@link ConfigurationCodec}'s bytes, {@link Packed}. */
+    record ConfigurationChanged(long base, long rev, byte[] packed) implements Signal { }
+
     /** Asks for the list of hosts, or for what has changed in it since the version held. */
     record PullHosts(HostListVersion held) implements Signal { }
 
--- a/src/main/java/tinworks/channel/SignalCodec.java
+++ b/src/main/java/tinworks/channel/SignalCodec.java
@@ -2,7 +2,6 @@
 
 import java.nio.BufferUnderflowException;
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import tinworks.channel.Signal.Agreement;
@@ -10,6 +9,7 @@
 import tinworks.channel.Signal.Call;
 import tinworks.channel.Signal.CallAnswer;
 import tinworks.channel.Signal.ConfigurationBody;
+import tinworks.channel.Signal.ConfigurationChanged;
 import tinworks.channel.Signal.Hello;
 import tinworks.channel.Signal.Hosts;
 import tinworks.channel.Signal.HostsChanged;
@@ -39,31 +39,22 @@
     /** The first four bytes of a Hello: {@code TWCH}. */
     static final int MAGIC = 0x54574348;
     /** Raised whenever the bytes change; a connection between two versions is closed at its Hello. */
-    static final short VERSION = 3;
+    static final short VERSION = 4;
     /** The longest frame: a configuration of the longest body, and what stands round it. */
     static final int LONGEST = 16 << 20;
-    private static final int LONGEST_TEXT = 4_096;
 
     private static final byte HELLO = 1, PING = 2, AGREEMENT = 3, JOIN = 4, ANNOUNCE = 5, PULL_CONFIGURATION = 6,
-            CONFIGURATION = 7, PULL_HOSTS = 8, HOSTS = 9, CALL = 10, CALL_ANSWER = 11, HOSTS_CHANGED = 12;
+            CONFIGURATION = 7, PULL_HOSTS = 8, HOSTS = 9, CALL = 10, CALL_ANSWER = 11, HOSTS_CHANGED = 12,
+            CONFIGURATION_CHANGED = 13;
     private static final byte VOTE_REQUEST = 1, VOTE_REPLY = 2, APPEND = 3, APPEND_REPLY = 4, INSTALL = 5, HAND_OVER = 6;
     private static final Entry.Kind[] KINDS = Entry.Kind.values();
     private static final Part[] PARTS = Part.values();
 
     private SignalCodec() { }
 
-    /** Bytes that are no signal. */
-    public static final class Malformed extends Exception {
-        private static final long serialVersionUID = 1L;
-
-        Malformed(String what) {
-            super(what);
-        }
-    }
-
     /** A signal as bytes, ready to be read. */
     public static ByteBuffer write(Signal signal) {
-        Writer out = new Writer();
+        ByteWriter out = new ByteWriter();
         if (signal instanceof Hello s) {
             out.one(HELLO).four(MAGIC).two(VERSION).one((byte) s.part().ordinal()).eight(s.id()).text(s.address())
                     .text(s.node()).text(s.zone());
@@ -76,10 +67,12 @@
             out.one(JOIN).eight(s.member().id()).text(s.member().address());
         } else if (signal instanceof Announce s) {
             writeAnnounce(out, s);
-        } else if (signal instanceof PullConfiguration) {
-            out.one(PULL_CONFIGURATION);
+        } else if (signal instanceof PullConfiguration s) {
+            out.one(PULL_CONFIGURATION).eight(s.held());
         } else if (signal instanceof ConfigurationBody s) {
             out.one(CONFIGURATION).eight(s.rev()).bytes(s.packed());
+        } else if (signal instanceof ConfigurationChanged s) {
+            out.one(CONFIGURATION_CHANGED).eight(s.base()).eight(s.rev()).bytes(s.packed());
         } else if (signal instanceof PullHosts s) {
             out.one(PULL_HOSTS);
             writeVersion(out, s.held());
@@ -104,7 +97,7 @@
 
     /** The signal that the rest of a buffer holds, no more and no less. */
     public static Signal read(ByteBuffer bytes) throws Malformed {
-        Reader in = new Reader(bytes);
+        ByteReader in = new ByteReader(bytes);
         try {
             Signal signal = read(in);
             if (bytes.hasRemaining()) {
@@ -118,7 +111,7 @@
         }
     }
 
-    private static Signal read(Reader in) throws Malformed {
+    private static Signal read(ByteReader in) throws Malformed {
         byte kind = in.one();
         return switch (kind) {
             case HELLO -> readHello(in);
@@ -126,8 +119,9 @@
             case AGREEMENT -> new Agreement(in.eight(), in.eight(), readMessage(in));
             case JOIN -> new Join(new Member(in.eight(), in.text()));
             case ANNOUNCE -> readAnnounce(in);
-            case PULL_CONFIGURATION -> new PullConfiguration();
+            case PULL_CONFIGURATION -> new PullConfiguration(in.eight());
             case CONFIGURATION -> new ConfigurationBody(in.eight(), in.bytes());
+            case CONFIGURATION_CHANGED -> new ConfigurationChanged(in.eight(), in.eight(), in.bytes());
             case PULL_HOSTS -> new PullHosts(readVersion(in));
             case HOSTS -> new Hosts(new HostList(readVersion(in), readHosts(in)));
             case HOSTS_CHANGED -> new HostsChanged(new HostChange(readVersion(in), readVersion(in), readHosts(in), readTexts(in)));
@@ -137,7 +131,7 @@
         };
     }
 
-    private static Hello readHello(Reader in) throws Malformed {
+    private static Hello readHello(ByteReader in) throws Malformed {
         if (in.four() != MAGIC) {
             throw new Malformed("not a Hello of this system");
         }
@@ -148,7 +142,7 @@
         return new Hello(in.among(PARTS), in.eight(), in.text(), in.text(), in.text());
     }
 
-    private static void writeAnnounce(Writer out, Announce s) {
+    private static void writeAnnounce(ByteWriter out, Announce s) {
         out.one(ANNOUNCE).eight(s.rev());
         writeVersion(out, s.hosts());
         out.flag(s.fresh()).flag(s.leads()).four(s.cores().size());
@@ -156,11 +150,11 @@
         out.four(s.edges());
     }
 
-    private static Announce readAnnounce(Reader in) throws Malformed {
+    private static Announce readAnnounce(ByteReader in) throws Malformed {
         return new Announce(in.eight(), readVersion(in), in.flag(), in.flag(), readTexts(in), in.four());
     }
 
-    private static List<String> readTexts(Reader in) throws Malformed {
+    private static List<String> readTexts(ByteReader in) throws Malformed {
         List<String> texts = new ArrayList<>();
         for (int i = in.count(Integer.BYTES); i > 0; i--) {
             texts.add(in.text());
@@ -168,15 +162,15 @@
         return texts;
     }
 
-    private static void writeVersion(Writer out, HostListVersion version) {
+    private static void writeVersion(ByteWriter out, HostListVersion version) {
         out.eight(version.term()).eight(version.count());
     }
 
-    private static HostListVersion readVersion(Reader in) {
+    private static HostListVersion readVersion(ByteReader in) {
         return new HostListVersion(in.eight(), in.eight());
     }
 
-    private static void writeHosts(Writer out, List<HostList.Host> hosts) {
+    private static void writeHosts(ByteWriter out, List<HostList.Host> hosts) {
         out.four(hosts.size());
         for (HostList.Host host : hosts) {
             out.text(host.id()).text(host.service()).text(host.address()).text(host.zone()).four(host.slots())
@@ -184,7 +178,7 @@
         }
     }
 
-    private static List<HostList.Host> readHosts(Reader in) throws Malformed {
+    private static List<HostList.Host> readHosts(ByteReader in) throws Malformed {
         List<HostList.Host> hosts = new ArrayList<>();
         for (int i = in.count(5 * Integer.BYTES + 1 + Long.BYTES); i > 0; i--) {
             hosts.add(new HostList.Host(in.text(), in.text(), in.text(), in.text(), in.four(), in.flag(), in.eight()));
@@ -192,7 +186,7 @@
         return hosts;
     }
 
-    private static void writeMessage(Writer out, Message message) {
+    private static void writeMessage(ByteWriter out, Message message) {
         if (message instanceof VoteRequest m) {
             out.one(VOTE_REQUEST).eight(m.term()).flag(m.pre()).eight(m.lastIndex()).eight(m.lastTerm()).flag(m.handedOver());
         } else if (message instanceof VoteReply m) {
@@ -211,7 +205,7 @@
         }
     }
 
-    private static Message readMessage(Reader in) throws Malformed {
+    private static Message readMessage(ByteReader in) throws Malformed {
         byte kind = in.one();
         long term = in.eight();
         return switch (kind) {
@@ -225,7 +219,7 @@
         };
     }
 
-    private static List<Entry> readEntries(Reader in) throws Malformed {
+    private static List<Entry> readEntries(ByteReader in) throws Malformed {
         List<Entry> entries = new ArrayList<>();
         for (int i = in.count(2 * Long.BYTES + 1 + Integer.BYTES); i > 0; i--) {
             entries.add(new Entry(in.eight(), in.eight(), in.among(KINDS), in.bytes()));
@@ -233,119 +227,10 @@
         return entries;
     }
 
-    private static Install readInstall(Reader in, long term) throws Malformed {
+    private static Install readInstall(ByteReader in, long term) throws Malformed {
         long round = in.eight();
         long index = in.eight();
         long itsTerm = in.eight();
         return new Install(term, new Snapshot(index, itsTerm, Members.read(in.bytes()), in.bytes()), round);
     }
-
-    /** A buffer that grows. */
-    private static final class Writer {
-        private ByteBuffer buffer = ByteBuffer.allocate(256);
-
-        private ByteBuffer room(int bytes) {
-            if (buffer.remaining() < bytes) {
-                buffer = ByteBuffer.allocate(Math.max(2 * buffer.capacity(), buffer.position() + bytes))
-                        .put(buffer.flip());
-            }
-            return buffer;
-        }
-
-        Writer one(byte value) {
-            room(1).put(value);
-            return this;
-        }
-
-        Writer flag(boolean value) {
-            return one((byte) (value ? 1 : 0));
-        }
-
-        Writer two(short value) {
-            room(Short.BYTES).putShort(value);
-            return this;
-        }
-
-        Writer four(int value) {
-            room(Integer.BYTES).putInt(value);
-            return this;
-        }
-
-        Writer eight(long value) {
-            room(Long.BYTES).putLong(value);
-            return this;
-        }
-
-        Writer bytes(byte[] value) {
-            four(value.length);
-            room(value.length).put(value);
-            return this;
-        }
-
-        Writer text(String value) {
-            return bytes(value.getBytes(StandardCharsets.UTF_8));
-        }
-
-        ByteBuffer done() {
-            return buffer.flip();
-        }
-    }
-
-    /** Reads with every length checked against what is there, before anything is made of that size. */
-    private record Reader(ByteBuffer buffer) {
-        byte one() {
-            return buffer.get();
-        }
-
-        boolean flag() throws Malformed {
-            byte value = buffer.get();
-            if (value != 0 && value != 1) {
-                throw new Malformed("a flag of " + value);
-            }
-            return value == 1;
-        }
-
-        short two() {
-            return buffer.getShort();
-        }
-
-        int four() {
-            return buffer.getInt();
-        }
-
-        long eight() {
-            return buffer.getLong();
-        }
-
-        <T> T among(T[] values) throws Malformed {
-            int at = buffer.get();
-            if (at < 0 || at >= values.length) {
-                throw new Malformed("no value of number " + at);
-            }
-            return values[at];
-        }
-
-        /** A count of things that take so many bytes each at least. */
-        int count(int leastBytes) throws Malformed {
-            int count = buffer.getInt();
-            if (count < 0 || count > buffer.remaining() / leastBytes) {
-                throw new Malformed("a count of " + count);
-            }
-            return count;
-        }
-
-        byte[] bytes() throws Malformed {
-            byte[] value = new byte[count(1)];
-            buffer.get(value);
-            return value;
-        }
-
-        String text() throws Malformed {
-            byte[] value = bytes();
-            if (value.length > LONGEST_TEXT) {
-                throw new Malformed("a text of " + value.length + " bytes");
-            }
-            return new String(value, StandardCharsets.UTF_8);
-        }
-    }
 }
--- /dev/null
+++ b/src/main/java/tinworks/control/ConfigurationFeed.java
@@ -0,0 +1,83 @@
+package tinworks.control;
+
+import java.util.ArrayDeque;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import tinworks.channel.ConfigurationCodec;
+import tinworks.channel.Packed;
+import tinworks.channel.Signal;
+import tinworks.config.Configuration;
+import tinworks.config.ConfigurationChange;
+import tinworks.config.ConfigurationHistory;
+import tinworks.config.ConfigurationReader;
+import tinworks.config.InvalidConfiguration;
+
+/**
+ * The configuration in force as edges are told it: what has changed since the version that one holds, or the whole where
+ * that isn't known here. Read from the operator's JSON once, and put into bytes once for all who ask alike.
+ */
+final class ConfigurationFeed {
+    private static final Logger LOG = LoggerFactory.getLogger(ConfigurationFeed.class);
+    /** Versions come seconds apart; an edge that was away for longer is told the whole. */
+    private static final int MOST_CHANGES = 16;
+
+    private final ArrayDeque<ConfigurationChange> changes = new ArrayDeque<>();
+    private Configuration newest;
+    /** The last version that was looked at, whether or not it could be read. */
+    private long followed;
+    private Signal whole;
+    private Signal.ConfigurationChanged lastAsked;
+
+    /**
+     * Follows the history. Its versions were checked before they were taken; one that this program can't read all the same,
+     * since another one took it, is left out, and edges go on with the one before.
+     */
+    void follow(ConfigurationHistory history) {
+        if (history.rev() == followed) {
+            return;
+        }
+        followed = history.rev();
+        Configuration next;
+        try {
+            next = ConfigurationReader.read(history.body());
+        } catch (InvalidConfiguration e) {
+            LOG.error("can't read the configuration {} that was taken: {}", history.rev(), e.getMessage());
+            return;
+        }
+        if (newest != null) {
+            changes.addLast(ConfigurationChange.between(newest, next));
+            if (changes.size() > MOST_CHANGES) {
+                changes.removeFirst();
+            }
+        }
+        newest = next;
+        whole = null;
+        lastAsked = null;
+    }
+
+    /** What to tell an edge that holds this version, 0 for none; null while there is nothing to tell. */
+    Signal since(long held) {
+        if (newest == null || held >= newest.rev()) {
+            return null;
+        }
+        if (lastAsked != null && lastAsked.base() == held) {
+            return lastAsked;
+        }
+        ConfigurationChange all = null;
+        for (ConfigurationChange change : changes) {
+            if (all != null) {
+                all = all.then(change);
+            } else if (change.base() == held) {
+                all = change;
+            }
+        }
+        if (all != null) {
+            lastAsked = new Signal.ConfigurationChanged(held, newest.rev(), Packed.pack(ConfigurationCodec.write(all)));
+            return lastAsked;
+        }
+        if (whole == null) {
+            whole = new Signal.ConfigurationBody(newest.rev(), Packed.pack(ConfigurationCodec.write(newest)));
+        }
+        return whole;
+    }
+}
--- a/src/main/java/tinworks/control/CoreNode.java
+++ b/src/main/java/tinworks/control/CoreNode.java
@@ -18,12 +18,10 @@
 import tinworks.channel.HostList;
 import tinworks.channel.HostListVersion;
 import tinworks.channel.Links;
-import tinworks.channel.Packed;
 import tinworks.channel.Signal;
 import tinworks.channel.Signal.Announce;
 import tinworks.channel.Signal.Call;
 import tinworks.channel.Signal.CallAnswer;
-import tinworks.channel.Signal.ConfigurationBody;
 import tinworks.channel.Signal.Hello;
 import tinworks.channel.Signal.Hosts;
 import tinworks.channel.Signal.HostsChanged;
@@ -68,7 +66,7 @@
     private final Set<String> announced = new HashSet<>();
     private BootSettings current;
     private final HostHistory hosts = new HostHistory();
-    private ConfigurationBody packed;
+    private final ConfigurationFeed configurations = new ConfigurationFeed();
     private long announcedRev = -1;
     private long announceAt;
     private long joinAt;
@@ -233,7 +231,9 @@
         if (agreement != null) {
             poller.turn(raft.ready());
             if (announcedRev != agreement.history().rev()) {
+                // First the news, so that the bytes are made while it travels.
                 announce();
+                configurations.follow(agreement.history());
             }
         }
     }
@@ -296,8 +296,12 @@
                 raft.addLearner(s.member());
                 agreement.pump();
             }
-        } else if (signal instanceof PullConfiguration) {
-            from.send(configuration());
+        } else if (signal instanceof PullConfiguration s) {
+            configurations.follow(agreement.history());
+            Signal newer = configurations.since(s.held());
+            if (newer != null) {
+                from.send(newer);
+            }
         } else if (signal instanceof PullHosts s) {
             from.send(hosts.since(s.held()));
         } else if (signal instanceof Announce s) {
@@ -315,14 +319,6 @@
         }
     }
 
-    /** The newest version, packed once for all who ask. */
-    private ConfigurationBody configuration() {
-        if (packed == null || packed.rev() != agreement.history().rev()) {
-            packed = new ConfigurationBody(agreement.history().rev(), Packed.pack(agreement.history().body()));
-        }
-        return packed;
-    }
-
     private void took(HostList list) {
         pulledAt = 0;
         if (list.version().compareTo(hosts().version()) > 0) {
--- a/src/main/java/tinworks/edge/EdgeNode.java
+++ b/src/main/java/tinworks/edge/EdgeNode.java
@@ -15,12 +15,14 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeSet;
+import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import tinworks.channel.ConfigurationCodec;
 import tinworks.channel.Conversation;
 import tinworks.channel.HostList.Host;
 import tinworks.channel.HostList;
@@ -28,6 +30,7 @@
 import tinworks.channel.Packed;
 import tinworks.channel.Signal.Announce;
 import tinworks.channel.Signal.ConfigurationBody;
+import tinworks.channel.Signal.ConfigurationChanged;
 import tinworks.channel.Signal.Hello;
 import tinworks.channel.Signal.Hosts;
 import tinworks.channel.Signal.HostsChanged;
@@ -38,7 +41,6 @@
 import tinworks.channel.SteadyClock;
 import tinworks.config.Configuration.Limits;
 import tinworks.config.Configuration;
-import tinworks.config.InvalidConfiguration;
 import tinworks.json.Address;
 import tinworks.metrics.MetricsPage;
 import tinworks.net.ClientServer.BadRequest;
@@ -233,7 +235,9 @@
         if (signal instanceof Announce s) {
             heard(from, s);
         } else if (signal instanceof ConfigurationBody s) {
-            configured(s);
+            configured(s.rev(), () -> ConfigurationCodec.read(Packed.unpack(s.packed(), LARGEST_CONFIGURATION)));
+        } else if (signal instanceof ConfigurationChanged s) {
+            changed(from, s);
         } else if (signal instanceof Hosts s) {
             took(s.list());
         } else if (signal instanceof HostsChanged s) {
@@ -264,7 +268,7 @@
         }
         if (s.rev() > Math.max(rev(), readingRev) && now - pulledConfigurationAt > PULL_AGAIN_MILLIS) {
             pulledConfigurationAt = now;
-            from.send(new PullConfiguration());
+            from.send(new PullConfiguration(rev()));
         }
         newest.announced(s.rev(), s.fresh());
         newest.holds(rev());
@@ -281,19 +285,29 @@
         }
     }
 
+    /** A change of the version that is held; of another one where a version came into use since this was asked for. */
+    private void changed(Conversation from, ConfigurationChanged s) {
+        Configuration held = configuration;
+        if (s.base() == rev()) {
+            configured(s.rev(), () -> ConfigurationCodec.readChange(Packed.unpack(s.packed(), LARGEST_CONFIGURATION)).appliedTo(held));
+        } else if (s.rev() > Math.max(rev(), readingRev)) {
+            from.send(new PullConfiguration(rev()));
+        }
+    }
+
     /** Reads a newer version, one at a time and not on the event loop, and then goes by it. */
-    private void configured(ConfigurationBody body) {
+    private void configured(long rev, Callable<Configuration> read) {
         pulledConfigurationAt = 0;
-        if (body.rev() <= Math.max(rev(), readingRev)) {
+        if (rev <= Math.max(rev(), readingRev)) {
             return;
         }
-        readingRev = body.rev();
+        readingRev = rev;
         reader.execute(() -> {
             try {
-                Prepared prepared = Prepared.of(Packed.unpack(body.packed(), LARGEST_CONFIGURATION));
+                Prepared prepared = Prepared.of(read.call());
                 loop.execute(() -> use(prepared));
-            } catch (InvalidConfiguration | IllegalArgumentException e) {
-                LOG.error("can't read the configuration {}: {}", body.rev(), e.getMessage());
+            } catch (Exception e) {
+                LOG.error("can't read the configuration {}: {}", rev, e.getMessage());
                 loop.execute(() -> readingRev = 0);
             }
         });
--- a/src/main/java/tinworks/edge/Prepared.java
+++ b/src/main/java/tinworks/edge/Prepared.java
@@ -7,8 +7,6 @@
 import tinworks.config.Configuration;
 import tinworks.config.Configuration.Route;
 import tinworks.config.Configuration.Type;
-import tinworks.config.ConfigurationReader;
-import tinworks.config.InvalidConfiguration;
 import tinworks.policy.Protocol.RequestClass;
 
 /**
@@ -19,9 +17,8 @@
  * @param classes the classes of each service
  */
 record Prepared(Configuration configuration, RouteTable routes, Set<String> mutating, Map<String, List<RequestClass>> classes) {
-    /** Reads a version and makes all of it. */
-    static Prepared of(byte[] body) throws InvalidConfiguration {
-        Configuration configuration = ConfigurationReader.read(body);
+    /** Makes all of a version. */
+    static Prepared of(Configuration configuration) {
         Set<String> mutating = new HashSet<>();
         for (Route route : configuration.routes()) {
             if (route.type() == Type.MUTATING) {
--- a/src/test/java/tinworks/channel/PackedTest.java
+++ b/src/test/java/tinworks/channel/PackedTest.java
@@ -27,7 +27,7 @@
 
     @Test
     void whatWasPackedComesBackAndALongConfigurationIsShort() {
-        for (int count : new int[] {0, 1, 14, 1_240}) {
+        for (int count : new int[] {0, 1, 14, 60, 1_240}) {
             byte[] whole = routes(count);
             byte[] packed = Packed.pack(whole);
             assertArrayEquals(whole, Packed.unpack(packed, MOST));
@@ -38,7 +38,7 @@
 
     @Test
     void whatIsCutSpoiltOrTooLongIsRefused() {
-        byte[] packed = Packed.pack(routes(20));
+        byte[] packed = Packed.pack(routes(60));
         for (int i = 0; i < packed.length; i++) {
             byte[] cut = Arrays.copyOf(packed, i);
             assertThrows(IllegalArgumentException.class, () -> Packed.unpack(cut, MOST));
@@ -52,7 +52,7 @@
             assertThrows(IllegalArgumentException.class, () -> Packed.unpack(lies, MOST));
         }
         SplittableRandom random = new SplittableRandom(1);
-        byte[] whole = routes(20);
+        byte[] whole = routes(60);
         for (int i = 0; i < 2_000; i++) {
             byte[] spoilt = packed.clone();
             spoilt[random.nextInt(spoilt.length)] ^= (byte) (1 << random.nextInt(8));
--- a/src/test/java/tinworks/channel/SignalCodecTest.java
+++ b/src/test/java/tinworks/channel/SignalCodecTest.java
@@ -19,7 +19,8 @@
     private static final List<Signal> ALL = List.of(
             new Signal.Hello(Part.EDGE, 7, "", "edge-1", "zone"), new Signal.Ping(), new Signal.Join(MEMBER),
             new Signal.Announce(9, new HostListVersion(3, 4), true, false, List.of("a:1", "b:1"), 69),
-            new Signal.PullConfiguration(), new Signal.ConfigurationBody(9, new byte[] {1, 2}), new Signal.PullHosts(new HostListVersion(1, 1)),
+            new Signal.PullConfiguration(8), new Signal.ConfigurationBody(9, new byte[] {1, 2}),
+            new Signal.ConfigurationChanged(8, 9, new byte[] {1, 2}), new Signal.PullHosts(new HostListVersion(1, 1)),
             new Signal.Hosts(new HostList(new HostListVersion(1, 2),
                     List.of(new HostList.Host("i-1", "svc", "10.0.0.1:80", "z", 3, true, 900)))),
             new Signal.HostsChanged(new HostChange(new HostListVersion(1, 2), new HostListVersion(2, 1),
@@ -42,7 +43,7 @@
     }
 
     @Test
-    void everySignalComesBackAsItWasWritten() throws SignalCodec.Malformed {
+    void everySignalComesBackAsItWasWritten() throws Malformed {
         for (Signal signal : ALL) {
             byte[] bytes = bytes(signal);
             Signal read = SignalCodec.read(ByteBuffer.wrap(bytes));
@@ -58,16 +59,16 @@
             byte[] bytes = bytes(signal);
             for (int i = 0; i < bytes.length; i++) {
                 byte[] cut = java.util.Arrays.copyOf(bytes, i);
-                assertThrows(SignalCodec.Malformed.class, () -> SignalCodec.read(ByteBuffer.wrap(cut)));
+                assertThrows(Malformed.class, () -> SignalCodec.read(ByteBuffer.wrap(cut)));
             }
             byte[] longer = java.util.Arrays.copyOf(bytes, bytes.length + 1);
-            assertThrows(SignalCodec.Malformed.class, () -> SignalCodec.read(ByteBuffer.wrap(longer)));
+            assertThrows(Malformed.class, () -> SignalCodec.read(ByteBuffer.wrap(longer)));
             for (int i = 0; i < 3_000; i++) {
                 byte[] spoilt = bytes.clone();
                 spoilt[random.nextInt(spoilt.length)] = (byte) random.nextInt(256);
                 try {
                     SignalCodec.read(ByteBuffer.wrap(spoilt));
-                } catch (SignalCodec.Malformed e) {
+                } catch (Malformed e) {
                     assertTrue(!e.getMessage().isEmpty());
                 }
             }
--- a/src/test/java/tinworks/edge/EdgeTest.java
+++ b/src/test/java/tinworks/edge/EdgeTest.java
@@ -89,11 +89,14 @@
         FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/p/?a=%20b",
                 Unpooled.copiedBuffer(new byte[] {1, 2, 3}));
         request.headers().add("Attempt-Id", "id").add("Deadline-Ms", "1500").add("Connection", "keep-alive, X-Hop")
-                .add("X-Hop", "1").add("X-End", "2").add("Transfer-Encoding", "chunked").add("Host", "x.example");
+                .add("X-Hop", "1").add("X-End", "2").add("Transfer-Encoding", "chunked").add("Host", "x.example")
+                .add("want-host", "i-8").add("X-Bytes", "caf\u00e9").add("X-Two", "a").add("X-Two", "b");
         FullHttpRequest sent = style.forHost(request, "i-9", TimeUnit.MILLISECONDS.toNanos(900));
         assertEquals("/p/?a=%20b", sent.uri());
         assertEquals("900", sent.headers().get("Deadline-Ms"));
-        assertEquals("i-9", sent.headers().get("Want-Host"));
+        assertEquals(List.of("i-9"), sent.headers().getAll("Want-Host"));
+        assertEquals(List.of("a", "b"), sent.headers().getAll("x-two"));
+        assertEquals("caf\u00e9", sent.headers().get("X-Bytes"), "bytes outside of ASCII travel as they are");
         assertEquals("3", sent.headers().get("Content-Length"));
         assertEquals("2", sent.headers().get("X-End"));
         assertNull(sent.headers().get("X-Hop"));
--- a/src/test/java/tinworks/fuzz/DecodersTest.java
+++ b/src/test/java/tinworks/fuzz/DecodersTest.java
@@ -18,6 +18,7 @@
 import net.jqwik.api.ShrinkingMode;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
+import tinworks.channel.Malformed;
 import tinworks.channel.SignalCodec;
 import tinworks.config.Configuration;
 import tinworks.config.ConfigurationHistory;
@@ -100,7 +101,7 @@
             byte[] written = new byte[again.remaining()];
             again.get(written);
             assertEquals(frame.length, written.length);
-        } catch (SignalCodec.Malformed e) {
+        } catch (Malformed e) {
             assertFalse(e.getMessage().isEmpty());
         }
     }
