Take time, disk and network of a core machine and of an edge's following from outside

Cause: Agreement held an event loop, a thread and a static clock, CoreNode sockets and HTTP, EdgeNode its way of taking versions between sockets: none of it could be played on a simulated clock, disk and network.

Change: Conversation and Links are interfaces (TcpConversation, TcpLinks); CoreMachine is a core machine without sockets, files, threads or clock, CoreNode the process round it; Agreement writes to a Disk (DiskThread keeps the retries); OperatorCalls are the operator's calls without HTTP; CoreFollower is what an edge knows from the core. Behaviour stays as it is.

--- a/src/main/java/tinworks/channel/Conversation.java
+++ b/src/main/java/tinworks/channel/Conversation.java
@@ -1,25 +1,11 @@
 package tinworks.channel;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.handler.codec.ByteToMessageDecoder;
-import java.nio.ByteBuffer;
-import java.util.List;
-import java.util.concurrent.TimeUnit;
 import tinworks.channel.Signal.Hello;
-import tinworks.channel.Signal.Ping;
 
-/**
- * One connection between two processes of the system. A frame is a length (4 bytes) and as many bytes of a
- * {@link Signal}; a frame that can't be read closes the connection and harms nothing else. Each side says something
- * once a {@link #PING_MILLIS}, and closes when it has heard nothing for {@link #SILENCE_MILLIS}: a machine without
- * power sends no end of a connection. All on one event loop.
- */
-public final class Conversation extends ByteToMessageDecoder {
-    /** Told on the event loop. */
-    public interface Listener {
+/** One connection between two processes of the system, as each of them sees it. Belongs to one thread. */
+public interface Conversation {
+    /** Told on that thread. */
+    interface Listener {
         /** The far side has said who it is. */
         void opened(Conversation conversation);
 
@@ -33,156 +19,18 @@
         void log(String line);
     }
 
-    static final long PING_MILLIS = 1_000, SILENCE_MILLIS = 2_600;
-    /** What a far side that doesn't read may pile up here. */
-    private static final int MOST_WAITING = 32 << 20;
-
-    private final Hello own;
-    private final boolean dialled;
-    private final Listener listener;
-    private Channel channel;
-    private Hello peer;
-    private long heardAt;
-    private long saidAt;
-    private boolean closed;
-
-    Conversation(Hello own, boolean dialled, Listener listener) {
-        this.own = own;
-        this.dialled = dialled;
-        this.listener = listener;
-    }
-
     /** Who the far side is; null before it has said so. */
-    public Hello peer() {
-        return peer;
-    }
+    Hello peer();
 
     /** Whether this side dialled. */
-    public boolean dialled() {
-        return dialled;
-    }
+    boolean dialled();
 
     /** Whether something can be said. */
-    public boolean isOpen() {
-        return peer != null && !closed && channel.isActive();
-    }
+    boolean isOpen();
 
     /** Says something; lost where the connection is no more, as whatever is on its way then. */
-    public void send(Signal signal) {
-        if (channel == null || !channel.isActive()) {
-            return;
-        }
-        ByteBuffer bytes = SignalCodec.write(signal);
-        ByteBuf frame = Unpooled.buffer(Integer.BYTES + bytes.remaining());
-        frame.writeInt(bytes.remaining()).writeBytes(bytes);
-        saidAt = SteadyClock.millis();
-        channel.writeAndFlush(frame, channel.voidPromise());
-        if (channel.unsafe().outboundBuffer() != null
-                && channel.unsafe().outboundBuffer().totalPendingWriteBytes() > MOST_WAITING) {
-            close("the far side doesn't read");
-        }
-    }
+    void send(Signal signal);
 
     /** Ends it; {@link Listener#closed} follows. */
-    public void close(String why) {
-        if (!closed && channel != null && channel.isActive()) {
-            listener.log("closing the connection with " + name() + ": " + why);
-        }
-        if (channel != null) {
-            channel.close();
-        }
-    }
-
-    private String name() {
-        return peer == null ? String.valueOf(channel.remoteAddress()) : peer.node();
-    }
-
-    @Override
-    public void channelActive(ChannelHandlerContext ctx) {
-        channel = ctx.channel();
-        heardAt = SteadyClock.millis();
-        send(own);
-        channel.eventLoop().schedule(this::watch, PING_MILLIS, TimeUnit.MILLISECONDS);
-    }
-
-    private void watch() {
-        if (!channel.isActive()) {
-            return;
-        }
-        long now = SteadyClock.millis();
-        if (now - heardAt > SILENCE_MILLIS) {
-            close("silent for " + (now - heardAt) + " ms");
-            return;
-        }
-        if (now - saidAt >= PING_MILLIS) {
-            send(new Ping());
-        }
-        channel.eventLoop().schedule(this::watch, PING_MILLIS, TimeUnit.MILLISECONDS);
-    }
-
-    @Override
-    protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
-        heardAt = SteadyClock.millis();
-        while (in.readableBytes() >= Integer.BYTES && channel.isActive()) {
-            int length = in.getInt(in.readerIndex());
-            if (length <= 0 || length > SignalCodec.LONGEST) {
-                in.skipBytes(in.readableBytes());
-                close("a frame of " + length + " bytes");
-                return;
-            }
-            if (in.readableBytes() < Integer.BYTES + length) {
-                return;
-            }
-            in.skipBytes(Integer.BYTES);
-            byte[] bytes = new byte[length];
-            in.readBytes(bytes);
-            take(ByteBuffer.wrap(bytes));
-        }
-    }
-
-    private void take(ByteBuffer bytes) {
-        try {
-            Signal signal = SignalCodec.read(bytes);
-            if (peer == null) {
-                greeted(signal);
-            } else if (!(signal instanceof Ping)) {
-                listener.received(this, signal);
-            }
-        } catch (Malformed e) {
-            close("can't read a frame: " + e.getMessage());
-        }
-    }
-
-    private void greeted(Signal signal) throws Malformed {
-        if (!(signal instanceof Hello hello)) {
-            throw new Malformed("no Hello at the start");
-        }
-        peer = hello;
-        listener.opened(this);
-    }
-
-    @Override
-    protected void handlerRemoved0(ChannelHandlerContext ctx) {
-        ended();
-    }
-
-    @Override
-    public void channelInactive(ChannelHandlerContext ctx) {
-        ended();
-    }
-
-    private void ended() {
-        if (!closed) {
-            closed = true;
-            if (peer != null) {
-                listener.closed(this);
-            }
-        }
-    }
-
-    @Override
-    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-        listener.log("the connection with " + name() + " broke: " + cause);
-        ctx.close();
-    }
+    void close(String why);
 }
--- a/src/main/java/tinworks/control/Agreement.java
+++ b/src/main/java/tinworks/control/Agreement.java
@@ -1,27 +1,21 @@
 package tinworks.control;
 
-import io.netty.channel.EventLoop;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import org.h2.mvstore.MVStoreException;
-import tinworks.channel.SteadyClock;
+import java.util.function.LongSupplier;
 import tinworks.config.ConfigurationHistory;
 import tinworks.config.ConfigurationHistory.Verdict;
 import tinworks.raft.Entry;
 import tinworks.raft.Message;
 import tinworks.raft.Output;
 import tinworks.raft.Raft;
-import tinworks.store.CoreStore;
 
 /**
- * Drives one {@link Raft}: time and messages in, writes to the disk on a thread of their own, and then messages and
- * applied commands out, in the order that {@link Output} asks for. All methods belong to the event loop.
+ * Drives one {@link Raft}: time and messages in, writes to the disk, and then messages and applied commands out, in the
+ * order that {@link Output} asks for. Knows neither sockets nor files nor threads; all methods belong to one thread.
  */
 final class Agreement {
     /** What the agreement needs of the machine around it. */
@@ -37,29 +31,26 @@
     }
 
     private static final int MOST_ENTRIES = 64;
-    private static final long RETRY_MILLIS = 200;
 
-    private final EventLoop loop;
     private final Raft raft;
-    private final CoreStore store;
+    private final Disk disk;
+    private final LongSupplier clock;
     private final Owner owner;
     private final ConfigurationHistory history = new ConfigurationHistory();
-    private final ExecutorService disk = Executors.newSingleThreadExecutor(work -> new Thread(work, "disk"));
     private final Map<Long, Proposal> proposals = new HashMap<>();
     private final Map<Long, Consumer<Boolean>> reads = new HashMap<>();
     private long appliedIndex;
     private int writing;
     private Raft.Role lastRole = Raft.Role.FOLLOWER;
-    private volatile boolean closed;
 
     private record Proposal(long term, Consumer<Verdict> told) { }
 
-    Agreement(EventLoop loop, Raft raft, CoreStore store, Owner owner) {
-        this.loop = loop;
+    /** Goes by a clock of steady milliseconds. Nothing is done before {@link #pump}. */
+    Agreement(Raft raft, Disk disk, LongSupplier clock, Owner owner) {
         this.raft = raft;
-        this.store = store;
+        this.disk = disk;
+        this.clock = clock;
         this.owner = owner;
-        pump();
     }
 
     Raft raft() {
@@ -71,12 +62,12 @@
     }
 
     void tick() {
-        raft.tick(SteadyClock.millis());
+        raft.tick(clock.getAsLong());
         pump();
     }
 
     void receive(long from, Message message) {
-        raft.receive(SteadyClock.millis(), from, message);
+        raft.receive(clock.getAsLong(), from, message);
         pump();
     }
 
@@ -108,7 +99,10 @@
         if (!output.isEmpty()) {
             if (output.writes() || writing > 0) {
                 writing++;
-                disk.execute(() -> write(output));
+                disk.write(output, () -> {
+                    writing--;
+                    carryOut(output);
+                });
             } else {
                 carryOut(output);
             }
@@ -118,40 +112,6 @@
         }
     }
 
-    /** Guards against a disk that is full or fails for a while: nothing is said of what isn't on it. */
-    private void write(Output output) {
-        boolean complained = false;
-        while (!closed) {
-            try {
-                store.write(output);
-                loop.execute(() -> {
-                    writing--;
-                    carryOut(output);
-                });
-                return;
-            } catch (MVStoreException | IllegalStateException e) {
-                if (!complained) {
-                    complained = true;
-                    String line = "the disk doesn't take the log, trying again: " + e.getMessage();
-                    loop.execute(() -> owner.log(line));
-                }
-                recover();
-            }
-        }
-    }
-
-    private void recover() {
-        try {
-            TimeUnit.MILLISECONDS.sleep(RETRY_MILLIS);
-            store.reopen();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            closed = true;
-        } catch (CoreStore.Damaged e) {
-            loop.execute(() -> owner.log("the store can't be opened again yet: " + e.getMessage()));
-        }
-    }
-
     private void carryOut(Output output) {
         raft.persisted(output);
         for (Output.Envelope envelope : output.messages()) {
@@ -198,16 +158,4 @@
         }
         owner.changed();
     }
-
-    /** Ends the disk's thread once what it has begun is written, and closes the store. */
-    void close() {
-        closed = true;
-        disk.execute(store::close);
-        disk.shutdown();
-    }
-
-    /** Waits for the disk's end; not on the event loop. */
-    boolean awaitClosed(long millis) throws InterruptedException {
-        return disk.awaitTermination(millis, TimeUnit.MILLISECONDS);
-    }
 }
--- /dev/null
+++ b/src/main/java/tinworks/control/CoreMachine.java
@@ -0,0 +1,340 @@
+package tinworks.control;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import tinworks.channel.Conversation;
+import tinworks.channel.HostHistory;
+import tinworks.channel.HostList;
+import tinworks.channel.HostListVersion;
+import tinworks.channel.Links;
+import tinworks.channel.Signal;
+import tinworks.channel.Signal.Announce;
+import tinworks.channel.Signal.Call;
+import tinworks.channel.Signal.CallAnswer;
+import tinworks.channel.Signal.Hosts;
+import tinworks.channel.Signal.HostsChanged;
+import tinworks.channel.Signal.Join;
+import tinworks.channel.Signal.Part;
+import tinworks.channel.Signal.PullConfiguration;
+import tinworks.channel.Signal.PullHosts;
+import tinworks.raft.Member;
+import tinworks.raft.Message;
+import tinworks.raft.Progress;
+import tinworks.raft.Raft;
+import tinworks.raft.Stored;
+import tinworks.raft.Timing;
+
+/**
+ * A core machine without sockets, files, threads or a clock of its own: its part in the agreement, what it says to the
+ * others, and what it tells the edges. The leader alone has the platform's list fetched; the others pull it from there and
+ * pass it on. All methods belong to one thread.
+ */
+final class CoreMachine implements Conversation.Listener, Agreement.Owner {
+    /** The process round a core machine. */
+    interface Environment {
+        /** A steady clock's milliseconds. */
+        long millis();
+
+        /** The connections to other core machines. */
+        Links links();
+
+        /** The addresses of core machines that the settings name at present. */
+        List<String> seeds();
+
+        /** Whether the platform's list is to be fetched; each list is told by {@link CoreMachine#listed}. */
+        void fetchList(boolean wanted);
+
+        /** A line for the operators. */
+        void log(String line);
+    }
+
+    /**
+     * Who a machine is.
+     *
+     * @param id for as long as its disk lives
+     * @param address where other core machines and edges reach it
+     * @param losses how many voters may be lost at a time
+     */
+    record Identity(long id, String address, int losses) { }
+
+    /** Heartbeats are cheap; an election outlasts a slow disk's syncs and a process's first, uncompiled work. */
+    private static final Timing TIMING = new Timing(120, 500);
+    static final long TICK_MILLIS = 50;
+    private static final long ANNOUNCE_MILLIS = 1_000, JOIN_MILLIS = 500, LEARNER_MILLIS = 3_000,
+            PULL_AGAIN_MILLIS = 400, PLAN_MILLIS = 250, LOST_MILLIS = 3_000;
+
+    private final Identity self;
+    private final long id;
+    private final Environment around;
+    private final Agreement agreement;
+    private final Raft raft;
+    private final VoterPlan plan;
+    private final OperatorCalls calls;
+    private final Set<Conversation> conversations = new LinkedHashSet<>();
+    private final Map<Long, Long> joins = new HashMap<>();
+    private final Set<String> announced = new HashSet<>();
+    private final HostHistory hosts = new HostHistory();
+    private final ConfigurationFeed configurations = new ConfigurationFeed();
+    private long announcedRev = -1;
+    private long announceAt;
+    private long joinAt;
+    private long planAt;
+    private long pulledAt;
+    private long touchedAt;
+
+    /** A machine with what its disk holds; it does nothing before its first {@link #tick}. */
+    CoreMachine(Identity self, Stored stored, Disk disk, Environment around) {
+        this.self = self;
+        this.around = around;
+        id = self.id();
+        long now = around.millis();
+        raft = new Raft(id, stored, TIMING, id ^ now, now);
+        touchedAt = now;
+        plan = new VoterPlan(self.losses());
+        agreement = new Agreement(raft, disk, around::millis, this);
+        calls = new OperatorCalls(this, around::millis);
+    }
+
+    /** Hands the lead over and no longer has the list fetched. */
+    void retire() {
+        raft.handOver();
+        agreement.pump();
+        around.fetchList(false);
+    }
+
+    /** Ends all conversations. */
+    void close() {
+        List.copyOf(conversations).forEach(c -> c.close("this machine ends"));
+    }
+
+    OperatorCalls calls() {
+        return calls;
+    }
+
+    Agreement agreement() {
+        return agreement;
+    }
+
+    HostList hosts() {
+        return hosts.newest();
+    }
+
+    /** How many edges are linked here. */
+    int edges() {
+        int edges = 0;
+        for (Conversation c : conversations) {
+            edges += c.isOpen() && c.peer().part() == Part.EDGE ? 1 : 0;
+        }
+        return edges;
+    }
+
+    /** An open conversation with the leader, or null where none is known or this machine leads. */
+    Conversation leader() {
+        return raft.leader() == 0 || raft.leader() == id ? null : conversation(raft.leader());
+    }
+
+    private Conversation conversation(long peer) {
+        for (Conversation c : conversations) {
+            if (c.peer().id() == peer && c.isOpen()) {
+                return c;
+            }
+        }
+        return null;
+    }
+
+    // ---- time
+
+    /** Lets time pass; to be called every {@link #TICK_MILLIS}. */
+    void tick() {
+        long now = around.millis();
+        agreement.tick();
+        calls.tick();
+        if (raft.inTouch()) {
+            touchedAt = now;
+        }
+        around.fetchList(raft.ready());
+        if (!raft.isVoter(id) && now >= joinAt) {
+            joinAt = now + JOIN_MILLIS;
+            Signal join = new Join(new Member(id, self.address()));
+            around.links().open().forEach(c -> c.send(join));
+        }
+        if (now >= planAt) {
+            planAt = now + PLAN_MILLIS;
+            planVoters(now);
+            around.links().want(wantedCores(now));
+        }
+        if (now >= announceAt) {
+            announce();
+        }
+    }
+
+    /** The core machines that this one should be linked with. */
+    private Set<String> wantedCores(long now) {
+        Set<String> wanted = new TreeSet<>(announced);
+        raft.members().forEach(m -> wanted.add(m.address()));
+        raft.followers().forEach(p -> wanted.add(p.member().address()));
+        if (wanted.size() <= 1 || now - touchedAt > LOST_MILLIS) {
+            wanted.addAll(around.seeds());
+        }
+        wanted.remove(self.address());
+        return wanted;
+    }
+
+    private void planVoters(long now) {
+        if (raft.role() != Raft.Role.LEADER) {
+            joins.clear();
+            return;
+        }
+        List<VoterPlan.Seen> seen = new ArrayList<>();
+        for (Progress p : raft.followers()) {
+            boolean learner = !raft.isVoter(p.member().id());
+            if (learner && now - joins.getOrDefault(p.member().id(), 0L) > LEARNER_MILLIS) {
+                raft.removeLearner(p.member().id());
+                continue;
+            }
+            seen.add(new VoterPlan.Seen(p.member(), p.match() >= raft.commit() && p.match() > 0, now - p.heardAt()));
+        }
+        if (raft.mayChangeMembers()) {
+            List<Member> before = raft.members();
+            plan.next(id, before, seen).ifPresent(next -> {
+                if (raft.changeMembers(next)) {
+                    around.log("voters change from " + before + " to " + next);
+                }
+            });
+        }
+        agreement.pump();
+    }
+
+    // ---- what it tells
+
+    @Override
+    public void changed() {
+        around.fetchList(raft.ready());
+        if (announcedRev != agreement.history().rev()) {
+            // First the news, so that the bytes are made while it travels.
+            announce();
+            configurations.follow(agreement.history());
+        }
+    }
+
+    /** The platform's list was fetched. */
+    void listed(List<HostList.Host> list) {
+        if (raft.role() != Raft.Role.LEADER) {
+            return;
+        }
+        HostListVersion old = hosts().version();
+        if (old.term() != raft.term() || !hosts().sameAs(list)) {
+            hosts.advance(new HostList(new HostListVersion(raft.term(), old.term() == raft.term() ? old.count() + 1 : 1), list));
+            announce();
+        }
+    }
+
+    /** Tells those who dialled what there is: at once when it is new, else once a second. */
+    private void announce() {
+        announceAt = around.millis() + ANNOUNCE_MILLIS;
+        announcedRev = agreement.history().rev();
+        Announce said = said();
+        conversations.stream().filter(c -> !c.dialled()).toList().forEach(c -> c.send(said));
+    }
+
+    private Announce said() {
+        boolean leads = raft.ready();
+        Set<String> cores = new TreeSet<>(announced);
+        if (leads) {
+            cores.clear();
+            raft.followers().forEach(p -> cores.add(p.member().address()));
+        }
+        raft.members().forEach(m -> cores.add(m.address()));
+        cores.add(self.address());
+        return new Announce(agreement.history().rev(), hosts().version(), raft.inTouch(), leads, List.copyOf(cores), edges());
+    }
+
+    // ---- what it hears
+
+    @Override
+    public void opened(Conversation conversation) {
+        conversations.add(conversation);
+        if (!conversation.dialled()) {
+            conversation.send(said());
+        }
+    }
+
+    @Override
+    public void closed(Conversation conversation) {
+        conversations.remove(conversation);
+    }
+
+    @Override
+    public void received(Conversation from, Signal signal) {
+        if (signal instanceof Signal.Agreement s) {
+            if (s.to() == id) {
+                agreement.receive(s.from(), s.message());
+            }
+        } else if (signal instanceof Join s) {
+            if (raft.role() == Raft.Role.LEADER) {
+                joins.put(s.member().id(), around.millis());
+                raft.addLearner(s.member());
+                agreement.pump();
+            }
+        } else if (signal instanceof PullConfiguration s) {
+            configurations.follow(agreement.history());
+            Signal newer = configurations.since(s.held());
+            if (newer != null) {
+                from.send(newer);
+            }
+        } else if (signal instanceof PullHosts s) {
+            from.send(hosts.since(s.held()));
+        } else if (signal instanceof Announce s) {
+            heard(from, s);
+        } else if (signal instanceof Hosts s) {
+            took(s.list());
+        } else if (signal instanceof HostsChanged s) {
+            if (s.change().base().is(hosts().version())) {
+                took(s.change().appliedTo(hosts()));
+            }
+        } else if (signal instanceof Call s) {
+            calls.called(s, answer -> from.send(answer));
+        } else if (signal instanceof CallAnswer s) {
+            calls.answered(s);
+        }
+    }
+
+    private void took(HostList list) {
+        pulledAt = 0;
+        if (list.version().compareTo(hosts().version()) > 0) {
+            hosts.advance(list);
+            announce();
+        }
+    }
+
+    private void heard(Conversation from, Announce s) {
+        if (s.leads() && raft.role() != Raft.Role.LEADER) {
+            announced.clear();
+            announced.addAll(s.cores());
+        }
+        long now = around.millis();
+        if (s.hosts().compareTo(hosts().version()) > 0 && now - pulledAt > PULL_AGAIN_MILLIS) {
+            pulledAt = now;
+            from.send(new PullHosts(hosts().version()));
+        }
+    }
+
+    @Override
+    public void send(long to, Message message) {
+        Conversation conversation = conversation(to);
+        if (conversation != null) {
+            conversation.send(new Signal.Agreement(id, to, message));
+        }
+    }
+
+    @Override
+    public void log(String line) {
+        around.log(line);
+    }
+}
--- /dev/null
+++ b/src/main/java/tinworks/control/OperatorCalls.java
@@ -0,0 +1,218 @@
+package tinworks.control;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import tinworks.channel.Conversation;
+import tinworks.channel.Signal.Call;
+import tinworks.channel.Signal.CallAnswer;
+import tinworks.config.Configuration;
+import tinworks.config.ConfigurationHistory;
+import tinworks.config.ConfigurationHistory.Verdict;
+import tinworks.config.ConfigurationReader;
+import tinworks.config.InvalidConfiguration;
+import tinworks.raft.Raft;
+
+/**
+ * The operator's calls at a core machine. A machine that doesn't lead passes a call on to the leader, and while there is
+ * none it waits a little; a caller gets an answer within a second, and a 503 says that it is open what becomes of a change.
+ */
+final class OperatorCalls {
+    private static final Logger LOG = LoggerFactory.getLogger(OperatorCalls.class);
+    /** The header that names the version which a change builds on. */
+    static final String BASE = "Base-Rev";
+    static final int OK = 200, UNCLEAR = 503;
+    private static final int CONFLICT = 412, INVALID = 400, NOT_FOUND = 404;
+    /** Callers move on after a second of silence. */
+    private static final long ANSWER_MILLIS = 850;
+
+    private final CoreMachine machine;
+    private final LongSupplier clock;
+    private final Map<Long, Waiting> waiting = new HashMap<>();
+    private long calls;
+
+    /** A call that has no answer yet; it has been passed on where {@code passedTo} is not null. */
+    private static final class Waiting {
+        final boolean read;
+        final byte[] command;
+        final Consumer<CallAnswer> told;
+        final long until;
+        Conversation passedTo;
+        boolean atWork;
+
+        Waiting(boolean read, byte[] command, Consumer<CallAnswer> told, long until) {
+            this.read = read;
+            this.command = command;
+            this.told = told;
+            this.until = until;
+        }
+    }
+
+    OperatorCalls(CoreMachine machine, LongSupplier clock) {
+        this.machine = machine;
+        this.clock = clock;
+    }
+
+    /** How many calls have no answer yet. */
+    int waiting() {
+        return waiting.size();
+    }
+
+    /** A whole configuration, with what the header says that it builds on; the answer's number means nothing. */
+    void replace(List<String> bases, byte[] body, Consumer<CallAnswer> told) {
+        try {
+            long base = base(bases);
+            Configuration configuration = ConfigurationReader.read(body);
+            submit(false, ConfigurationHistory.command(base, configuration.rev(), body), told);
+        } catch (InvalidConfiguration e) {
+            LOG.info("refused a configuration: {}", e.getMessage());
+            told.accept(new CallAnswer(0, INVALID, error(e.where(), e.getMessage())));
+        }
+    }
+
+    /** The newest configuration. */
+    void show(Consumer<CallAnswer> told) {
+        submit(true, new byte[0], told);
+    }
+
+    private static long base(List<String> values) throws InvalidConfiguration {
+        try {
+            long base = values.size() == 1 ? Long.parseLong(values.get(0).trim()) : -1;
+            if (base >= 0) {
+                return base;
+            }
+        } catch (NumberFormatException e) {
+            LOG.debug("a {} that is no number", BASE, e);
+        }
+        throw new InvalidConfiguration(BASE, "wanted the header once, with the number of the version built on");
+    }
+
+    // ---- calls, from the operator or passed on by another machine
+
+    /** A call that another machine has passed on. */
+    void called(Call call, Consumer<CallAnswer> told) {
+        if (machine.agreement().raft().role() == Raft.Role.LEADER) {
+            submit(call.read(), call.body(), a -> told.accept(new CallAnswer(call.number(), a.status(), a.body())));
+        } else {
+            told.accept(new CallAnswer(call.number(), UNCLEAR, error("", "not the leader")));
+        }
+    }
+
+    /** The leader's answer to a call that was passed on. */
+    void answered(CallAnswer answer) {
+        Waiting call = waiting.get(answer.number());
+        if (call != null && answer.status() == UNCLEAR) {
+            // Perhaps another leads by now; until its time is over the call goes on.
+            call.atWork = false;
+            call.passedTo = null;
+        } else if (call != null) {
+            waiting.remove(answer.number());
+            call.told.accept(answer);
+        }
+    }
+
+    private void submit(boolean read, byte[] command, Consumer<CallAnswer> told) {
+        Waiting call = new Waiting(read, command, told, clock.getAsLong() + ANSWER_MILLIS);
+        long number = ++calls;
+        waiting.put(number, call);
+        work(number, call);
+    }
+
+    /** Gives up calls whose time is over, and takes on those that found no leader. */
+    void tick() {
+        if (waiting.isEmpty()) {
+            return;
+        }
+        long now = clock.getAsLong();
+        for (Map.Entry<Long, Waiting> entry : List.copyOf(waiting.entrySet())) {
+            Waiting call = entry.getValue();
+            if (now >= call.until) {
+                waiting.remove(entry.getKey());
+                call.told.accept(new CallAnswer(entry.getKey(), UNCLEAR, error("", "no answer from a leader in time")));
+            } else {
+                call.atWork &= call.passedTo == null || call.passedTo.isOpen();
+                work(entry.getKey(), call);
+            }
+        }
+    }
+
+    private void work(long number, Waiting call) {
+        if (call.atWork) {
+            return;
+        }
+        Agreement agreement = machine.agreement();
+        if (agreement.raft().role() == Raft.Role.LEADER) {
+            call.atWork = true;
+            if (call.read) {
+                agreement.read(may -> done(number, may ? show() : null));
+            } else {
+                change(number, call, agreement);
+            }
+        } else if (machine.leader() != null) {
+            call.atWork = true;
+            call.passedTo = machine.leader();
+            call.passedTo.send(new Call(number, call.read, call.command));
+        }
+    }
+
+    private void change(long number, Waiting call, Agreement agreement) {
+        ConfigurationHistory history = agreement.history();
+        long base = ByteBuffer.wrap(call.command).getLong();
+        long rev = ByteBuffer.wrap(call.command, Long.BYTES, Long.BYTES).getLong();
+        Verdict now = history.judge(base, rev, call.command);
+        boolean settled = now == Verdict.TAKEN && rev <= history.rev() || now == Verdict.CONFLICT && base < history.rev();
+        if (settled) {
+            // True for good, whoever leads: a version that was taken or passed stays so.
+            done(number, verdict(now));
+        } else {
+            agreement.propose(call.command, verdict -> done(number, verdict == null ? null : verdict(verdict)));
+        }
+    }
+
+    /** Null where it is open: the call goes on until its time is over. */
+    private void done(long number, CallAnswer answer) {
+        Waiting call = waiting.get(number);
+        if (call == null) {
+            return;
+        }
+        if (answer == null) {
+            call.atWork = false;
+        } else {
+            waiting.remove(number);
+            call.told.accept(answer);
+        }
+    }
+
+    private CallAnswer verdict(Verdict verdict) {
+        long rev = machine.agreement().history().rev();
+        return switch (verdict) {
+            case TAKEN -> new CallAnswer(0, OK, ("{\"rev\":" + rev + "}\n").getBytes(StandardCharsets.UTF_8));
+            case CONFLICT -> new CallAnswer(0, CONFLICT, error(BASE, "the current version is " + rev));
+            case NOT_ABOVE -> new CallAnswer(0, INVALID, error("rev", "not above the current version " + rev));
+        };
+    }
+
+    private CallAnswer show() {
+        ConfigurationHistory history = machine.agreement().history();
+        return history.rev() == 0 ? new CallAnswer(0, NOT_FOUND, error("", "no configuration yet"))
+                : new CallAnswer(0, OK, history.body());
+    }
+
+    private static byte[] error(String where, String what) {
+        StringBuilder json = new StringBuilder("{\"err\":\"").append(escaped(what)).append('"');
+        if (!where.isEmpty()) {
+            json.append(",\"field\":\"").append(escaped(where)).append('"');
+        }
+        return json.append("}\n").toString().getBytes(StandardCharsets.UTF_8);
+    }
+
+    static String escaped(String text) {
+        return text.replaceAll("[\\p{Cntrl}]", " ").replace("\\", "\\\\").replace("\"", "\\\"");
+    }
+}
--- /dev/null
+++ b/src/main/java/tinworks/edge/CoreFollower.java
@@ -0,0 +1,219 @@
+package tinworks.edge;
+
+import java.util.Collection;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.Callable;
+import tinworks.channel.ConfigurationCodec;
+import tinworks.channel.Conversation;
+import tinworks.channel.HostList;
+import tinworks.channel.Packed;
+import tinworks.channel.Signal;
+import tinworks.channel.Signal.Announce;
+import tinworks.channel.Signal.ConfigurationBody;
+import tinworks.channel.Signal.ConfigurationChanged;
+import tinworks.channel.Signal.Hosts;
+import tinworks.channel.Signal.HostsChanged;
+import tinworks.channel.Signal.PullConfiguration;
+import tinworks.channel.Signal.PullHosts;
+import tinworks.config.Configuration;
+
+/**
+ * What an edge knows from the core machines: it pulls from whichever announces something newer, and versions only rise.
+ * Knows no sockets, threads or clock; all methods belong to one thread.
+ */
+public final class CoreFollower implements Conversation.Listener {
+    /** The edge round it. */
+    public interface Owner {
+        /** A steady clock's milliseconds. */
+        long millis();
+
+        /**
+         * Reads a newer version, on another thread where that takes long, and then calls {@link CoreFollower#use}, or
+         * {@link CoreFollower#unread} where it can't be read.
+         */
+        void read(long rev, Callable<Configuration> version);
+
+        /** A newer list of hosts. */
+        void listed(HostList list);
+
+        /** How many edges there are is known anew. */
+        void counted(int edges);
+
+        /** A line for the operators. */
+        void log(String line);
+    }
+
+    private static final int LARGEST_CONFIGURATION = 8 << 20;
+    private static final long PULL_AGAIN_MILLIS = 400, ALONE_MILLIS = 3_000;
+
+    private final Owner owner;
+    private final Newest newest = new Newest();
+    private Configuration configuration;
+    /** The version that is being read. */
+    private long readingRev;
+    private HostList list = HostList.NONE;
+    private Set<String> cores = Set.of();
+    private int edges = 1;
+    private long heardLeaderAt;
+    private long pulledConfigurationAt;
+    private long pulledHostsAt;
+
+    /** One that knows nothing yet. */
+    public CoreFollower(Owner owner) {
+        this.owner = owner;
+        heardLeaderAt = owner.millis();
+    }
+
+    // ---- what is known
+
+    /** The version in use, null where there is none yet. */
+    public Configuration configuration() {
+        return configuration;
+    }
+
+    /** The number of the version in use, 0 where there is none yet. */
+    public long rev() {
+        return configuration == null ? 0 : configuration.rev();
+    }
+
+    /** The newest list of hosts that a core machine told. */
+    public HostList list() {
+        return list;
+    }
+
+    /** How many edges there are, as far as the core has told. */
+    public int edges() {
+        return edges;
+    }
+
+    /** Whether the newest version has ever been in use here. */
+    public boolean upToDate() {
+        return newest.reached();
+    }
+
+    /** For how long no core machine has told that it hears a leader, in milliseconds. */
+    public long silentMillis() {
+        return owner.millis() - heardLeaderAt;
+    }
+
+    /** Whether the core is out of reach: then an edge looks for itself. */
+    public boolean alone() {
+        return silentMillis() > ALONE_MILLIS;
+    }
+
+    /** The addresses to be linked with: the core machines as they were told, and the seeds while none is heard. */
+    public Set<String> wanted(Collection<String> seeds) {
+        Set<String> wanted = new TreeSet<>(cores);
+        if (cores.isEmpty() || alone()) {
+            wanted.addAll(seeds);
+        }
+        return wanted;
+    }
+
+    // ---- what comes
+
+    @Override
+    public void opened(Conversation conversation) {
+        // The far side announces itself.
+    }
+
+    @Override
+    public void closed(Conversation conversation) {
+        // Whatever was asked of it is asked again with another one's announcement.
+    }
+
+    @Override
+    public void received(Conversation from, Signal signal) {
+        if (signal instanceof Announce s) {
+            heard(from, s);
+        } else if (signal instanceof ConfigurationBody s) {
+            read(s.rev(), () -> ConfigurationCodec.read(Packed.unpack(s.packed(), LARGEST_CONFIGURATION)));
+        } else if (signal instanceof ConfigurationChanged s) {
+            changed(from, s);
+        } else if (signal instanceof Hosts s) {
+            took(s.list());
+        } else if (signal instanceof HostsChanged s) {
+            if (s.change().base().is(list.version())) {
+                took(s.change().appliedTo(list));
+            }
+        }
+    }
+
+    @Override
+    public void log(String line) {
+        owner.log(line);
+    }
+
+    private void took(HostList newer) {
+        pulledHostsAt = 0;
+        if (newer.version().compareTo(list.version()) > 0) {
+            list = newer;
+            owner.listed(list);
+        }
+    }
+
+    private void heard(Conversation from, Announce s) {
+        long now = owner.millis();
+        if (s.fresh()) {
+            heardLeaderAt = now;
+        }
+        if (s.leads()) {
+            cores = Set.copyOf(s.cores());
+            count(s.edges());
+        } else if (cores.isEmpty() && s.fresh()) {
+            cores = Set.copyOf(s.cores());
+        }
+        if (s.rev() > Math.max(rev(), readingRev) && now - pulledConfigurationAt > PULL_AGAIN_MILLIS) {
+            pulledConfigurationAt = now;
+            from.send(new PullConfiguration(rev()));
+        }
+        newest.announced(s.rev(), s.fresh());
+        newest.holds(rev());
+        if (s.hosts().compareTo(list.version()) > 0 && now - pulledHostsAt > PULL_AGAIN_MILLIS) {
+            pulledHostsAt = now;
+            from.send(new PullHosts(list.version()));
+        }
+    }
+
+    private void count(int told) {
+        if (told > 0 && told != edges) {
+            edges = told;
+            owner.counted(told);
+        }
+    }
+
+    /** A change of the version that is held; of another one where a version came into use since this was asked for. */
+    private void changed(Conversation from, ConfigurationChanged s) {
+        Configuration held = configuration;
+        if (s.base() == rev()) {
+            read(s.rev(), () -> ConfigurationCodec.readChange(Packed.unpack(s.packed(), LARGEST_CONFIGURATION)).appliedTo(held));
+        } else if (s.rev() > Math.max(rev(), readingRev)) {
+            from.send(new PullConfiguration(rev()));
+        }
+    }
+
+    /** One at a time. */
+    private void read(long rev, Callable<Configuration> version) {
+        pulledConfigurationAt = 0;
+        if (rev > Math.max(rev(), readingRev)) {
+            readingRev = rev;
+            owner.read(rev, version);
+        }
+    }
+
+    /** A version that was read comes into use; false where a newer one is. */
+    public boolean use(Configuration read) {
+        if (read.rev() <= rev()) {
+            return false;
+        }
+        configuration = read;
+        newest.holds(read.rev());
+        return true;
+    }
+
+    /** The version that was being read can't be. */
+    public void unread() {
+        readingRev = 0;
+    }
+}
--- a/src/main/java/tinworks/edge/EdgeNode.java
+++ b/src/main/java/tinworks/edge/EdgeNode.java
@@ -12,9 +12,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.SplittableRandom;
-import java.util.TreeSet;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
@@ -22,22 +20,11 @@
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import tinworks.channel.ConfigurationCodec;
-import tinworks.channel.Conversation;
 import tinworks.channel.HostList.Host;
 import tinworks.channel.HostList;
-import tinworks.channel.Links;
-import tinworks.channel.Packed;
-import tinworks.channel.Signal.Announce;
-import tinworks.channel.Signal.ConfigurationBody;
-import tinworks.channel.Signal.ConfigurationChanged;
+import tinworks.channel.TcpLinks;
 import tinworks.channel.Signal.Hello;
-import tinworks.channel.Signal.Hosts;
-import tinworks.channel.Signal.HostsChanged;
 import tinworks.channel.Signal.Part;
-import tinworks.channel.Signal.PullConfiguration;
-import tinworks.channel.Signal.PullHosts;
-import tinworks.channel.Signal;
 import tinworks.channel.SteadyClock;
 import tinworks.config.Configuration.Limits;
 import tinworks.config.Configuration;
@@ -61,16 +48,14 @@
 import tinworks.policy.Protocol.ServerInfo;
 
 /**
- * An edge gateway at work. It keeps a link to every core machine and pulls from whichever announces something newer;
- * versions only rise. What it knows it goes on serving on, whether or not a core machine can be reached. All on one
- * event loop.
+ * An edge gateway at work. It keeps a link to every core machine and follows them ({@link CoreFollower}); what it knows it
+ * goes on serving on, whether or not a core machine can be reached. All on one event loop.
  */
-public final class EdgeNode implements Conversation.Listener, Forwarding.Owner {
+public final class EdgeNode implements CoreFollower.Owner, Forwarding.Owner {
     private static final Logger LOG = LoggerFactory.getLogger(EdgeNode.class);
     private static final String READYZ = "/-/readyz", METRICS = "/-/metrics";
-    private static final int PROBES = 32, PROBE_HEAD = 4_096, LARGEST_ANSWER = 8 << 20, LARGEST_REQUEST = 8 << 20,
-            LARGEST_CONFIGURATION = 8 << 20;
-    private static final long TICK_MILLIS = 250, PULL_AGAIN_MILLIS = 400, PLAIN_START_MILLIS = 3_000, ALONE_MILLIS = 3_000;
+    private static final int PROBES = 32, PROBE_HEAD = 4_096, LARGEST_ANSWER = 8 << 20, LARGEST_REQUEST = 8 << 20;
+    private static final long TICK_MILLIS = 250, PLAIN_START_MILLIS = 3_000;
     private static final long DIAL_NANOS = TimeUnit.MILLISECONDS.toNanos(400), HOST_IDLE_NANOS = TimeUnit.SECONDS.toNanos(9);
     /** The platform asks once a second and takes a gateway out when it has missed twice. */
     private static final long LAST_ANSWERS_MILLIS = 1_300, STOP_MILLIS = 2_700, END_MARGIN_MILLIS = 500, END_CHECK_MILLIS = 20;
@@ -79,7 +64,7 @@
     private final BootSettings settings;
     private final GatewayClock clock;
     private final SplittableRandom random;
-    private final Links links;
+    private final TcpLinks links;
     private final HostPoller poller;
     private final HostPool hosts;
     private final EdgeStyle style;
@@ -88,7 +73,7 @@
     private final ClientServer probes;
     private final Map<String, Forwarding> services = new LinkedHashMap<>();
     private final Map<String, Long> startedAt = new HashMap<>();
-    private final Newest newest = new Newest();
+    private final CoreFollower core;
     private final ExecutorService reader = Executors.newSingleThreadExecutor(work -> {
         Thread thread = new Thread(work, "configuration");
         thread.setDaemon(true);
@@ -97,21 +82,12 @@
     private final CompletableFuture<Void> ended = new CompletableFuture<>();
     private final long startMillis = SteadyClock.millis();
     private BootSettings current;
-    private Configuration configuration;
-    /** The version that is being read. */
-    private long readingRev;
-    private HostList list = HostList.NONE;
     /** The hosts by their ids as last told, by a core machine or by the platform itself. */
     private Map<String, Host> known = Map.of();
     private final Drained drained = new Drained();
     /** The classes of each service under the present configuration. */
     private Map<String, List<RequestClass>> classes = Map.of();
     private boolean listed;
-    private Set<String> cores = Set.of();
-    private int gateways = 1;
-    private long heardLeaderAt;
-    private long pulledConfigurationAt;
-    private long pulledHostsAt;
     private boolean ending;
 
     /** An edge that knows its settings alone. */
@@ -122,7 +98,8 @@
         current = settings;
         random = new SplittableRandom(id);
         style = new EdgeStyle(id);
-        links = new Links(loop, new Hello(Part.EDGE, id, "", settings.node(), settings.zone()), this);
+        core = new CoreFollower(this);
+        links = new TcpLinks(loop, new Hello(Part.EDGE, id, "", settings.node(), settings.zone()), core);
         poller = new HostPoller(loop, clock, settings.provider(), id, this::listed, this::log);
         hosts = new HostPool(loop, Transport.TCP, clock,
                 new HostPool.Bounds(DIAL_NANOS, HOST_IDLE_NANOS, connections(), LARGEST_ANSWER), style);
@@ -130,7 +107,6 @@
         clients = new ClientServer(loop, Transport.TCP, clock, clientBounds(Limits.USUAL), requests);
         probes = new ClientServer(loop, Transport.TCP, clock, new ClientServer.Bounds(PROBES, TimeUnit.SECONDS.toNanos(2),
                 TimeUnit.SECONDS.toNanos(5), PROBE_HEAD, PROBE_HEAD, READYZ), new Probes());
-        heardLeaderAt = startMillis;
     }
 
     /** Half of the descriptors for each side, less those for probes. */
@@ -193,139 +169,62 @@
 
     private void tick() {
         loop.schedule(this::tick, TICK_MILLIS, TimeUnit.MILLISECONDS);
-        long now = SteadyClock.millis();
-        boolean alone = now - heardLeaderAt > ALONE_MILLIS;
-        Set<String> wanted = new TreeSet<>(cores);
-        if (cores.isEmpty() || alone) {
-            wanted.addAll(current.seeds());
-        }
-        links.want(wanted);
+        links.want(core.wanted(current.seeds()));
         // Guards against hosts that come and go while nobody tells of them: then every edge looks for itself.
-        poller.turn(alone);
+        poller.turn(core.alone());
     }
 
     /** Whether clients may be sent here: with a configuration and a list, and once the newest version is known. */
     boolean ready() {
         boolean waited = SteadyClock.millis() - startMillis > PLAIN_START_MILLIS;
-        return configuration != null && listed && (newest.reached() || waited) && !ending;
+        return core.configuration() != null && listed && (core.upToDate() || waited) && !ending;
     }
 
     private MetricsPage metrics() {
-        double silent = (double) (SteadyClock.millis() - heardLeaderAt) / TimeUnit.SECONDS.toMillis(1);
-        MetricsPage page = EdgeMetrics.page(ready(), rev(), gateways, known.size(),
+        double silent = (double) core.silentMillis() / TimeUnit.SECONDS.toMillis(1);
+        MetricsPage page = EdgeMetrics.page(ready(), core.rev(), core.edges(), known.size(),
                 hosts.connections(), silent);
         services.forEach((service, forwarding) -> EdgeMetrics.add(page, service, forwarding));
         return page;
     }
 
-    // ---- what the core machines tell
-
-    @Override
-    public void opened(Conversation conversation) {
-        LOG.debug("linked with {}", conversation.peer().node());
-    }
+    // ---- CoreFollower.Owner
 
     @Override
-    public void closed(Conversation conversation) {
-        LOG.debug("no longer linked with {}", conversation.peer().node());
+    public long millis() {
+        return SteadyClock.millis();
     }
 
     @Override
-    public void received(Conversation from, Signal signal) {
-        if (signal instanceof Announce s) {
-            heard(from, s);
-        } else if (signal instanceof ConfigurationBody s) {
-            configured(s.rev(), () -> ConfigurationCodec.read(Packed.unpack(s.packed(), LARGEST_CONFIGURATION)));
-        } else if (signal instanceof ConfigurationChanged s) {
-            changed(from, s);
-        } else if (signal instanceof Hosts s) {
-            took(s.list());
-        } else if (signal instanceof HostsChanged s) {
-            if (s.change().base().is(list.version())) {
-                took(s.change().appliedTo(list));
-            }
-        }
-    }
-
-    private void took(HostList newer) {
-        pulledHostsAt = 0;
-        if (newer.version().compareTo(list.version()) > 0) {
-            list = newer;
-            listed(list.hosts());
-        }
-    }
-
-    private void heard(Conversation from, Announce s) {
-        long now = SteadyClock.millis();
-        if (s.fresh()) {
-            heardLeaderAt = now;
-        }
-        if (s.leads()) {
-            cores = Set.copyOf(s.cores());
-            count(s.edges());
-        } else if (cores.isEmpty() && s.fresh()) {
-            cores = Set.copyOf(s.cores());
-        }
-        if (s.rev() > Math.max(rev(), readingRev) && now - pulledConfigurationAt > PULL_AGAIN_MILLIS) {
-            pulledConfigurationAt = now;
-            from.send(new PullConfiguration(rev()));
-        }
-        newest.announced(s.rev(), s.fresh());
-        newest.holds(rev());
-        if (s.hosts().compareTo(list.version()) > 0 && now - pulledHostsAt > PULL_AGAIN_MILLIS) {
-            pulledHostsAt = now;
-            from.send(new PullHosts(list.version()));
-        }
-    }
-
-    private void count(int edges) {
-        if (edges > 0 && edges != gateways) {
-            gateways = edges;
-            reconfigure();
-        }
-    }
-
-    /** A change of the version that is held; of another one where a version came into use since this was asked for. */
-    private void changed(Conversation from, ConfigurationChanged s) {
-        Configuration held = configuration;
-        if (s.base() == rev()) {
-            configured(s.rev(), () -> ConfigurationCodec.readChange(Packed.unpack(s.packed(), LARGEST_CONFIGURATION)).appliedTo(held));
-        } else if (s.rev() > Math.max(rev(), readingRev)) {
-            from.send(new PullConfiguration(rev()));
-        }
-    }
-
-    /** Reads a newer version, one at a time and not on the event loop, and then goes by it. */
-    private void configured(long rev, Callable<Configuration> read) {
-        pulledConfigurationAt = 0;
-        if (rev <= Math.max(rev(), readingRev)) {
-            return;
-        }
-        readingRev = rev;
+    public void read(long rev, Callable<Configuration> version) {
         reader.execute(() -> {
             try {
-                Prepared prepared = Prepared.of(read.call());
+                Prepared prepared = Prepared.of(version.call());
                 loop.execute(() -> use(prepared));
             } catch (Exception e) {
                 LOG.error("can't read the configuration {}: {}", rev, e.getMessage());
-                loop.execute(() -> readingRev = 0);
+                loop.execute(core::unread);
             }
         });
     }
 
-    /** The version in use, 0 where there is none yet. */
-    private long rev() {
-        return configuration == null ? 0 : configuration.rev();
+    @Override
+    public void listed(HostList list) {
+        listed(list.hosts());
+    }
+
+    @Override
+    public void counted(int edges) {
+        reconfigure();
     }
 
     private void use(Prepared prepared) {
-        if (prepared.configuration().rev() <= rev()) {
+        Configuration configuration = prepared.configuration();
+        if (!core.use(configuration)) {
             return;
         }
-        configuration = prepared.configuration();
         classes = prepared.classes();
         requests.use(prepared.routes());
-        newest.holds(configuration.rev());
         clients.rebound(clientBounds(configuration.limits()));
         style.mutating(prepared.mutating());
         reconfigure();
@@ -333,6 +232,7 @@
     }
 
     private void reconfigure() {
+        Configuration configuration = core.configuration();
         if (configuration == null) {
             return;
         }
@@ -340,9 +240,9 @@
             List<RequestClass> itsClasses = classes.get(service);
             Forwarding there = services.get(service);
             if (there != null) {
-                there.tell(new Reconfigured(itsClasses, gateways));
+                there.tell(new Reconfigured(itsClasses, core.edges()));
             } else if (!itsClasses.isEmpty()) {
-                Forwarding made = new Forwarding(loop, clock, ServiceSettings.settings(itsClasses, gateways, settings.zone()),
+                Forwarding made = new Forwarding(loop, clock, ServiceSettings.settings(itsClasses, core.edges(), settings.zone()),
                         random.nextLong(), hosts, style, this);
                 services.put(service, made);
                 made.tell(new ListReceived(ListKind.WHOLE, servers(service)));
@@ -350,7 +250,7 @@
         }
         for (Map.Entry<String, Forwarding> entry : List.copyOf(services.entrySet())) {
             if (!configuration.services().containsKey(entry.getKey())) {
-                entry.getValue().tell(new Reconfigured(List.of(), gateways));
+                entry.getValue().tell(new Reconfigured(List.of(), core.edges()));
             }
         }
     }
