Open the core's store in a folder that a test can stand in for, and simulate a disk

Cause: nothing could show what a loss of power leaves of a core machine's store but bytes that a test mixed by hand.

Change: CoreStore is opened in a Folder; DiskFolder is the machine's own. SimulatedDisk (tests) is a seeded disk in memory that the production store runs on through MVStore's file systems: after a loss of power each write since the last sync is there, missing or torn by itself, at some losses none is, and names changed without a sync of the folder are kept or lost by themselves; full disks refuse at any write; a killed process leaves its files. CoreStoreTest's look at the name of a store that was set aside also asserts now that the file is there.

--- a/src/main/java/tinworks/control/Core.java
+++ b/src/main/java/tinworks/control/Core.java
@@ -3,7 +3,6 @@
 import io.netty.channel.ChannelFuture;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Path;
 import java.time.LocalDateTime;
 import java.time.format.DateTimeFormatter;
 import java.util.List;
@@ -19,6 +18,8 @@
 import tinworks.raft.Snapshot;
 import tinworks.raft.Stored;
 import tinworks.store.CoreStore;
+import tinworks.store.DiskFolder;
+import tinworks.store.Folder;
 
 /** The process of a core machine: its disk, its start and its end. */
 public final class Core {
@@ -37,7 +38,7 @@
             throw new IllegalArgumentException("listen.ctl: is missing");
         }
         try {
-            CoreStore store = open(settings.dataDir());
+            CoreStore store = open(new DiskFolder(settings.dataDir()));
             long id = identity(store, settings);
             Stored stored = store.load();
             CoreNode node = process.call(() -> new CoreNode(process.loop(), settings, store, id, stored));
@@ -51,7 +52,7 @@
     }
 
     /** Opens the store; one that can't be trusted is set aside, and this machine begins anew as another member. */
-    private static CoreStore open(Path folder) throws IOException, CoreStore.Damaged {
+    private static CoreStore open(Folder folder) throws IOException, CoreStore.Damaged {
         CoreStore store = null;
         try {
             store = CoreStore.open(folder);
@@ -63,7 +64,7 @@
                 store.close();
             }
             String date = LocalDateTime.now().format(DateTimeFormatter.ofPattern("yyyyMMdd-HHmmss"));
-            Path aside = CoreStore.setAside(folder, date);
+            String aside = CoreStore.setAside(folder, date);
             LOG.error("the store can't be trusted and was set aside as {}; this machine begins empty: {}", aside, e.getMessage());
             return CoreStore.open(folder);
         }
--- a/src/main/java/tinworks/store/CoreStore.java
+++ b/src/main/java/tinworks/store/CoreStore.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -43,30 +42,35 @@
     private static final Entry.Kind[] KINDS = Entry.Kind.values();
     private static final int CACHE_MB = 1, COMPACT_FILL_PERCENT = 50, COMPACT_BYTES = 1 << 20;
 
-    private final Path folder;
+    private final Folder folder;
     private MVStore store;
     private MVMap<Long, byte[]> log;
     private MVMap<String, byte[]> meta;
 
-    private CoreStore(Path folder) {
+    private CoreStore(Folder folder) {
         this.folder = folder;
     }
 
     /** Opens the store in a folder, or makes one; a file that can't be read as a store is {@link Damaged}. */
     public static CoreStore open(Path folder) throws IOException, Damaged {
-        Files.createDirectories(folder);
+        return open(new DiskFolder(folder));
+    }
+
+    /** Opens the store in a folder, or makes one; a file that can't be read as a store is {@link Damaged}. */
+    public static CoreStore open(Folder folder) throws IOException, Damaged {
+        folder.make();
         CoreStore opened = new CoreStore(folder);
         opened.reopen();
         return opened;
     }
 
-    /** Moves a damaged store aside, so that nothing is lost and an empty one can be made; returns its new place. */
-    public static Path setAside(Path folder, String date) throws IOException {
-        Path aside = folder.resolve("damaged-" + date + ".mv");
-        for (int i = 2; Files.exists(aside); i++) {
-            aside = folder.resolve("damaged-" + date + "-" + i + ".mv");
+    /** Renames a damaged store, so that nothing is lost and an empty one can be made; returns the file's new name. */
+    public static String setAside(Folder folder, String date) throws IOException {
+        String aside = "damaged-" + date + ".mv";
+        for (int i = 2; folder.exists(aside); i++) {
+            aside = "damaged-" + date + "-" + i + ".mv";
         }
-        Files.move(folder.resolve(FILE), aside);
+        folder.move(FILE, aside);
         return aside;
     }
 
@@ -77,7 +81,7 @@
         }
         try {
             // Commits happen where they are asked for alone: a thread of the library's would sync at times of its own.
-            store = new MVStore.Builder().fileName(folder.resolve(FILE).toString()).autoCommitDisabled()
+            store = new MVStore.Builder().fileName(folder.path(FILE)).autoCommitDisabled()
                     .cacheSize(CACHE_MB).open();
             log = store.openMap("log", new MVMap.Builder<Long, byte[]>().keyType(LongDataType.INSTANCE)
                     .valueType(ByteArrayDataType.INSTANCE));
--- /dev/null
+++ b/src/main/java/tinworks/store/DiskFolder.java
@@ -0,0 +1,45 @@
+package tinworks.store;
+
+import java.io.IOException;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+
+/**
+ * A folder of the machine's disk.
+ *
+ * @param place where it is
+ */
+public record DiskFolder(Path place) implements Folder {
+    @Override
+    public void make() throws IOException {
+        Files.createDirectories(place);
+    }
+
+    @Override
+    public String path(String file) {
+        return place.resolve(file).toString();
+    }
+
+    @Override
+    public boolean exists(String file) {
+        return Files.exists(place.resolve(file));
+    }
+
+    @Override
+    public void move(String file, String to) throws IOException {
+        Files.move(place.resolve(file), place.resolve(to));
+    }
+
+    @Override
+    public void sync() throws IOException {
+        sync(place);
+    }
+
+    private static void sync(Path folder) throws IOException {
+        try (FileChannel channel = FileChannel.open(folder, StandardOpenOption.READ)) {
+            channel.force(true);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/tinworks/store/Folder.java
@@ -0,0 +1,24 @@
+package tinworks.store;
+
+import java.io.IOException;
+
+/**
+ * The folder that a store lives in. A file that was made, renamed or removed is only sure to be so after a loss of power
+ * once the folder has been synced.
+ */
+public interface Folder {
+    /** Makes the folder where there is none; once this returns it outlasts a loss of power. */
+    void make() throws IOException;
+
+    /** The full name of a file in it, as MVStore's file systems take it. */
+    String path(String file);
+
+    /** Whether there is a file of this name. */
+    boolean exists(String file) throws IOException;
+
+    /** Renames a file; there must be none of the new name. */
+    void move(String file, String to) throws IOException;
+
+    /** Returns once all changes of names so far outlast a loss of power. */
+    void sync() throws IOException;
+}
--- a/src/test/java/tinworks/store/CoreStoreTest.java
+++ b/src/test/java/tinworks/store/CoreStoreTest.java
@@ -89,8 +89,8 @@
     void aStoreThatCantBeTrustedIsSetAsideUnderADatedName() throws Exception {
         Files.write(folder.resolve("state.mv"), new byte[20_000]);
         assertThrows(CoreStore.Damaged.class, () -> CoreStore.open(folder));
-        Path aside = CoreStore.setAside(folder, "20260102-030405");
-        assertEquals("damaged-20260102-030405.mv", aside.getFileName().toString());
+        assertEquals("damaged-20260102-030405.mv", CoreStore.setAside(new DiskFolder(folder), "20260102-030405"));
+        assertTrue(Files.exists(folder.resolve("damaged-20260102-030405.mv")));
         CoreStore fresh = CoreStore.open(folder);
         assertEquals(0, fresh.identity());
         fresh.close();
--- /dev/null
+++ b/src/test/java/tinworks/store/SimulatedDisk.java
@@ -0,0 +1,566 @@
+package tinworks.store;
+
+import java.io.IOException;
+import java.lang.ref.WeakReference;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.channels.FileLock;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import org.h2.store.fs.FileBaseDefault;
+import org.h2.store.fs.FilePath;
+
+/**
+ * The disk of one machine in memory, seeded, which {@link CoreStore} runs on through MVStore. After a loss of power a
+ * file holds what its last sync covered; of what was written since, each write is there, missing or torn by itself, and
+ * at some losses none is. A file that was made, renamed or removed since the folder's last sync is kept or lost by itself.
+ *
+ * <p>What was opened before a {@link #crash}, {@link #powerLoss} or {@link #wipe} is of a process that is gone: all that
+ * it still does fails and changes nothing.
+ */
+public final class SimulatedDisk {
+    /** Where the simulation's own file system hangs in MVStore's. */
+    private static final String SCHEME = "simdisk";
+    private static final int SECTOR = 512;
+    private static final Map<Long, WeakReference<SimulatedDisk>> DISKS = new ConcurrentHashMap<>();
+    private static final AtomicLong NEXT = new AtomicLong();
+
+    static {
+        FilePath.register(new SimulatedPath());
+    }
+
+    private final long number = NEXT.incrementAndGet();
+    private final SplittableRandom random;
+    private final Map<String, Contents> names = new TreeMap<>();
+    private final Map<String, Contents> syncedNames = new TreeMap<>();
+    private Runnable onSync = () -> { };
+    private int life;
+    private long operations;
+    private long syncs;
+    private long passing = Long.MAX_VALUE;
+    private boolean late;
+    private long taken = Long.MAX_VALUE;
+    private boolean inPart;
+
+    /** An empty disk; the seed decides what losses of power leave. */
+    public SimulatedDisk(long seed) {
+        random = new SplittableRandom(seed);
+        DISKS.values().removeIf(disk -> disk.get() == null);
+        DISKS.put(number, new WeakReference<>(this));
+    }
+
+    /** What a store is opened in; it holds on to this disk. */
+    public Folder folder() {
+        return new SimulatedFolder();
+    }
+
+    /** Power goes, and the process with it. */
+    public synchronized void powerLoss() {
+        crash();
+        Map<String, Contents> left = namesLeft();
+        names.clear();
+        names.putAll(left);
+        syncedNames.clear();
+        syncedNames.putAll(left);
+        names.values().forEach(file -> file.loseWrites(random));
+    }
+
+    private Map<String, Contents> namesLeft() {
+        Map<String, Contents> left = new TreeMap<>();
+        boolean noneKept = random.nextInt(4) == 0;
+        Map<String, Contents> all = new TreeMap<>(syncedNames);
+        all.putAll(names);
+        for (String name : all.keySet()) {
+            Contents was = syncedNames.get(name);
+            Contents is = names.get(name);
+            Contents chosen = was == is || !noneKept && random.nextBoolean() ? is : was;
+            if (chosen != null) {
+                left.put(name, chosen);
+            }
+        }
+        // A renamed file has its old name, its new one or none, but never both.
+        left.entrySet().removeIf(old -> names.get(old.getKey()) != old.getValue()
+                && left.entrySet().stream().anyMatch(kept -> kept != old && kept.getValue() == old.getValue()));
+        return left;
+    }
+
+    /** The process is gone, and files stay as they were. */
+    public synchronized void crash() {
+        life++;
+        passing = Long.MAX_VALUE;
+    }
+
+    /** The machine comes back with an empty disk. */
+    public synchronized void wipe() {
+        crash();
+        names.clear();
+        syncedNames.clear();
+    }
+
+    /** A full disk refuses every write, and takes them again later. */
+    public synchronized void full(boolean full) {
+        taken = full ? 0 : Long.MAX_VALUE;
+        inPart = false;
+    }
+
+    /** Takes this many more writes and then is full; the first that is refused may have been written in part. */
+    public synchronized void fullAfter(long writes) {
+        taken = writes;
+        inPart = true;
+    }
+
+    /**
+     * Lets this many more operations (writes, cuts, syncs and changes of names) through. All later ones fail, as they come
+     * too late for the {@link #powerLoss} that the caller then makes.
+     */
+    public synchronized void stopAfter(long more) {
+        passing = more;
+        late = false;
+    }
+
+    /** Whether an operation came too late for {@link #stopAfter}. */
+    public synchronized boolean stopped() {
+        return late;
+    }
+
+    /** Called at each sync of a file or of the folder before it takes effect, on the thread that syncs. */
+    public synchronized void onSync(Runnable hook) {
+        onSync = hook;
+    }
+
+    /** How many syncs there were. */
+    public synchronized long syncs() {
+        return syncs;
+    }
+
+    /** How many writes, cuts, syncs and changes of names there were. */
+    public synchronized long operations() {
+        return operations;
+    }
+
+    /** The length of all files. */
+    public synchronized long bytes() {
+        return names.values().stream().mapToLong(file -> file.length).sum();
+    }
+
+    /** The names of its files. */
+    public synchronized List<String> files() {
+        return List.copyOf(names.keySet());
+    }
+
+    /** What a file holds now. */
+    public synchronized byte[] read(String file) {
+        Contents contents = names.get(file);
+        return Arrays.copyOf(contents.now, contents.length);
+    }
+
+    /** Puts a file there as if it had always been. */
+    public synchronized void put(String file, byte[] bytes) {
+        Contents contents = new Contents();
+        contents.now = bytes.clone();
+        contents.length = bytes.length;
+        contents.synced = bytes.clone();
+        contents.syncedLength = bytes.length;
+        names.put(file, contents);
+        syncedNames.put(file, contents);
+    }
+
+    /** Counts an operation; false where the power is gone. */
+    private boolean passes() {
+        if (passing == 0) {
+            late = true;
+            return false;
+        }
+        if (passing != Long.MAX_VALUE) {
+            passing--;
+        }
+        operations++;
+        return true;
+    }
+
+    private void change() throws IOException {
+        if (!passes()) {
+            throw new IOException("the power is gone");
+        }
+    }
+
+    private void synced() throws IOException {
+        Runnable hook;
+        synchronized (this) {
+            change();
+            syncs++;
+            hook = onSync;
+        }
+        hook.run();
+    }
+
+    private record Written(int at, byte[] bytes) { }
+
+    /** A file; a {@link Written} without bytes cut it to a length. */
+    private static final class Contents {
+        private final List<Written> unsynced = new ArrayList<>();
+        private byte[] now = new byte[0];
+        private int length;
+        private byte[] synced = new byte[0];
+        private int syncedLength;
+
+        void write(int at, byte[] bytes) {
+            unsynced.add(new Written(at, bytes));
+            now = Arrays.copyOf(now, Math.max(now.length, grown(now.length, at + bytes.length)));
+            System.arraycopy(bytes, 0, now, at, bytes.length);
+            length = Math.max(length, at + bytes.length);
+        }
+
+        void cut(int to) {
+            if (to < length) {
+                unsynced.add(new Written(to, null));
+                Arrays.fill(now, to, length, (byte) 0);
+                length = to;
+            }
+        }
+
+        void sync() {
+            unsynced.forEach(this::settle);
+            unsynced.clear();
+        }
+
+        private void settle(Written write) {
+            if (write.bytes == null) {
+                if (write.at < syncedLength) {
+                    Arrays.fill(synced, write.at, syncedLength, (byte) 0);
+                    syncedLength = write.at;
+                }
+                return;
+            }
+            synced = Arrays.copyOf(synced, Math.max(synced.length, grown(synced.length, write.at + write.bytes.length)));
+            System.arraycopy(write.bytes, 0, synced, write.at, write.bytes.length);
+            syncedLength = Math.max(syncedLength, write.at + write.bytes.length);
+        }
+
+        private static int grown(int capacity, int wanted) {
+            return wanted <= capacity ? capacity : Math.max(wanted, capacity + capacity / 2);
+        }
+
+        void loseWrites(SplittableRandom random) {
+            boolean noneKept = random.nextInt(4) == 0;
+            for (Written write : unsynced) {
+                int fate = random.nextInt(3);
+                if (noneKept || fate == 0) {
+                    continue;
+                }
+                if (fate == 1 || write.bytes == null) {
+                    settle(write);
+                } else {
+                    tear(write, random);
+                }
+            }
+            unsynced.clear();
+            now = Arrays.copyOf(synced, synced.length);
+            length = syncedLength;
+        }
+
+        /** Either a first part alone, at any byte, or some of the sectors. */
+        private void tear(Written write, SplittableRandom random) {
+            if (random.nextBoolean()) {
+                settle(new Written(write.at, Arrays.copyOf(write.bytes, random.nextInt(write.bytes.length + 1))));
+                return;
+            }
+            for (int from = 0; from < write.bytes.length; from += SECTOR) {
+                if (random.nextBoolean()) {
+                    settle(new Written(write.at + from,
+                            Arrays.copyOfRange(write.bytes, from, Math.min(write.bytes.length, from + SECTOR))));
+                }
+            }
+        }
+    }
+
+    private final class SimulatedFolder implements Folder {
+        private final int born = life;
+
+        @Override
+        public void make() { }
+
+        @Override
+        public String path(String file) {
+            return SCHEME + ":" + number + "/" + file;
+        }
+
+        @Override
+        public boolean exists(String file) {
+            synchronized (SimulatedDisk.this) {
+                return names.containsKey(file);
+            }
+        }
+
+        @Override
+        public void move(String file, String to) throws IOException {
+            synchronized (SimulatedDisk.this) {
+                alive();
+                change();
+                if (!names.containsKey(file) || names.containsKey(to)) {
+                    throw new IOException("can't rename " + file + " to " + to);
+                }
+                names.put(to, names.remove(file));
+            }
+        }
+
+        @Override
+        public void sync() throws IOException {
+            alive();
+            synced();
+            synchronized (SimulatedDisk.this) {
+                syncedNames.clear();
+                syncedNames.putAll(names);
+            }
+        }
+
+        private void alive() throws IOException {
+            synchronized (SimulatedDisk.this) {
+                if (born != life) {
+                    throw new IOException("the process is gone");
+                }
+            }
+        }
+    }
+
+    /** A file opened by a process, until the process is gone. */
+    private final class Opened extends FileBaseDefault {
+        private final Contents contents;
+        private final int born = life;
+
+        Opened(Contents contents) {
+            this.contents = contents;
+        }
+
+        private void alive() throws IOException {
+            if (born != life) {
+                throw new IOException("the process is gone");
+            }
+        }
+
+        @Override
+        public long size() {
+            synchronized (SimulatedDisk.this) {
+                return contents.length;
+            }
+        }
+
+        @Override
+        public int read(ByteBuffer into, long position) throws IOException {
+            synchronized (SimulatedDisk.this) {
+                alive();
+                int count = (int) Math.min(into.remaining(), contents.length - position);
+                if (count <= 0) {
+                    return into.hasRemaining() ? -1 : 0;
+                }
+                into.put(contents.now, (int) position, count);
+                return count;
+            }
+        }
+
+        @Override
+        public int write(ByteBuffer from, long position) throws IOException {
+            synchronized (SimulatedDisk.this) {
+                alive();
+                change();
+                if (taken == 0) {
+                    refuse(from, (int) position);
+                }
+                taken -= taken == Long.MAX_VALUE ? 0 : 1;
+                byte[] bytes = new byte[from.remaining()];
+                from.get(bytes);
+                contents.write((int) position, bytes);
+                return bytes.length;
+            }
+        }
+
+        private void refuse(ByteBuffer from, int position) throws IOException {
+            if (inPart && from.hasRemaining()) {
+                byte[] part = new byte[random.nextInt(from.remaining())];
+                from.get(part);
+                contents.write(position, part);
+            }
+            inPart = false;
+            throw new IOException("No space left on device");
+        }
+
+        /** Cuts nothing where the power is gone: MVStore would try it ten times over. */
+        @Override
+        protected void implTruncate(long size) throws IOException {
+            synchronized (SimulatedDisk.this) {
+                if (born == life && passes()) {
+                    contents.cut((int) size);
+                }
+            }
+        }
+
+        @Override
+        public void force(boolean lengthToo) throws IOException {
+            synchronized (SimulatedDisk.this) {
+                alive();
+            }
+            synced();
+            synchronized (SimulatedDisk.this) {
+                alive();
+                contents.sync();
+            }
+        }
+
+        /** Locks are granted and have no effect. */
+        @Override
+        public FileLock tryLock(long position, long size, boolean shared) {
+            return new FileLock(this, position, size, shared) {
+                @Override
+                public boolean isValid() {
+                    return true;
+                }
+
+                @Override
+                public void release() { }
+            };
+        }
+    }
+
+    /** Names of files on simulated disks: the disk's number, a slash and the file. */
+    private static final class SimulatedPath extends FilePath {
+        private static SimulatedPath of(String path) {
+            SimulatedPath made = new SimulatedPath();
+            made.name = path;
+            return made;
+        }
+
+        private String[] parts() {
+            return name.substring(SCHEME.length() + 1).split("/", 2);
+        }
+
+        private SimulatedDisk disk() {
+            WeakReference<SimulatedDisk> found = DISKS.get(Long.valueOf(parts()[0]));
+            SimulatedDisk disk = found == null ? null : found.get();
+            if (disk == null) {
+                throw new IllegalStateException("no disk: " + name);
+            }
+            return disk;
+        }
+
+        private String file() {
+            String[] parts = parts();
+            return parts.length < 2 ? "" : parts[1];
+        }
+
+        @Override
+        public FileChannel open(String mode) throws IOException {
+            SimulatedDisk disk = disk();
+            synchronized (disk) {
+                Contents contents = disk.names.get(file());
+                if (contents == null) {
+                    if (disk.taken == 0) {
+                        throw new IOException("No space left on device");
+                    }
+                    disk.change();
+                    contents = new Contents();
+                    disk.names.put(file(), contents);
+                }
+                return disk.new Opened(contents);
+            }
+        }
+
+        @Override
+        public boolean exists() {
+            return isDirectory() || isRegularFile();
+        }
+
+        @Override
+        public boolean isDirectory() {
+            return file().isEmpty();
+        }
+
+        @Override
+        public boolean isRegularFile() {
+            SimulatedDisk disk = disk();
+            synchronized (disk) {
+                return disk.names.containsKey(file());
+            }
+        }
+
+        @Override
+        public FilePath getParent() {
+            return isDirectory() ? null : of(SCHEME + ":" + parts()[0]);
+        }
+
+        @Override
+        public boolean canWrite() {
+            return true;
+        }
+
+        @Override
+        public boolean isAbsolute() {
+            return true;
+        }
+
+        @Override
+        public FilePath toRealPath() {
+            return this;
+        }
+
+        @Override
+        public String getScheme() {
+            return SCHEME;
+        }
+
+        @Override
+        public FilePath getPath(String path) {
+            return of(path);
+        }
+
+        @Override
+        public long size() {
+            SimulatedDisk disk = disk();
+            synchronized (disk) {
+                Contents contents = disk.names.get(file());
+                return contents == null ? 0 : contents.length;
+            }
+        }
+
+        @Override
+        public long lastModified() {
+            return 0;
+        }
+
+        @Override
+        public boolean createFile() {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public void moveTo(FilePath to, boolean replace) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public void delete() {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public List<FilePath> newDirectoryStream() {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public void createDirectory() {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public boolean setReadOnly() {
+            throw new UnsupportedOperationException();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/tinworks/store/SimulatedDiskTest.java
@@ -0,0 +1,114 @@
+package tinworks.store;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import org.h2.store.fs.FilePath;
+import org.junit.jupiter.api.Test;
+import tinworks.raft.Entry;
+import tinworks.raft.HardState;
+import tinworks.raft.Output;
+import tinworks.raft.Snapshot;
+
+class SimulatedDiskTest {
+    private static final int DAYS = 200, LIVES = 6, WRITES = 20;
+
+    private static FileChannel open(SimulatedDisk disk, String name) throws IOException {
+        return FilePath.get(disk.folder().path(name)).open("rw");
+    }
+
+    private static void write(FileChannel file, int at, String text) throws IOException {
+        file.write(ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)), at);
+    }
+
+    private static String left(SimulatedDisk disk, String name) {
+        return disk.files().contains(name) ? new String(disk.read(name), StandardCharsets.UTF_8).replace('\0', '.') : "none";
+    }
+
+    @Test
+    void aLossOfPowerKeepsWhatWasSyncedAndAnyPartOfTheRest() throws IOException {
+        Set<String> seen = new TreeSet<>();
+        for (int seed = 0; seed < 400; seed++) {
+            SimulatedDisk disk = new SimulatedDisk(seed);
+            FileChannel file = open(disk, "f");
+            write(file, 0, "ab");
+            file.force(true);
+            disk.folder().sync();
+            write(file, 2, "cd");
+            write(file, 4, "ef");
+            file.truncate(5);
+            disk.powerLoss();
+            seen.add(left(disk, "f"));
+            assertThrows(IOException.class, () -> write(file, 0, "zz"), "a process that is gone writes");
+        }
+        assertTrue(seen.containsAll(Set.of("ab", "abcd", "abcde", "abcdef", "ab..ef", "abc")), seen.toString());
+        assertTrue(seen.stream().allMatch(left -> left.startsWith("ab")), seen.toString());
+    }
+
+    @Test
+    void namesWithoutASyncedFolderAreKeptOrLostByThemselves() throws IOException {
+        Set<String> seen = new TreeSet<>();
+        for (int seed = 0; seed < 200; seed++) {
+            SimulatedDisk disk = new SimulatedDisk(seed);
+            disk.put("old", new byte[] {'o'});
+            disk.folder().move("old", "aside");
+            FileChannel file = open(disk, "new");
+            write(file, 0, "n");
+            file.force(true);
+            disk.powerLoss();
+            seen.add(left(disk, "old") + " " + left(disk, "aside") + " " + left(disk, "new"));
+        }
+        assertEquals(Set.of("o none none", "o none n", "none o none", "none o n", "none none none", "none none n"), seen);
+    }
+
+    @Test
+    void aStoreLivesOnItThroughManyShortLives() throws Exception {
+        long begun = System.nanoTime();
+        for (int day = 0; day < DAYS; day++) {
+            SimulatedDisk disk = new SimulatedDisk(day);
+            int index = 0;
+            for (int life = 0; life < LIVES; life++) {
+                CoreStore store = CoreStore.open(disk.folder());
+                if (life == 0) {
+                    store.found(day + 1, HardState.NONE, Snapshot.NONE);
+                    disk.folder().sync();
+                }
+                assertEquals(day + 1, store.identity());
+                assertEquals(index, store.load().entries().size());
+                for (int i = 0; i < WRITES; i++) {
+                    index++;
+                    store.write(new Output(1, null, null, index, List.of(new Entry(index, 1, Entry.Kind.COMMAND, new byte[300])),
+                            index, List.of(), null, List.of(), List.of()));
+                }
+                disk.powerLoss();
+            }
+        }
+        System.out.printf("a day of %d lives and %d writes: %.1f ms%n", LIVES, LIVES * WRITES,
+                (System.nanoTime() - begun) / 1e6 / DAYS);
+    }
+
+    @Test
+    void afterACrashFilesStayAndAFullDiskRefusesEveryWrite() throws IOException {
+        SimulatedDisk disk = new SimulatedDisk(1);
+        write(open(disk, "f"), 0, "ab");
+        disk.crash();
+        assertEquals("ab", left(disk, "f"));
+        disk.full(true);
+        assertThrows(IOException.class, () -> write(open(disk, "f"), 2, "cd"));
+        assertThrows(IOException.class, () -> open(disk, "g"));
+        assertEquals("ab", left(disk, "f"));
+        disk.full(false);
+        write(open(disk, "f"), 2, "cd");
+        assertEquals("abcd", left(disk, "f"));
+        disk.wipe();
+        assertEquals(0, disk.bytes());
+    }
+}
