Sync the core's folder where names change, and what a killed process left

Cause: nothing synced a folder. And a process that came up after a kill read and acted on what no sync had covered.

Change: opening a store syncs its file and then its folder before anything of it is used; setAside syncs the folder; a data folder that has to be made is synced into the one above it.

--- a/src/main/java/tinworks/store/CoreStore.java
+++ b/src/main/java/tinworks/store/CoreStore.java
@@ -61,6 +61,9 @@
         folder.make();
         CoreStore opened = new CoreStore(folder);
         opened.reopen();
+        // What a killed process left may not be synced yet, and this one acts on it.
+        opened.sync();
+        folder.sync();
         return opened;
     }
 
@@ -71,6 +74,7 @@
             aside = "damaged-" + date + "-" + i + ".mv";
         }
         folder.move(FILE, aside);
+        folder.sync();
         return aside;
     }
 
--- a/src/main/java/tinworks/store/DiskFolder.java
+++ b/src/main/java/tinworks/store/DiskFolder.java
@@ -14,7 +14,16 @@
 public record DiskFolder(Path place) implements Folder {
     @Override
     public void make() throws IOException {
-        Files.createDirectories(place);
+        make(place.toAbsolutePath());
+    }
+
+    /** A folder that is new is only there for good once the one that it stands in is synced. */
+    private static void make(Path folder) throws IOException {
+        if (!Files.isDirectory(folder)) {
+            make(folder.getParent());
+            Files.createDirectory(folder);
+            sync(folder.getParent());
+        }
     }
 
     @Override
--- /dev/null
+++ b/src/test/java/tinworks/store/CrashTest.java
@@ -0,0 +1,215 @@
+package tinworks.store;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.junit.jupiter.api.Assertions.fail;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.h2.mvstore.MVStoreException;
+import org.junit.jupiter.api.Test;
+import tinworks.raft.Entry;
+import tinworks.raft.HardState;
+import tinworks.raft.Member;
+import tinworks.raft.Output;
+import tinworks.raft.Snapshot;
+import tinworks.raft.Stored;
+
+/** What a store has on its disk after losses of power, kills and refused writes, at every operation of the disk. */
+class CrashTest {
+    private static final long ID = 42;
+    private static final int WRITES = 14;
+    private static final Snapshot FIRST = new Snapshot(0, 0, List.of(new Member(ID, "10.0.0.1:7")), new byte[0]);
+
+    /** A machine's days: what it was told to write, what was acknowledged, and what must be on its disk. */
+    private static final class Machine {
+        private final SplittableRandom random;
+        private final SimulatedDisk disk;
+        /** What the store holds after each write. */
+        private final List<Stored> states = new ArrayList<>();
+        private CoreStore store;
+        private int synced;
+
+        Machine(long seed) {
+            random = new SplittableRandom(seed);
+            disk = new SimulatedDisk(seed);
+        }
+
+        /** Founds the store and writes; false where the disk refused or stopped. */
+        boolean start() {
+            states.clear();
+            states.add(new Stored(HardState.NONE, FIRST, List.of()));
+            try {
+                store = CoreStore.open(disk.folder());
+                if (store.identity() == 0) {
+                    store.found(ID, HardState.NONE, FIRST);
+                }
+                synced = 0;
+                return true;
+            } catch (MVStoreException | IllegalStateException | IOException | CoreStore.Damaged e) {
+                return false;
+            }
+        }
+
+        boolean write(int count) {
+            for (int i = 0; i < count; i++) {
+                Output output = next(states.get(states.size() - 1));
+                states.add(after(states.get(states.size() - 1), output));
+                try {
+                    store.write(output);
+                    synced = states.size() - 1;
+                } catch (MVStoreException | IllegalStateException e) {
+                    return false;
+                }
+            }
+            return true;
+        }
+
+        private Output next(Stored now) {
+            List<Entry> entries = now.entries();
+            long last = now.snapshot().index() + entries.size();
+            HardState hard = random.nextInt(3) == 0 ? new HardState(now.hard().term() + 1, random.nextInt(9)) : null;
+            if (entries.size() > 3 && random.nextInt(3) == 0) {
+                Entry upTo = entries.get(random.nextInt(entries.size()));
+                Snapshot snapshot = new Snapshot(upTo.index(), upTo.term(), FIRST.members(), bytes());
+                return new Output(1, hard, snapshot, 0, List.of(), last, List.of(), null, List.of(), List.of());
+            }
+            long from = entries.isEmpty() || random.nextInt(4) > 0 ? last + 1 : entries.get(entries.size() - 1).index();
+            List<Entry> more = new ArrayList<>();
+            for (int i = 0; i <= random.nextInt(2); i++) {
+                more.add(new Entry(from + i, 1 + states.size(), Entry.Kind.COMMAND, bytes()));
+            }
+            return new Output(1, hard, null, from, more, from + more.size() - 1, List.of(), null, List.of(), List.of());
+        }
+
+        private byte[] bytes() {
+            byte[] bytes = new byte[random.nextInt(4) == 0 ? random.nextInt(30_000) : random.nextInt(300)];
+            random.nextBytes(bytes);
+            return bytes;
+        }
+
+        private static Stored after(Stored now, Output output) {
+            Snapshot snapshot = output.snapshot() == null ? now.snapshot() : output.snapshot();
+            List<Entry> entries = new ArrayList<>(now.entries());
+            if (output.cutFrom() > 0) {
+                entries.removeIf(entry -> entry.index() >= output.cutFrom());
+                entries.addAll(output.entries());
+            }
+            entries.removeIf(entry -> entry.index() <= snapshot.index());
+            return new Stored(output.hard() == null ? now.hard() : output.hard(), snapshot, entries);
+        }
+
+        /** Comes back and checks that all that was acknowledged is there, whole and in one piece. */
+        void comeBack(String when) throws IOException {
+            try {
+                store = CoreStore.open(disk.folder());
+                long id = store.identity();
+                if (id == 0 && synced == 0 && !founded()) {
+                    store.found(ID, HardState.NONE, FIRST);
+                    return;
+                }
+                assertEquals(ID, id, "identity " + when);
+                Stored found = store.load();
+                for (int i = states.size() - 1; i >= synced; i--) {
+                    if (same(states.get(i), found)) {
+                        states.subList(i + 1, states.size()).clear();
+                        synced = i;
+                        return;
+                    }
+                }
+                fail("what was acknowledged is gone " + when + ", at " + synced + ": " + describe(states.get(synced))
+                        + " but found " + describe(found));
+            } catch (CoreStore.Damaged e) {
+                fail("damaged " + when, e);
+            }
+        }
+
+        private boolean founded() {
+            return states.size() > 1;
+        }
+    }
+
+    private static boolean same(Stored one, Stored other) {
+        return one.hard().equals(other.hard()) && one.entries().equals(other.entries())
+                && one.snapshot().index() == other.snapshot().index() && one.snapshot().term() == other.snapshot().term()
+                && one.snapshot().members().equals(other.snapshot().members())
+                && Arrays.equals(one.snapshot().state(), other.snapshot().state());
+    }
+
+    private static String describe(Stored stored) {
+        return stored.hard() + " snapshot " + stored.snapshot().index() + " " + stored.entries();
+    }
+
+    /** A name that was never synced with its folder is lost by itself, and all of a founded store with it. */
+    @Test
+    void aFoundedStoreOutlastsTheFirstLossOfPower() throws Exception {
+        for (int seed = 0; seed < 20; seed++) {
+            Machine machine = new Machine(seed);
+            assertTrue(machine.start());
+            assertTrue(machine.write(3));
+            machine.disk.powerLoss();
+            machine.comeBack("after the first loss of power, seed " + seed);
+        }
+    }
+
+    /** Power goes at every operation of the disk in turn; the machine comes back, goes on and loses it once more. */
+    @Test
+    void whatWasAcknowledgedOutlastsALossOfPowerAtEveryOperation() throws Exception {
+        for (int seed = 0; seed < 6; seed++) {
+            boolean cut = true;
+            for (int after = 0; cut; after++) {
+                Machine machine = new Machine(seed);
+                machine.disk.stopAfter(after);
+                cut = !(machine.start() && machine.write(WRITES));
+                machine.disk.powerLoss();
+                String when = "after operation " + after + ", seed " + seed;
+                machine.comeBack(when);
+                machine.disk.stopAfter(machine.random.nextInt(20));
+                machine.write(4);
+                machine.disk.powerLoss();
+                machine.comeBack("again " + when);
+            }
+        }
+    }
+
+    /** What a killed process left unsynced is read by the next one, which acts on it: power may go right then. */
+    @Test
+    void whatIsReadAfterAKillOutlastsALossOfPower() throws Exception {
+        for (int seed = 0; seed < 60; seed++) {
+            Machine machine = new Machine(seed);
+            assertTrue(machine.start());
+            machine.disk.stopAfter(1 + seed % 40);
+            machine.write(WRITES);
+            machine.disk.crash();
+            machine.comeBack("after a kill, seed " + seed);
+            machine.disk.powerLoss();
+            machine.comeBack("after a kill and a loss of power, seed " + seed);
+        }
+    }
+
+    /** The disk is full at every operation in turn; the same write is tried again until it takes it. */
+    @Test
+    void aWriteThatWasRefusedLosesNothing() throws Exception {
+        for (int seed = 0; seed < 6; seed++) {
+            for (int after = 0; after < 60; after++) {
+                Machine machine = new Machine(seed);
+                assertTrue(machine.start());
+                machine.disk.fullAfter(after);
+                boolean all = machine.write(WRITES);
+                if (!all) {
+                    machine.store.reopen();
+                    machine.disk.full(false);
+                    machine.store.reopen();
+                    String when = "after " + after + " writes, seed " + seed;
+                    machine.comeBack("refused " + when);
+                    assertTrue(machine.write(4), when);
+                }
+                machine.disk.powerLoss();
+                machine.comeBack("after " + after + " writes and a loss of power, seed " + seed);
+            }
+        }
+    }
+}
