Only ever add to the core's file, chunk by whole chunk, and write it anew as it grows

Space is never reused, retention is off (-1: no clock), there is no compaction and no clean close. A file longer than twice its live records and 16 MiB is written anew under the next number; of two files the older one counts until its removal is synced. A store is founded under another name, and renamed once it is synced. A record holds a sum over all others. A disk that can't be read or synced is an IOException and no damage; an Error that MVStore wraps is thrown as the Error that it is.

--- a/src/main/java/tinworks/store/CoreStore.java
+++ b/src/main/java/tinworks/store/CoreStore.java
@@ -1,12 +1,17 @@
 package tinworks.store;
 
+import java.io.EOFException;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.TreeSet;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import java.util.zip.CRC32C;
+import org.h2.mvstore.Cursor;
 import org.h2.mvstore.MVMap;
 import org.h2.mvstore.MVStore;
 import org.h2.mvstore.MVStoreException;
@@ -26,7 +31,10 @@
  *
  * <p>Records, all big-endian behind a CRC-32C of the rest (4 bytes). {@code meta/identity}: id (8). {@code meta/hard}:
  * term (8), vote (8). {@code meta/snapshot}: index (8), term (8), length (4) and bytes of the voters, the state.
- * {@code log}, by index: term (8), kind (1), body.
+ * {@code log}, by index: term (8), kind (1), body. {@code meta/sum}: a sum over the keys and checksums of all others (4).
+ *
+ * <p>Files: {@code state.mv}, or with a number, {@code state-3.mv}, once it was written anew as it had grown: a file is only
+ * ever added to. {@code founding.mv} is a store whose making was cut short, {@code damaged-...mv} one that was set aside.
  */
 public final class CoreStore implements AutoCloseable {
     /** A store whose contents can't be trusted. */
@@ -38,17 +46,49 @@
         }
     }
 
-    private static final String FILE = "state.mv", IDENTITY = "identity", HARD = "hard", SNAPSHOT = "snapshot";
+    private static final String FOUNDING = "founding.mv", ASIDE = "damaged-";
+    private static final Pattern STATE = Pattern.compile("state(?:-([0-9]{1,9}))?[.]mv");
+    private static final String IDENTITY = "identity", HARD = "hard", SNAPSHOT = "snapshot", SUM = "sum";
     private static final Entry.Kind[] KINDS = Entry.Kind.values();
-    private static final int CACHE_MB = 1, COMPACT_FILL_PERCENT = 50, COMPACT_BYTES = 1 << 20;
+    private static final int CACHE_MB = 1;
+    private static final long SPARE_BYTES = 16 << 20;
+    /** How much of a new file is written at a time. */
+    private static final int COPY_BYTES = 2 << 20;
+
+    /** An open file. */
+    private record Records(MVStore store, MVMap<Long, byte[]> log, MVMap<String, byte[]> meta) {
+        void commit() {
+            store.commit();
+        }
+
+        void sync() {
+            store.commit();
+            store.sync();
+        }
+
+        long length() {
+            return store.getFileStore().size();
+        }
+
+        /** Lets go of the file and writes nothing. */
+        void close() {
+            store.closeImmediately();
+        }
+    }
 
     private final Folder folder;
-    private MVStore store;
-    private MVMap<Long, byte[]> log;
-    private MVMap<String, byte[]> meta;
+    private final long spareBytes;
+    /** The number of the file that is in use; -1 before the store is founded. */
+    private int number = -1;
+    private Records records;
+    /** Over the keys and checksums of all records, in any order. */
+    private int sum;
+    private long liveBytes;
+    private long renewAt;
 
-    private CoreStore(Folder folder) {
+    private CoreStore(Folder folder, long spareBytes) {
         this.folder = folder;
+        this.spareBytes = spareBytes;
     }
 
     /** Opens the store in a folder, or makes one; a file that can't be read as a store is {@link Damaged}. */
@@ -56,75 +96,241 @@
         return open(new DiskFolder(folder));
     }
 
-    /** Opens the store in a folder, or makes one; a file that can't be read as a store is {@link Damaged}. */
+    /**
+     * Opens the store in a folder, and reads and syncs all of it; there may be none yet. A file that can't be read as a
+     * store is {@link Damaged}; a disk that can't be read or synced is an {@link IOException}, and nothing is said of the store.
+     */
     public static CoreStore open(Folder folder) throws IOException, Damaged {
+        return open(folder, SPARE_BYTES);
+    }
+
+    /** The same; a file is written anew once it is longer than twice what is live in it and this many bytes. */
+    static CoreStore open(Folder folder, long spareBytes) throws IOException, Damaged {
         folder.make();
-        CoreStore opened = new CoreStore(folder);
-        opened.reopen();
-        // What a killed process left may not be synced yet, and this one acts on it.
-        opened.sync();
-        folder.sync();
-        return opened;
+        CoreStore opened = new CoreStore(folder, spareBytes);
+        boolean found = false;
+        try {
+            opened.find();
+            found = true;
+            return opened;
+        } finally {
+            if (!found) {
+                opened.close();
+            }
+        }
     }
 
     /** Renames a damaged store, so that nothing is lost and an empty one can be made; returns the file's new name. */
     public static String setAside(Folder folder, String date) throws IOException {
-        String aside = "damaged-" + date + ".mv";
-        for (int i = 2; folder.exists(aside); i++) {
-            aside = "damaged-" + date + "-" + i + ".mv";
+        List<String> files = folder.files();
+        String aside = ASIDE + date + ".mv";
+        for (int i = 2; files.contains(aside); i++) {
+            aside = ASIDE + date + "-" + i + ".mv";
         }
-        folder.move(FILE, aside);
+        folder.move(name(numbers(files).first()), aside);
         folder.sync();
         return aside;
     }
 
-    /** Opens the file again, as it must be after a write that failed; what was not synced may be missing. */
+    /** Whether nothing has ever been founded in the folder, nor set aside in it. */
+    public boolean untouched() throws IOException {
+        return number < 0 && folder.files().stream().noneMatch(file -> file.startsWith(ASIDE));
+    }
+
+    /**
+     * Opens the file again, as it must be after a write that failed; what was not synced may be missing. Where the disk
+     * doesn't let it, the store stays shut and refuses the next write.
+     */
     public void reopen() throws Damaged {
-        if (store != null) {
-            store.closeImmediately();
+        close();
+        try {
+            find();
+        } catch (IOException e) {
+            close();
+        }
+    }
+
+    /**
+     * Opens what is there. Of two files the older one counts, as nothing is acknowledged in a newer one before the older
+     * is gone for good; without any, a founding that was cut short before its name was sure is finished.
+     */
+    private void find() throws IOException, Damaged {
+        List<String> files = folder.files();
+        TreeSet<Integer> numbers = numbers(files);
+        if (numbers.isEmpty() && files.contains(FOUNDING) && isWhole(FOUNDING)) {
+            folder.move(FOUNDING, name(0));
+            numbers.add(0);
+        } else if (files.contains(FOUNDING)) {
+            folder.remove(FOUNDING);
+        }
+        number = numbers.isEmpty() ? -1 : numbers.first();
+        if (number >= 0) {
+            records = openFile(name(number));
+            check();
+            // What a killed process left may not be synced yet, and this one acts on it.
+            records.store.sync();
         }
+        for (int newer : numbers.tailSet(number, false)) {
+            folder.remove(name(newer));
+        }
+        folder.sync();
+    }
+
+    private boolean isWhole(String file) throws IOException {
+        try {
+            records = openFile(file);
+            check();
+            records.store.sync();
+            return true;
+        } catch (Damaged e) {
+            return false;
+        } finally {
+            close();
+        }
+    }
+
+    private static TreeSet<Integer> numbers(List<String> files) {
+        TreeSet<Integer> numbers = new TreeSet<>();
+        for (String file : files) {
+            Matcher matcher = STATE.matcher(file);
+            if (matcher.matches()) {
+                numbers.add(matcher.group(1) == null ? 0 : Integer.parseInt(matcher.group(1)));
+            }
+        }
+        return numbers;
+    }
+
+    private static String name(int number) {
+        return number == 0 ? "state.mv" : "state-" + number + ".mv";
+    }
+
+    private Records openFile(String file) throws IOException, Damaged {
+        MVStore store = null;
         try {
             // Commits happen where they are asked for alone: a thread of the library's would sync at times of its own.
-            store = new MVStore.Builder().fileName(folder.path(FILE)).autoCommitDisabled()
-                    .cacheSize(CACHE_MB).open();
-            log = store.openMap("log", new MVMap.Builder<Long, byte[]>().keyType(LongDataType.INSTANCE)
-                    .valueType(ByteArrayDataType.INSTANCE));
-            meta = store.openMap("meta", new MVMap.Builder<String, byte[]>().keyType(StringDataType.INSTANCE)
-                    .valueType(ByteArrayDataType.INSTANCE));
-        } catch (MVStoreException e) {
-            throw new Damaged("the store can't be opened: " + e.getMessage(), e);
+            store = new MVStore.Builder().fileName(OrderedFile.path(folder.path(file))).autoCommitDisabled()
+                    .autoCommitBufferSize(0).cacheSize(CACHE_MB).open();
+            // Nothing in a file is ever overwritten, so that what was synced stays; the time of day decides nothing.
+            store.getFileStore().setReuseSpace(false);
+            store.setRetentionTime(-1);
+            return new Records(store, store.openMap("log", new MVMap.Builder<Long, byte[]>()
+                    .keyType(LongDataType.INSTANCE).valueType(ByteArrayDataType.INSTANCE)),
+                    store.openMap("meta", new MVMap.Builder<String, byte[]>().keyType(StringDataType.INSTANCE)
+                    .valueType(ByteArrayDataType.INSTANCE)));
+        } catch (RuntimeException e) {
+            if (store != null) {
+                store.closeImmediately();
+            }
+            throw unreadable(e);
         }
     }
 
+    /** What became of reading a file: the disk's fault, or the file's. An {@link Error} is neither. */
+    private static Damaged unreadable(RuntimeException e) throws IOException {
+        IOException disk = null;
+        for (Throwable cause = e; cause != null; cause = cause.getCause()) {
+            if (cause instanceof Error error) {
+                throw error;
+            }
+            if (cause instanceof IOException io && !(cause instanceof EOFException)) {
+                disk = io;
+            }
+        }
+        if (disk != null) {
+            throw new IOException("the store can't be opened: " + disk.getMessage(), e);
+        }
+        return new Damaged("the store can't be read: " + e.getMessage(), e);
+    }
+
     /** Who this machine is for as long as its disk lives, 0 where the disk is new. */
     public long identity() throws Damaged {
-        byte[] record = meta.get(IDENTITY);
+        byte[] record = number < 0 ? null : records.meta.get(IDENTITY);
         return record == null ? 0 : unsealed(record, IDENTITY).getLong();
     }
 
-    /** Makes an empty store this machine's. */
+    /** Makes an empty store this machine's; returns once it outlasts a loss of power. */
     public void found(long id, HardState hard, Snapshot first) {
-        meta.put(IDENTITY, sealed(ByteBuffer.allocate(Long.BYTES).putLong(id)));
-        writeHard(hard);
-        writeSnapshot(first);
-        sync();
+        try {
+            if (folder.files().contains(FOUNDING)) {
+                folder.remove(FOUNDING);
+            }
+            records = openFile(FOUNDING);
+            sum = 0;
+            liveBytes = 0;
+            putMeta(IDENTITY, sealed(record(Long.BYTES).putLong(id)));
+            writeHard(hard);
+            writeSnapshot(first);
+            sync();
+            folder.sync();
+            folder.move(FOUNDING, name(0));
+            folder.sync();
+            number = 0;
+            renewAt = 2 * liveBytes + spareBytes;
+        } catch (IOException | Damaged e) {
+            throw new IllegalStateException("the disk refuses a new store: " + e.getMessage(), e);
+        } catch (MVStoreException e) {
+            throw refused(e);
+        }
     }
 
     /** All that has been synced. */
     public Stored load() throws Damaged {
+        if (number < 0) {
+            return Stored.NOTHING;
+        }
         try {
             HardState hard = hard();
             Snapshot snapshot = snapshot();
             List<Entry> entries = new ArrayList<>();
-            for (Long index : log.keyList()) {
+            for (Cursor<Long, byte[]> each = records.log.cursor(null); each.hasNext();) {
+                long index = each.next();
                 if (index > snapshot.index()) {
-                    entries.add(entry(index, log.get(index)));
+                    entries.add(entry(index, each.getValue()));
                 }
             }
             checkOrder(snapshot, entries);
             return new Stored(hard, snapshot, entries);
-        } catch (MVStoreException | IllegalArgumentException | java.nio.BufferUnderflowException e) {
-            throw new Damaged("the store can't be read: " + e.getMessage(), e);
+        } catch (RuntimeException e) {
+            throw damaged(e);
+        }
+    }
+
+    private static Damaged damaged(RuntimeException e) {
+        try {
+            return unreadable(e);
+        } catch (IOException io) {
+            return new Damaged(io.getMessage(), io);
+        }
+    }
+
+    /** Reads every record, and holds their sum against the one that was written with the last of them. */
+    private void check() throws IOException, Damaged {
+        try {
+            sum = 0;
+            liveBytes = 0;
+            for (Cursor<Long, byte[]> each = records.log.cursor(null); each.hasNext();) {
+                long index = each.next();
+                unsealed(each.getValue(), "entry " + index);
+                count(Long.toString(index), null, each.getValue());
+            }
+            for (Cursor<String, byte[]> each = records.meta.cursor(null); each.hasNext();) {
+                String name = each.next();
+                unsealed(each.getValue(), name);
+                if (!name.equals(SUM)) {
+                    count(name, null, each.getValue());
+                }
+            }
+            byte[] record = records.meta.get(SUM);
+            // Stores of earlier versions have none.
+            if (record != null && unsealed(record, SUM).getInt() != sum) {
+                throw new Damaged("the records don't match their sum", null);
+            }
+            if (identity() == 0) {
+                throw new Damaged("there is no identity in it", null);
+            }
+            renewAt = 2 * liveBytes + spareBytes;
+        } catch (RuntimeException e) {
+            throw unreadable(e);
         }
     }
 
@@ -137,55 +343,160 @@
         }
     }
 
-    /** Writes what an output asks for and returns when it is on the disk. */
+    /**
+     * Writes what an output asks for and returns when it is on the disk. A disk that refuses it ends as an
+     * {@link IllegalStateException} or {@link MVStoreException}, and the store must be opened again; an {@link Error} stays one.
+     */
     public void write(Output output) {
-        if (output.hard() != null) {
-            writeHard(output.hard());
+        if (number < 0 || records.store.isClosed()) {
+            throw new IllegalStateException("the store isn't open");
         }
-        if (output.snapshot() != null) {
-            writeSnapshot(output.snapshot());
+        try {
+            if (output.hard() != null) {
+                writeHard(output.hard());
+            }
+            if (output.snapshot() != null) {
+                writeSnapshot(output.snapshot());
+            }
+            if (output.cutFrom() > 0) {
+                for (Long last = records.log.lastKey(); last != null && last >= output.cutFrom(); last = records.log.lastKey()) {
+                    removeEntry(last);
+                }
+                for (Entry entry : output.entries()) {
+                    putEntry(entry.index(), sealed(record(Long.BYTES + 1 + entry.body().length)
+                            .putLong(entry.term()).put((byte) entry.kind().ordinal()).put(entry.body())));
+                }
+            }
+            sync();
+        } catch (MVStoreException e) {
+            throw refused(e);
+        }
+        if (records.length() > renewAt) {
+            renew();
         }
-        if (output.cutFrom() > 0) {
-            for (Long last = log.lastKey(); last != null && last >= output.cutFrom(); last = log.lastKey()) {
-                log.remove(last);
+    }
+
+    /** MVStore passes an {@link Error} on as one of its own exceptions. */
+    private static MVStoreException refused(MVStoreException e) {
+        for (Throwable cause = e; cause != null; cause = cause.getCause()) {
+            if (cause instanceof Error error) {
+                throw error;
             }
-            for (Entry entry : output.entries()) {
-                log.put(entry.index(), sealed(ByteBuffer.allocate(Long.BYTES + 1 + entry.body().length)
-                        .putLong(entry.term()).put((byte) entry.kind().ordinal()).put(entry.body())));
+        }
+        return e;
+    }
+
+    /** Writes what is live to a new file and removes the old one, which counts for as long as it is there. */
+    private void renew() {
+        Records made;
+        try {
+            made = copy(name(number + 1));
+        } catch (MVStoreException | IOException | Damaged e) {
+            if (e instanceof MVStoreException failed) {
+                refused(failed);
             }
+            // There is no room for it, say. The old file still holds all.
+            renewAt = records.length() + spareBytes / 2;
+            return;
         }
-        sync();
-        if (output.snapshot() != null) {
-            store.compact(COMPACT_FILL_PERCENT, COMPACT_BYTES);
+        records.close();
+        records = made;
+        try {
+            folder.remove(name(number));
+            folder.sync();
+            number++;
+            renewAt = 2 * liveBytes + spareBytes;
+        } catch (IOException e) {
+            records.close();
+            throw new IllegalStateException("the old file can't be removed: " + e.getMessage(), e);
+        }
+    }
+
+    private Records copy(String file) throws IOException, Damaged {
+        if (folder.files().contains(file)) {
+            folder.remove(file);
+        }
+        Records made = openFile(file);
+        boolean done = false;
+        try {
+            long waiting = 0;
+            for (Cursor<Long, byte[]> each = records.log.cursor(null); each.hasNext();) {
+                made.log.put(each.next(), each.getValue());
+                waiting += each.getValue().length;
+                if (waiting > COPY_BYTES) {
+                    made.commit();
+                    waiting = 0;
+                }
+            }
+            made.commit();
+            for (Cursor<String, byte[]> each = records.meta.cursor(null); each.hasNext();) {
+                made.meta.put(each.next(), each.getValue());
+            }
+            made.sync();
+            folder.sync();
+            done = true;
+            return made;
+        } finally {
+            if (!done) {
+                made.close();
+            }
         }
     }
 
     private void writeHard(HardState hard) {
-        meta.put(HARD, sealed(ByteBuffer.allocate(2 * Long.BYTES).putLong(hard.term()).putLong(hard.votedFor())));
+        putMeta(HARD, sealed(record(2 * Long.BYTES).putLong(hard.term()).putLong(hard.votedFor())));
     }
 
     private void writeSnapshot(Snapshot snapshot) {
         byte[] members = Members.write(snapshot.members());
-        meta.put(SNAPSHOT, sealed(ByteBuffer.allocate(2 * Long.BYTES + Integer.BYTES + members.length + snapshot.state().length)
+        putMeta(SNAPSHOT, sealed(record(2 * Long.BYTES + Integer.BYTES + members.length + snapshot.state().length)
                 .putLong(snapshot.index()).putLong(snapshot.term()).putInt(members.length).put(members)
                 .put(snapshot.state())));
-        for (Long first = log.firstKey(); first != null && first <= snapshot.index(); first = log.firstKey()) {
-            log.remove(first);
+        for (Long first = records.log.firstKey(); first != null && first <= snapshot.index(); first = records.log.firstKey()) {
+            removeEntry(first);
+        }
+    }
+
+    private void putMeta(String name, byte[] record) {
+        count(name, records.meta.put(name, record), record);
+    }
+
+    private void putEntry(long index, byte[] record) {
+        count(Long.toString(index), records.log.put(index, record), record);
+    }
+
+    private void removeEntry(long index) {
+        count(Long.toString(index), records.log.remove(index), null);
+    }
+
+    private void count(String key, byte[] before, byte[] record) {
+        for (byte[] each : new byte[][] {before, record}) {
+            if (each != null) {
+                byte[] name = key.getBytes(StandardCharsets.UTF_8);
+                CRC32C crc = new CRC32C();
+                crc.update(name);
+                crc.update(each, 0, Integer.BYTES);
+                sum ^= (int) crc.getValue();
+                liveBytes += each == record ? each.length : -each.length;
+            }
         }
     }
 
     private void sync() {
-        store.commit();
-        store.sync();
+        records.meta.put(SUM, sealed(record(Integer.BYTES).putInt(sum)));
+        records.sync();
     }
 
+    /** Lets go of the file. There is nothing to write: all that counts is synced. */
     @Override
     public void close() {
-        store.close();
+        if (records != null) {
+            records.close();
+        }
     }
 
     private HardState hard() throws Damaged {
-        byte[] record = meta.get(HARD);
+        byte[] record = records.meta.get(HARD);
         if (record == null) {
             return HardState.NONE;
         }
@@ -194,7 +505,7 @@
     }
 
     private Snapshot snapshot() throws Damaged {
-        byte[] record = meta.get(SNAPSHOT);
+        byte[] record = records.meta.get(SNAPSHOT);
         if (record == null) {
             return Snapshot.NONE;
         }
@@ -220,11 +531,16 @@
         return new Entry(index, term, KINDS[kind], body);
     }
 
-    private static byte[] sealed(ByteBuffer contents) {
+    /** Room for contents of this length behind their checksum. */
+    private static ByteBuffer record(int length) {
+        return ByteBuffer.allocate(Integer.BYTES + length).position(Integer.BYTES);
+    }
+
+    /** The record, full to its end, with its checksum. */
+    private static byte[] sealed(ByteBuffer record) {
         CRC32C sum = new CRC32C();
-        sum.update(contents.array());
-        return ByteBuffer.allocate(Integer.BYTES + contents.capacity()).putInt((int) sum.getValue())
-                .put(contents.array()).array();
+        sum.update(record.array(), Integer.BYTES, record.capacity() - Integer.BYTES);
+        return record.putInt(0, (int) sum.getValue()).array();
     }
 
     private static ByteBuffer unsealed(byte[] record, String what) throws Damaged {
--- a/src/main/java/tinworks/store/DiskFolder.java
+++ b/src/main/java/tinworks/store/DiskFolder.java
@@ -5,6 +5,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
+import java.util.List;
+import java.util.stream.Stream;
 
 /**
  * A folder of the machine's disk.
@@ -32,8 +34,10 @@
     }
 
     @Override
-    public boolean exists(String file) {
-        return Files.exists(place.resolve(file));
+    public List<String> files() throws IOException {
+        try (Stream<Path> files = Files.list(place)) {
+            return files.map(file -> file.getFileName().toString()).toList();
+        }
     }
 
     @Override
@@ -41,6 +45,11 @@
         Files.move(place.resolve(file), place.resolve(to));
     }
 
+    @Override
+    public void remove(String file) throws IOException {
+        Files.delete(place.resolve(file));
+    }
+
     @Override
     public void sync() throws IOException {
         sync(place);
--- a/src/main/java/tinworks/store/Folder.java
+++ b/src/main/java/tinworks/store/Folder.java
@@ -1,6 +1,7 @@
 package tinworks.store;
 
 import java.io.IOException;
+import java.util.List;
 
 /**
  * The folder that a store lives in. A file that was made, renamed or removed is only sure to be so after a loss of power
@@ -13,12 +14,15 @@
     /** The full name of a file in it, as MVStore's file systems take it. */
     String path(String file);
 
-    /** Whether there is a file of this name. */
-    boolean exists(String file) throws IOException;
+    /** The names of the files in it, in no order. */
+    List<String> files() throws IOException;
 
     /** Renames a file; there must be none of the new name. */
     void move(String file, String to) throws IOException;
 
+    /** Removes a file. */
+    void remove(String file) throws IOException;
+
     /** Returns once all changes of names so far outlast a loss of power. */
     void sync() throws IOException;
 }
--- a/src/test/java/tinworks/store/CrashTest.java
+++ b/src/test/java/tinworks/store/CrashTest.java
@@ -22,6 +22,8 @@
 class CrashTest {
     private static final long ID = 42;
     private static final int WRITES = 14;
+    /** So little that a file is written anew within a few writes. */
+    private static final long SPARE_BYTES = 60_000;
     private static final Snapshot FIRST = new Snapshot(0, 0, List.of(new Member(ID, "10.0.0.1:7")), new byte[0]);
 
     /** A machine's days: what it was told to write, what was acknowledged, and what must be on its disk. */
@@ -39,17 +41,17 @@
         }
 
         /** Founds the store and writes; false where the disk refused or stopped. */
-        boolean start() {
+        boolean start() throws CoreStore.Damaged {
             states.clear();
             states.add(new Stored(HardState.NONE, FIRST, List.of()));
             try {
-                store = CoreStore.open(disk.folder());
+                store = CoreStore.open(disk.folder(), SPARE_BYTES);
                 if (store.identity() == 0) {
                     store.found(ID, HardState.NONE, FIRST);
                 }
                 synced = 0;
                 return true;
-            } catch (MVStoreException | IllegalStateException | IOException | CoreStore.Damaged e) {
+            } catch (MVStoreException | IllegalStateException | IOException e) {
                 return false;
             }
         }
@@ -105,7 +107,7 @@
         /** Comes back and checks that all that was acknowledged is there, whole and in one piece. */
         void comeBack(String when) throws IOException {
             try {
-                store = CoreStore.open(disk.folder());
+                store = CoreStore.open(disk.folder(), SPARE_BYTES);
                 long id = store.identity();
                 if (id == 0 && synced == 0 && !founded()) {
                     store.found(ID, HardState.NONE, FIRST);
--- a/src/test/java/tinworks/store/SimulatedDisk.java
+++ b/src/test/java/tinworks/store/SimulatedDisk.java
@@ -293,10 +293,8 @@
         }
 
         @Override
-        public boolean exists(String file) {
-            synchronized (SimulatedDisk.this) {
-                return names.containsKey(file);
-            }
+        public List<String> files() {
+            return SimulatedDisk.this.files();
         }
 
         @Override
@@ -311,6 +309,17 @@
             }
         }
 
+        @Override
+        public void remove(String file) throws IOException {
+            synchronized (SimulatedDisk.this) {
+                alive();
+                change();
+                if (names.remove(file) == null) {
+                    throw new IOException("there is no " + file);
+                }
+            }
+        }
+
         @Override
         public void sync() throws IOException {
             alive();
