--- a/src/test/java/tinworks/store/CrashTest.java
+++ b/src/test/java/tinworks/store/CrashTest.java
@@ -1,6 +1,7 @@
 package tinworks.store;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static org.junit.jupiter.api.Assertions.fail;
 
@@ -8,9 +9,12 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
 import org.h2.mvstore.MVStoreException;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import tinworks.raft.Entry;
 import tinworks.raft.HardState;
 import tinworks.raft.Member;
@@ -192,6 +196,24 @@
         }
     }
 
+    /** With any kind of sync taken out something is lost or damaged: each is there for a reason. */
+    @ParameterizedTest
+    @EnumSource(SimulatedDisk.Sync.class)
+    void withoutAnyKindOfSyncSomethingIsLost(SimulatedDisk.Sync kind) {
+        assertThrows(AssertionError.class, () -> {
+            for (int seed = 0; seed < 4_000; seed++) {
+                Machine machine = new Machine(seed);
+                machine.disk.leaveOut(Set.of(kind));
+                machine.disk.stopAfter(20 + machine.random.nextInt(40));
+                if (machine.start()) {
+                    machine.write(WRITES);
+                }
+                machine.disk.powerLoss();
+                machine.comeBack("without the sync of " + kind + ", seed " + seed);
+            }
+        });
+    }
+
     /** The disk is full at every operation in turn; the same write is tried again until it takes it. */
     @Test
     void aWriteThatWasRefusedLosesNothing() throws Exception {
--- a/src/test/java/tinworks/store/SimulatedDisk.java
+++ b/src/test/java/tinworks/store/SimulatedDisk.java
@@ -7,9 +7,10 @@
 import java.nio.channels.FileLock;
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.HashMap;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
@@ -36,11 +37,22 @@
         FilePath.register(new SimulatedPath());
     }
 
+    /** The kinds of sync that a store asks for. */
+    public enum Sync {
+        /** Of the folder. */
+        FOLDER,
+        /** Of a file's contents, which a store asks for before it writes what says that they are whole. */
+        CONTENTS,
+        /** Of a file with its length, which a store asks for at the end of a write. */
+        FILE
+    }
+
     private final long number = NEXT.incrementAndGet();
     private final SplittableRandom random;
     private final Map<String, Contents> names = new TreeMap<>();
     private final Map<String, Contents> syncedNames = new TreeMap<>();
     private Runnable onSync = () -> { };
+    private Set<Sync> left = EnumSet.noneOf(Sync.class);
     private int life;
     private long operations;
     private long syncs;
@@ -64,16 +76,16 @@
     /** Power goes, and the process with it. */
     public synchronized void powerLoss() {
         crash();
-        Map<String, Contents> left = namesLeft();
+        Map<String, Contents> kept = namesLeft();
         names.clear();
-        names.putAll(left);
+        names.putAll(kept);
         syncedNames.clear();
-        syncedNames.putAll(left);
+        syncedNames.putAll(kept);
         names.values().forEach(file -> file.loseWrites(random));
     }
 
     private Map<String, Contents> namesLeft() {
-        Map<String, Contents> left = new TreeMap<>();
+        Map<String, Contents> kept = new TreeMap<>();
         boolean noneKept = random.nextInt(4) == 0;
         Map<String, Contents> all = new TreeMap<>(syncedNames);
         all.putAll(names);
@@ -82,13 +94,13 @@
             Contents is = names.get(name);
             Contents chosen = was == is || !noneKept && random.nextBoolean() ? is : was;
             if (chosen != null) {
-                left.put(name, chosen);
+                kept.put(name, chosen);
             }
         }
         // A renamed file has its old name, its new one or none, but never both.
-        left.entrySet().removeIf(old -> names.get(old.getKey()) != old.getValue()
-                && left.entrySet().stream().anyMatch(kept -> kept != old && kept.getValue() == old.getValue()));
-        return left;
+        kept.entrySet().removeIf(old -> names.get(old.getKey()) != old.getValue()
+                && kept.entrySet().stream().anyMatch(other -> other != old && other.getValue() == old.getValue()));
+        return kept;
     }
 
     /** The process is gone, and files stay as they were. */
@@ -135,6 +147,11 @@
         onSync = hook;
     }
 
+    /** Syncs of these kinds do nothing from now on, as if the store had never asked for them. */
+    public synchronized void leaveOut(Set<Sync> kinds) {
+        left = EnumSet.copyOf(kinds);
+    }
+
     /** How many syncs there were. */
     public synchronized long syncs() {
         return syncs;
@@ -325,8 +342,10 @@
             alive();
             synced();
             synchronized (SimulatedDisk.this) {
-                syncedNames.clear();
-                syncedNames.putAll(names);
+                if (!left.contains(Sync.FOLDER)) {
+                    syncedNames.clear();
+                    syncedNames.putAll(names);
+                }
             }
         }
 
@@ -418,7 +437,9 @@
             synced();
             synchronized (SimulatedDisk.this) {
                 alive();
-                contents.sync();
+                if (!left.contains(lengthToo ? Sync.FILE : Sync.CONTENTS)) {
+                    contents.sync();
+                }
             }
         }
 
