Give the leader a lease from the sending of a round, and let followers count it from their echo

Cause: inTouch() was true at a leader that had committed nothing in its term, and for two election times after an answer came, whenever its question was sent.

Change: leaseUntil(), holdsLease(), freshUntil(), freshIndex(), fresh(). The lease counts from the sending of the latest round that a majority answered, nine tenths of an election time, once an entry of the leader's term is committed; a leader that hands over has none for the rest of its term, and steps down an election time later. A follower sends its time as an echo that only it can read; the leader tells what its lease lasts from the receipt of that. A member that may have answered a leader denies its vote and doesn't stand for an election time after its start. What a broadcast sends begins a round of its own once half a heartbeat has passed. Append gains echo and lease, AppendReply its time; the channel's version is 5. inTouch() stays until its callers have moved.

--- a/src/main/java/tinworks/channel/SignalCodec.java
+++ b/src/main/java/tinworks/channel/SignalCodec.java
@@ -39,7 +39,7 @@
     /** The first four bytes of a Hello: {@code TWCH}. */
     static final int MAGIC = 0x54574348;
     /** Raised whenever the bytes change; a connection between two versions is closed at its Hello. */
-    static final short VERSION = 4;
+    static final short VERSION = 5;
     /** The longest frame: a configuration of the longest body, and what stands round it. */
     static final int LONGEST = 16 << 20;
 
@@ -193,10 +193,10 @@
             out.one(VOTE_REPLY).eight(m.term()).flag(m.pre()).flag(m.granted());
         } else if (message instanceof Append m) {
             out.one(APPEND).eight(m.term()).eight(m.previousIndex()).eight(m.previousTerm()).eight(m.commit())
-                    .eight(m.round()).four(m.entries().size());
+                    .eight(m.round()).eight(m.echo()).eight(m.leaseMillis()).four(m.entries().size());
             m.entries().forEach(e -> out.eight(e.index()).eight(e.term()).one((byte) e.kind().ordinal()).bytes(e.body()));
         } else if (message instanceof AppendReply m) {
-            out.one(APPEND_REPLY).eight(m.term()).flag(m.taken()).eight(m.index()).eight(m.round());
+            out.one(APPEND_REPLY).eight(m.term()).flag(m.taken()).eight(m.index()).eight(m.round()).eight(m.sentAt());
         } else if (message instanceof Install m) {
             out.one(INSTALL).eight(m.term()).eight(m.round()).eight(m.snapshot().index()).eight(m.snapshot().term())
                     .bytes(Members.write(m.snapshot().members())).bytes(m.snapshot().state());
@@ -211,14 +211,24 @@
         return switch (kind) {
             case VOTE_REQUEST -> new VoteRequest(term, in.flag(), in.eight(), in.eight(), in.flag());
             case VOTE_REPLY -> new VoteReply(term, in.flag(), in.flag());
-            case APPEND -> new Append(term, in.eight(), in.eight(), in.eight(), in.eight(), readEntries(in));
-            case APPEND_REPLY -> new AppendReply(term, in.flag(), in.eight(), in.eight());
+            case APPEND -> readAppend(in, term);
+            case APPEND_REPLY -> new AppendReply(term, in.flag(), in.eight(), in.eight(), in.eight());
             case INSTALL -> readInstall(in, term);
             case HAND_OVER -> new HandOver(term);
             default -> throw new Malformed("no message of kind " + kind);
         };
     }
 
+    private static Append readAppend(ByteReader in, long term) throws Malformed {
+        long previousIndex = in.eight();
+        long previousTerm = in.eight();
+        long commit = in.eight();
+        long round = in.eight();
+        long echo = in.eight();
+        long leaseMillis = in.eight();
+        return new Append(term, previousIndex, previousTerm, commit, round, readEntries(in), echo, leaseMillis);
+    }
+
     private static List<Entry> readEntries(ByteReader in) throws Malformed {
         List<Entry> entries = new ArrayList<>();
         for (int i = in.count(2 * Long.BYTES + 1 + Integer.BYTES); i > 0; i--) {
--- a/src/main/java/tinworks/raft/Message.java
+++ b/src/main/java/tinworks/raft/Message.java
@@ -22,22 +22,43 @@
      * Entries that follow {@code previousIndex}, none in a heartbeat.
      *
      * @param commit the leader's commit index
-     * @param round counts the leader's rounds of heartbeats, for reads
+     * @param round counts the leader's rounds of heartbeats, for reads and leases
+     * @param echo the latest {@link AppendReply#sentAt} that the leader has from the member that this is for, 0 where none
+     * @param leaseMillis how long the leader's lease lasts from when it got that, 0 where it has none
      */
-    record Append(long term, long previousIndex, long previousTerm, long commit, long round, List<Entry> entries)
-            implements Message {
+    record Append(long term, long previousIndex, long previousTerm, long commit, long round, List<Entry> entries,
+                  long echo, long leaseMillis) implements Message {
         /** Keeps its own list of entries. */
         public Append {
             entries = List.copyOf(entries);
         }
+
+        /** One of a leader without a lease. */
+        public Append(long term, long previousIndex, long previousTerm, long commit, long round, List<Entry> entries) {
+            this(term, previousIndex, previousTerm, commit, round, entries, 0, 0);
+        }
+
+        Append leased(long echoed, long millis) {
+            return new Append(term, previousIndex, previousTerm, commit, round, entries, echoed, millis);
+        }
     }
 
     /**
      * Answers an {@link Append} or an {@link Install}.
      *
      * @param index where taken, up to where both logs are alike; else the last index that may be
+     * @param sentAt when it was sent, in milliseconds of a clock that only the sender can read
      */
-    record AppendReply(long term, boolean taken, long index, long round) implements Message { }
+    record AppendReply(long term, boolean taken, long index, long round, long sentAt) implements Message {
+        /** One that isn't sent yet. */
+        public AppendReply(long term, boolean taken, long index, long round) {
+            this(term, taken, index, round, 0);
+        }
+
+        AppendReply sent(long at) {
+            return new AppendReply(term, taken, index, round, at);
+        }
+    }
 
     /** A snapshot in place of entries that the leader no longer has. */
     record Install(long term, Snapshot snapshot, long round) implements Message { }
--- a/src/main/java/tinworks/raft/Progress.java
+++ b/src/main/java/tinworks/raft/Progress.java
@@ -2,12 +2,19 @@
 
 /** What a leader knows of one that it sends the log to, a voter or a learner. */
 public final class Progress {
+    static final long NEVER = Long.MIN_VALUE / 2;
+
     final Member member;
     long next;
     long match;
     long round;
     long heardAt;
     long rewoundAt;
+    /** When the latest round was sent that it answered. */
+    long askedAt = NEVER;
+    /** The time that it sent last, on a clock of its own, 0 where none; and when that came. */
+    long echo;
+    long echoAt;
 
     Progress(Member member, long next, long now) {
         this.member = member;
--- a/src/main/java/tinworks/raft/Raft.java
+++ b/src/main/java/tinworks/raft/Raft.java
@@ -41,6 +41,11 @@
     private final Map<Long, Progress> progress = new LinkedHashMap<>();
     private final Set<Long> granted = new HashSet<>();
     private final Map<Long, Long> reads = new LinkedHashMap<>();
+    /** When each of the leader's latest rounds was sent. */
+    private final Map<Long, Long> rounds = new LinkedHashMap<>();
+    private final long startedAt;
+    /** Added to the times that are sent to the leader, so that what an earlier life of this member sent means nothing. */
+    private final long echoBase;
 
     private long term;
     private long votedFor;
@@ -54,7 +59,12 @@
     private long heartbeatAt;
     private long firstOfTerm;
     private long round;
+    private long roundAt;
     private long tickets;
+    /** When a leader that has handed over steps down if nobody took the lead, 0 where it hasn't. */
+    private long leavesAt;
+    private long freshUntil;
+    private long freshIndex;
     private List<Member> members;
 
     private HardState written;
@@ -78,9 +88,20 @@
         restore = commit > 0 ? stored.snapshot() : null;
         applied = commit;
         members = log.membersAt(log.lastIndex());
-        heardLeaderAt = now - timing.electionMillis();
-        // All may have lost power at once. Where a leader lives, the others deny an early question.
-        electionAt = now + timing.heartbeatMillis() + random.nextLong(timing.electionMillis() / 2);
+        startedAt = now;
+        echoBase = random.nextLong();
+        long quiet = mayHavePromised() ? timing.electionMillis() : 0;
+        heardLeaderAt = now + quiet - timing.electionMillis();
+        // All may have lost power at once, so no longer than is needed.
+        electionAt = now + Math.max(quiet, timing.heartbeatMillis()) + random.nextLong(timing.electionMillis() / 2);
+    }
+
+    /**
+     * Guards against breaking a lease by forgetting it: what was heard isn't on the disk, so a member that may have
+     * answered a leader takes its start for the last time that it heard one. No answer goes out before a term is synced.
+     */
+    boolean mayHavePromised() {
+        return term > 0;
     }
 
     // ---- what is asked of it
@@ -89,8 +110,10 @@
     public void tick(long nowMillis) {
         now = Math.max(now, nowMillis);
         if (role == Role.LEADER) {
-            if (now >= heartbeatAt) {
-                keepOrLose();
+            if (leaves() && now >= leavesAt || !isAnswered()) {
+                stepDown();
+            } else if (now >= heartbeatAt) {
+                broadcast();
             }
         } else if (now >= electionAt) {
             ask();
@@ -107,12 +130,14 @@
         } else if (message instanceof Append m) {
             if (leads(from, m.term(), m.round())) {
                 append(from, m);
+                toldLease(m);
             }
         } else if (message instanceof Install m) {
             if (leads(from, m.term(), m.round())) {
                 install(from, m);
             }
         } else if (message instanceof AppendReply m) {
+            roundAnswered(from, m);
             appendReplied(from, m);
         } else if (message instanceof HandOver m && m.term() == term && isVoter(self)) {
             stand(true);
@@ -167,7 +192,7 @@
             return 0;
         }
         tickets++;
-        round++;
+        beginRound();
         reads.put(tickets, round);
         broadcast();
         answerReads();
@@ -178,11 +203,13 @@
     public void handOver() {
         Progress best = null;
         for (Progress p : progress.values()) {
-            if (isVoter(p.member.id()) && now - p.heardAt < timing.electionMillis() && (best == null || p.match > best.match)) {
+            if (p.member.id() != self && isVoter(p.member.id()) && now - p.heardAt < timing.electionMillis() && (best == null || p.match > best.match)) {
                 best = p;
             }
         }
         if (role == Role.LEADER && best != null && best.match == log.lastIndex()) {
+            // A vote that is handed over breaks the promises that a lease stands on.
+            leavesAt = now + timing.electionMillis();
             send(best.member.id(), new HandOver(term));
         }
     }
@@ -270,6 +297,48 @@
         return role == Role.LEADER || leader != 0 && now - heardLeaderAt < 2 * timing.electionMillis();
     }
 
+    /**
+     * Until when, on this member's clock, no other can lead, in steady milliseconds; 0 where that isn't known. A lease
+     * runs from the sending of the latest round that a majority answered: each of these voters heard the leader after
+     * that, and denies its vote for an election time.
+     */
+    public long leaseUntil() {
+        return ready() && !leaves() ? Math.max(0, confirmedFrom() + timing.leaseMillis()) : 0;
+    }
+
+    /** Whether this member leads and no other can at the time of the last event. */
+    public boolean holdsLease() {
+        return holdsLease(now);
+    }
+
+    /** Whether this member leads and no other can; a caller that may have been frozen gives the time as it is. */
+    public boolean holdsLease(long nowMillis) {
+        return Math.max(now, nowMillis) < leaseUntil();
+    }
+
+    /**
+     * Until when, on this member's clock, a follower that has applied {@link #freshIndex} may say that it is in touch, in
+     * steady milliseconds; at a leader its lease. What was acknowledged a lease before that is in its state.
+     */
+    public long freshUntil() {
+        return role == Role.LEADER ? leaseUntil() : freshUntil;
+    }
+
+    /** What has to be applied before the state is as new as {@link #freshUntil} says. */
+    public long freshIndex() {
+        return role == Role.LEADER ? firstOfTerm : freshIndex;
+    }
+
+    /** Whether the state that the last {@link #drain} led to was the agreed one within the last lease. */
+    public boolean fresh() {
+        return fresh(now);
+    }
+
+    /** As {@link #fresh()}; a caller that may have been frozen gives the time as it is. */
+    public boolean fresh(long nowMillis) {
+        return Math.max(now, nowMillis) < freshUntil() && applied >= freshIndex();
+    }
+
     /** Whether this member leads and all of its predecessors' commitments are known to it. */
     public boolean ready() {
         return role == Role.LEADER && commit >= firstOfTerm;
@@ -289,6 +358,64 @@
         return members.stream().anyMatch(m -> m.id() == id);
     }
 
+    // ---- leases
+
+    private void beginRound() {
+        round++;
+        roundAt = now;
+        rounds.values().removeIf(sentAt -> now - sentAt >= timing.leaseMillis());
+        rounds.put(round, now);
+    }
+
+    /** Guards against a lease that counts from when an answer came: it may have lain in a frozen machine. */
+    private void roundAnswered(long from, AppendReply m) {
+        Progress p = progress.get(from);
+        if (role == Role.LEADER && m.term() == term && p != null) {
+            p.askedAt = Math.max(p.askedAt, rounds.getOrDefault(m.round(), Progress.NEVER));
+            p.echo = m.sentAt();
+            p.echoAt = now;
+        }
+    }
+
+    /** When the latest round was sent that this one answered. */
+    long confirmedFrom(Progress p) {
+        return p.askedAt;
+    }
+
+    private long confirmedFrom() {
+        long[] times = members.stream().mapToLong(m -> m.id() == self ? now
+                : progress.containsKey(m.id()) ? confirmedFrom(progress.get(m.id())) : Progress.NEVER).sorted().toArray();
+        return times.length == 0 ? Progress.NEVER : times[(times.length - 1) / 2];
+    }
+
+    /** Whether this leader has given up its lease for the rest of its term: who it asked to stand may do so at any time. */
+    boolean leaves() {
+        return leavesAt != 0;
+    }
+
+    /**
+     * Takes a leader's word on its lease: the leader counts what is left from when it got this member's echo, so on this
+     * member's clock the lease lasts at least as long from when the echo was sent, however slow the network is.
+     */
+    private void toldLease(Append m) {
+        long echoed = m.echo() - echoBase;
+        if (m.leaseMillis() > 0 && echoed >= startedAt && echoed <= now && echoed + m.leaseMillis() > freshUntil) {
+            freshUntil = echoed + m.leaseMillis();
+            freshIndex = Math.max(freshIndex, m.commit());
+        }
+    }
+
+    /** The message with what all messages of its kind tell of time. */
+    private Message stamped(long to, Message message) {
+        if (message instanceof AppendReply m) {
+            return m.sent(now + echoBase);
+        } else if (message instanceof Append m && holdsLease()) {
+            Progress p = progress.get(to);
+            return p.echo == 0 ? m : m.leased(p.echo, Math.max(0, leaseUntil() - p.echoAt));
+        }
+        return message;
+    }
+
     // ---- elections
 
     private void electionLater() {
@@ -337,14 +464,14 @@
     private void voteRequested(long from, VoteRequest m) {
         boolean upToDate = m.lastTerm() > log.lastTerm()
                 || m.lastTerm() == log.lastTerm() && m.lastIndex() >= log.lastIndex();
-        // Guards against one that has been removed, or hears nothing, unseating a leader that others hear.
-        boolean content = !m.handedOver() && (role == Role.LEADER || now - heardLeaderAt < timing.electionMillis());
+        boolean content = !m.handedOver() && content();
         if (m.pre()) {
             boolean would = m.term() > term && upToDate && !content;
             send(from, new VoteReply(would ? m.term() : term, true, would));
             return;
         }
-        if (content && m.term() > term) {
+        // Also where something else has raised the term here meanwhile: a promise to a leader holds for its time.
+        if (content) {
             send(from, new VoteReply(term, false, false));
             return;
         }
@@ -358,6 +485,11 @@
         send(from, new VoteReply(term, false, may));
     }
 
+    /** Guards against one that has been removed, or hears nothing, unseating a leader that others hear. */
+    boolean content() {
+        return role == Role.LEADER || now - heardLeaderAt < timing.electionMillis();
+    }
+
     private void voteReplied(long from, VoteReply m) {
         if (m.pre() && m.granted()) {
             if (role == Role.ASKING && m.term() == term + 1) {
@@ -401,9 +533,12 @@
         leader = self;
         progress.clear();
         reads.clear();
+        rounds.clear();
+        leavesAt = 0;
         syncProgress();
         progress.values().forEach(p -> p.heardAt = now);
         firstOfTerm = log.lastIndex() + 1;
+        beginRound();
         write(Kind.LEAD, new byte[0]);
         if (log.membersIndex() == 0) {
             // The first voters are known to themselves alone until the log tells of them.
@@ -416,16 +551,12 @@
     }
 
     /** Guards against a leader that was cut off and doesn't know it: it goes on only while a majority answers. */
-    private void keepOrLose() {
+    private boolean isAnswered() {
         Set<Long> heard = new HashSet<>();
         heard.add(self);
         progress.values().stream().filter(p -> now - p.heardAt < 2 * timing.electionMillis())
                 .forEach(p -> heard.add(p.member.id()));
-        if (majority(heard)) {
-            broadcast();
-        } else {
-            stepDown();
-        }
+        return majority(heard);
     }
 
     // ---- the log
@@ -452,6 +583,9 @@
 
     private void broadcast() {
         heartbeatAt = now + timing.heartbeatMillis();
+        if (now - roundAt >= timing.heartbeatMillis() / 2) {
+            beginRound();
+        }
         for (Progress p : progress.values()) {
             if (p.member.id() != self) {
                 sendLog(p);
@@ -611,7 +745,7 @@
     }
 
     private void send(long to, Message message) {
-        outbox.add(new Envelope(to, message));
+        outbox.add(new Envelope(to, stamped(to, message)));
     }
 
     private static int differences(List<Member> before, List<Member> after) {
--- a/src/main/java/tinworks/raft/Timing.java
+++ b/src/main/java/tinworks/raft/Timing.java
@@ -11,4 +11,9 @@
             throw new IllegalArgumentException("timing: heartbeat " + heartbeatMillis + " ms, election " + electionMillis + " ms");
         }
     }
+
+    /** How long a leader may count on the voters that answered it: shorter than their silence, for clocks of unlike rates. */
+    long leaseMillis() {
+        return electionMillis - electionMillis / 10;
+    }
 }
--- /dev/null
+++ b/src/test/java/tinworks/raft/LeaseTest.java
@@ -0,0 +1,281 @@
+package tinworks.raft;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import tinworks.raft.Cluster.Flaw;
+import tinworks.raft.Cluster.Maker;
+import tinworks.raft.Cluster.Node;
+import tinworks.raft.Message.Append;
+import tinworks.raft.Message.AppendReply;
+import tinworks.raft.Message.VoteReply;
+import tinworks.raft.Message.VoteRequest;
+
+/** Leases over many days with cuts, freezes, restarts and hand-overs on clocks of unlike rates; and each guard taken out. */
+class LeaseTest {
+    private static final int DAYS = 1_500, MUTANT_DAYS = 3_000;
+    private static final long ELECTION = Cluster.TIMING.electionMillis(), LEASE = Cluster.TIMING.leaseMillis();
+
+    /** Some seconds in which members are cut off, freeze, start anew and hand over. */
+    private static Cluster day(long seed, Maker maker) {
+        Cluster cluster = new Cluster(seed, seed % 4 == 0 ? 5 : 3, Flaw.NONE, Cluster.TIMING, maker);
+        cluster.loss = seed % 3 == 0 ? 0.1 : 0;
+        cluster.run(400);
+        for (int round = 0; round < 50; round++) {
+            cluster.run(cluster.now + 5 + cluster.random.nextInt(90));
+            cluster.propose();
+            Node one = cluster.nodes.get(cluster.random.nextInt(cluster.nodes.size()));
+            Node other = cluster.nodes.get(cluster.random.nextInt(cluster.nodes.size()));
+            Node leader = cluster.leader();
+            switch (cluster.random.nextInt(8)) {
+                case 0, 1 -> {
+                    one.crash();
+                    one.start();
+                }
+                case 2 -> one.freeze(50 + cluster.random.nextInt(600));
+                case 3 -> {
+                    if (one != other) {
+                        cluster.cut(one.number, other.number);
+                    }
+                }
+                case 4 -> cluster.nodes.stream().filter(n -> n != one).forEach(n -> cluster.cut(n.number, one.number));
+                case 5 -> {
+                    cluster.run(cluster.now + 40);
+                    if (leader != null && leader.raft != null && !leader.isFrozen()) {
+                        leader.raft.handOver();
+                        leader.pump();
+                        cluster.run(cluster.now + 5);
+                        leader.freeze(cluster.random.nextInt(100));
+                    }
+                }
+                default -> cluster.join();
+            }
+        }
+        return cluster;
+    }
+
+    @Test
+    void noOtherLeadsDuringALeaseAndWhoIsFreshHasWhatWasAcknowledged() {
+        long leases = 0;
+        long followers = 0;
+        for (long seed = 1; seed <= DAYS; seed++) {
+            Cluster cluster = day(seed, Raft::new);
+            leases += cluster.leases;
+            followers += cluster.freshFollowers;
+        }
+        assertTrue(leases > 100L * DAYS && followers > 100L * DAYS, "too seldom to mean anything: " + leases + ", " + followers);
+    }
+
+    private static int firstCaught(Maker mutant) {
+        for (int seed = 1; seed <= MUTANT_DAYS; seed++) {
+            try {
+                day(seed, mutant);
+            } catch (Cluster.Broken e) {
+                return seed;
+            }
+        }
+        return 0;
+    }
+
+    @Test
+    void aLeaseFromWhenAnAnswerCameIsCaught() {
+        assertTrue(firstCaught((id, stored, timing, seed, now) -> new Raft(id, stored, timing, seed, now) {
+            @Override
+            long confirmedFrom(Progress p) {
+                return p.heardAt;
+            }
+        }) > 0);
+    }
+
+    @Test
+    void aLeaseBeforeAnEntryOfItsOwnTermIsCommittedIsCaught() {
+        assertTrue(firstCaught((id, stored, timing, seed, now) -> new Raft(id, stored, timing, seed, now) {
+            @Override
+            public boolean ready() {
+                return role() == Role.LEADER;
+            }
+
+            @Override
+            public long freshIndex() {
+                return 0;
+            }
+        }) > 0);
+    }
+
+    @Test
+    void aMemberThatVotesAtOnceAfterItsStartIsCaught() {
+        assertTrue(firstCaught((id, stored, timing, seed, now) -> new Raft(id, stored, timing, seed, now) {
+            @Override
+            boolean mayHavePromised() {
+                return false;
+            }
+        }) > 0);
+    }
+
+    @Test
+    void aVoterThatVotesWhileItHearsTheLeaderIsCaught() {
+        assertTrue(firstCaught((id, stored, timing, seed, now) -> new Raft(id, stored, timing, seed, now) {
+            @Override
+            boolean content() {
+                return role() == Role.LEADER;
+            }
+        }) > 0);
+    }
+
+    @Test
+    void aLeaseThatIsKeptOverAHandOverIsCaught() {
+        assertTrue(firstCaught((id, stored, timing, seed, now) -> new Raft(id, stored, timing, seed, now) {
+            @Override
+            boolean leaves() {
+                return false;
+            }
+        }) > 0);
+    }
+
+    // ---- single members, event by event
+
+    private static Raft voter(long now) {
+        List<Member> voters = List.of(new Member(1, "a"), new Member(2, "b"), new Member(3, "c"));
+        return new Raft(1, new Stored(new HardState(3, 0), new Snapshot(0, 0, voters, new byte[0]), List.of()), Cluster.TIMING, 1, now);
+    }
+
+    /** Elected at 1,000 by the second's votes; nothing is committed yet. */
+    private static Raft elected() {
+        Raft raft = voter(0);
+        raft.tick(1_000);
+        raft.receive(1_000, 2, new VoteReply(4, true, true));
+        raft.receive(1_000, 2, new VoteReply(4, false, true));
+        raft.persisted(raft.drain());
+        assertEquals(Raft.Role.LEADER, raft.role());
+        return raft;
+    }
+
+    private static long roundTo(long to, Raft raft) {
+        return raft.drain().messages().stream().filter(e -> e.to() == to && e.message() instanceof Append)
+                .mapToLong(e -> ((Append) e.message()).round()).max().orElseThrow();
+    }
+
+    @Test
+    void aLeaseRunsFromTheSendingOfTheRoundThatWasAnswered() {
+        Raft raft = elected();
+        assertEquals(0, raft.leaseUntil(), "nothing of its term is committed");
+        assertTrue(raft.inTouch(), "what was asked for before says otherwise");
+        raft.receive(1_020, 2, new AppendReply(4, true, raft.lastIndex(), 1));
+        assertEquals(1_000 + LEASE, raft.leaseUntil());
+        raft.tick(1_070);
+        long round = roundTo(2, raft);
+        raft.receive(1_110, 2, new AppendReply(4, true, raft.lastIndex(), round - 1));
+        assertEquals(1_000 + LEASE, raft.leaseUntil(), "an answer to the round before tells nothing new");
+        raft.receive(1_120, 2, new AppendReply(4, true, raft.lastIndex(), round));
+        assertEquals(1_070 + LEASE, raft.leaseUntil());
+        assertTrue(raft.holdsLease() && raft.fresh());
+    }
+
+    /** What is sent for a command puts the next heartbeat off. */
+    @Test
+    void aLeaseIsRenewedAndALeaderThatIsCutOffStepsDownThoughCommandsKeepComing() {
+        Raft raft = elected();
+        long now = 1_000;
+        for (int i = 0; i < 100; i++) {
+            now += 10;
+            raft.tick(now);
+            assertTrue(raft.propose(new byte[1]) > 0);
+            raft.receive(now + 1, 2, new AppendReply(4, true, raft.lastIndex(), roundTo(2, raft)));
+            assertTrue(raft.holdsLease());
+        }
+        long until = now + 2 * ELECTION + 20;
+        while (now < until) {
+            now += 10;
+            raft.tick(now);
+            raft.propose(new byte[1]);
+        }
+        assertEquals(Raft.Role.FOLLOWER, raft.role());
+    }
+
+    @Test
+    void aLeaderThatThawsHasNoLeaseUntilANewRoundIsAnswered() {
+        Raft raft = elected();
+        raft.receive(1_020, 2, new AppendReply(4, true, raft.lastIndex(), 1));
+        assertTrue(raft.holdsLease());
+        assertFalse(raft.holdsLease(30_000), "asked before any event, with the time as it is");
+        raft.receive(30_000, 2, new AppendReply(4, true, raft.lastIndex(), 1));
+        assertFalse(raft.holdsLease() || raft.fresh(), "an answer that lay there while it was frozen");
+        raft.drain();
+        raft.tick(30_001);
+        raft.receive(30_010, 2, new AppendReply(4, true, raft.lastIndex(), roundTo(2, raft)));
+        assertTrue(raft.holdsLease());
+    }
+
+    @Test
+    void aLeaderHandsOverToAnotherAndNotToItself() {
+        Raft raft = elected();
+        raft.handOver();
+        assertTrue(raft.drain().messages().stream().noneMatch(e -> e.message() instanceof Message.HandOver), "nobody has all");
+        raft.receive(1_020, 3, new AppendReply(4, true, raft.lastIndex(), 1));
+        raft.handOver();
+        assertEquals(List.of(3L), raft.drain().messages().stream().filter(e -> e.message() instanceof Message.HandOver)
+                .map(Output.Envelope::to).toList());
+    }
+
+    @Test
+    void aLeaderThatHandsOverGivesItsLeaseUpFirstAndDoesNotStayWithoutOne() {
+        Raft raft = elected();
+        raft.receive(1_020, 2, new AppendReply(4, true, raft.lastIndex(), 1));
+        raft.persisted(raft.drain());
+        raft.handOver();
+        assertFalse(raft.holdsLease());
+        raft.tick(1_070);
+        raft.receive(1_075, 2, new AppendReply(4, true, raft.lastIndex(), roundTo(2, raft)));
+        assertFalse(raft.holdsLease(), "who was asked to stand may do so at any time");
+        raft.tick(1_020 + ELECTION);
+        assertEquals(Raft.Role.FOLLOWER, raft.role());
+    }
+
+    private static boolean grants(Raft raft, long now, long term) {
+        raft.drain();
+        raft.receive(now, 3, new VoteRequest(term, false, 9, 4, false));
+        return ((VoteReply) raft.drain().messages().get(0).message()).granted();
+    }
+
+    @Test
+    void aMemberThatStartsAgainDeniesItsVoteForAsLongAsItMayHavePromised() {
+        assertFalse(grants(voter(5_000), 5_000 + ELECTION - 1, 5));
+        assertTrue(grants(voter(5_000), 5_000 + ELECTION, 5));
+        Raft raft = voter(5_000);
+        raft.tick(5_000 + ELECTION - 1);
+        assertEquals(Raft.Role.FOLLOWER, raft.role());
+        Raft first = new Raft(1, Stored.NOTHING, Cluster.TIMING, 1, 0);
+        assertTrue(grants(first, 1, 1), "one that never answered anybody needn't wait");
+    }
+
+    /** The term may be raised by an answer to an early question: that frees nobody from a promise. */
+    @Test
+    void aVoterWhoseTermWasRaisedKeepsItsPromise() {
+        Raft raft = voter(0);
+        raft.receive(1_000, 2, new Append(4, 0, 0, 0, 1, List.of()));
+        raft.receive(1_010, 3, new VoteReply(5, true, false));
+        assertEquals(5, raft.term());
+        assertFalse(grants(raft, 1_020, 5));
+        assertTrue(grants(raft, 1_000 + ELECTION, 5));
+    }
+
+    @Test
+    void aFollowerCountsALeaseFromItsOwnEchoAndTrustsNoneOfAnEarlierLife() {
+        Raft raft = voter(0);
+        raft.receive(1_000, 2, new Append(4, 0, 0, 0, 1, List.of()));
+        AppendReply reply = (AppendReply) raft.drain().messages().get(0).message();
+        assertFalse(raft.fresh());
+        raft.receive(1_100, 2, new Append(4, 0, 0, 0, 2, List.of(), reply.sentAt(), 150));
+        assertEquals(1_150, raft.freshUntil());
+        assertTrue(raft.fresh());
+        assertFalse(raft.fresh(1_150));
+        raft.receive(1_120, 2, new Append(4, 0, 0, 3, 3, List.of(), reply.sentAt() + 50, 150));
+        assertFalse(raft.fresh(), "it has yet to apply what was committed then");
+        Raft again = new Raft(1, Stored.NOTHING, Cluster.TIMING, 2, 900);
+        again.receive(1_100, 2, new Append(4, 0, 0, 0, 2, List.of(), reply.sentAt(), 150));
+        assertFalse(again.fresh(), "another life, another clock");
+    }
+}
