Change voters by joint consensus, any number of them at once

Cause: voters changed one at a time, and a dead voter went out before another came in: three voters were two for a while, so that any further loss in that window stopped the core. changeMembers refused everything but one coming or going.

Change: an entry of voters holds those to come and, while the change is under way, those before (Voters). Commits, votes, reads, leases and the look at the answers need a majority of each; once the first entry is committed the leader, or the next one, writes the second. changeMembers takes any set, members() is both lists together. The bytes of one list are as before; a second stands behind it.

--- a/src/main/java/tinworks/raft/Log.java
+++ b/src/main/java/tinworks/raft/Log.java
@@ -72,14 +72,19 @@
         base = snapshot;
     }
 
-    /** The voters as of an index: the latest list at or before it. */
-    List<Member> membersAt(long index) {
+    /** The voters as of an index, as the latest entry of them at or before it has them. */
+    Voters votersAt(long index) {
         for (long i = Math.min(index, lastIndex()); i > base.index(); i--) {
             if (entry(i).kind() == Entry.Kind.MEMBERS) {
-                return Members.read(entry(i).body());
+                return Voters.read(entry(i).body());
             }
         }
-        return base.members();
+        return Voters.of(base.members());
+    }
+
+    /** Those of {@link #votersAt} that stay. */
+    List<Member> membersAt(long index) {
+        return votersAt(index).current();
     }
 
     /** The index of the latest list of voters. */
--- a/src/main/java/tinworks/raft/Members.java
+++ b/src/main/java/tinworks/raft/Members.java
@@ -27,6 +27,13 @@
     /** Reads what {@link #write} wrote; anything else is an {@link IllegalArgumentException}. */
     public static List<Member> read(byte[] bytes) {
         ByteBuffer in = ByteBuffer.wrap(bytes);
+        List<Member> members = read(in);
+        require(!in.hasRemaining(), "bytes left over", in.remaining());
+        return members;
+    }
+
+    /** Reads one list and leaves what stands behind it. */
+    static List<Member> read(ByteBuffer in) {
         List<Member> members = new ArrayList<>();
         int count = in.remaining() < Integer.BYTES ? -1 : in.getInt();
         require(count >= 0 && count <= MOST, "voters", count);
@@ -39,7 +46,6 @@
             in.get(address);
             members.add(new Member(id, new String(address, StandardCharsets.UTF_8)));
         }
-        require(!in.hasRemaining(), "bytes left over", in.remaining());
         return List.copyOf(members);
     }
 
--- a/src/main/java/tinworks/raft/Raft.java
+++ b/src/main/java/tinworks/raft/Raft.java
@@ -24,8 +24,10 @@
  *
  * <p>What keeps an acknowledged entry: a vote and an entry are told to others only once they are synced (the
  * {@link Output}'s order), an entry counts as committed once a majority of the voters has it and one of the leader's
- * own term is among them, and a vote goes only to who has all that the voter has. Voters change one at a time, and
- * only after the leader's first entry is committed, so any two majorities that follow each other overlap.
+ * own term is among them, and a vote goes only to who has all that the voter has. Voters change by joint consensus: the
+ * first entry of a change names those to come and those before, and counts from when it is in the log. From then on a
+ * majority of each is needed, so no majority of either can decide alone; the second entry, of those to come, is written
+ * only once the first is committed, so by then a majority of them has all that is committed.
  */
 public class Raft {
     /** What a member is at the moment. */
@@ -65,7 +67,7 @@
     private long leavesAt;
     private long freshUntil;
     private long freshIndex;
-    private List<Member> members;
+    private Voters voters;
 
     private HardState written;
     private long unwrittenFrom;
@@ -87,7 +89,7 @@
         commit = stored.snapshot().index();
         restore = commit > 0 ? stored.snapshot() : null;
         applied = commit;
-        members = log.membersAt(log.lastIndex());
+        voters = log.votersAt(log.lastIndex());
         startedAt = now;
         echoBase = random.nextLong();
         long quiet = mayHavePromised() ? timing.electionMillis() : 0;
@@ -150,20 +152,21 @@
     }
 
     /**
-     * Makes these the voters; false where this member doesn't lead, an earlier change isn't committed yet, or more
-     * than one voter would come or go.
+     * Makes these the voters, any number of them others than now; false where this member doesn't lead, an earlier change
+     * isn't done yet, nothing would change, or the list is empty or names an id twice.
      */
     public boolean changeMembers(List<Member> wanted) {
-        if (!mayChangeMembers() || differences(members, wanted) != 1 || wanted.isEmpty()) {
+        boolean distinct = wanted.stream().mapToLong(Member::id).distinct().count() == wanted.size();
+        if (!mayChangeMembers() || wanted.isEmpty() || !distinct || Set.copyOf(wanted).equals(Set.copyOf(voters.current()))) {
             return false;
         }
-        write(Kind.MEMBERS, Members.write(wanted));
+        write(Kind.MEMBERS, new Voters(wanted, voters.current()).write());
         return true;
     }
 
     /** Whether a change of voters may be written now. */
     public boolean mayChangeMembers() {
-        return role == Role.LEADER && commit >= firstOfTerm && commit >= log.membersIndex();
+        return ready() && !voters.joint() && commit >= log.membersIndex();
     }
 
     /** Sends the log to one who doesn't vote. */
@@ -214,9 +217,9 @@
         }
     }
 
-    /** Puts the applied state in place of the log up to an index that has been applied. */
+    /** Puts the applied state in place of the log up to an index that has been applied; not in the middle of a change of voters. */
     public void compact(long index, byte[] state) {
-        if (index > log.base().index() && index <= applied) {
+        if (index > log.base().index() && index <= applied && !log.votersAt(index).joint()) {
             Snapshot snapshot = new Snapshot(index, log.term(index), log.membersAt(index), state);
             log.rebase(snapshot);
             unwrittenSnapshot = snapshot;
@@ -287,9 +290,9 @@
         return log.lastIndex() - log.base().index();
     }
 
-    /** The voters as this member's log has them, committed or not. */
+    /** The voters as this member's log has them, committed or not; during a change those to come and those before. */
     public List<Member> members() {
-        return members;
+        return voters.all();
     }
 
     /** Whether a leader has been heard lately, or this member leads. */
@@ -355,7 +358,7 @@
 
     /** Whether an id is among the voters. */
     public boolean isVoter(long id) {
-        return members.stream().anyMatch(m -> m.id() == id);
+        return voters.all().stream().anyMatch(m -> m.id() == id);
     }
 
     // ---- leases
@@ -383,9 +386,8 @@
     }
 
     private long confirmedFrom() {
-        long[] times = members.stream().mapToLong(m -> m.id() == self ? now
-                : progress.containsKey(m.id()) ? confirmedFrom(progress.get(m.id())) : Progress.NEVER).sorted().toArray();
-        return times.length == 0 ? Progress.NEVER : times[(times.length - 1) / 2];
+        return quorum().agreed(m -> m.id() == self ? now
+                : progress.containsKey(m.id()) ? confirmedFrom(progress.get(m.id())) : Progress.NEVER);
     }
 
     /** Whether this leader has given up its lease for the rest of its term: who it asked to stand may do so at any time. */
@@ -425,7 +427,7 @@
     /** Guards against a member that was cut off raising the term of all when it comes back: first it asks. */
     private void ask() {
         electionAt = now + timing.electionMillis() / 2 + random.nextLong(timing.electionMillis() / 2);
-        if (!isVoter(self)) {
+        if (!isVoter(self) && !isNeeded()) {
             leader = 0;
             return;
         }
@@ -439,6 +441,15 @@
         }
     }
 
+    /**
+     * Guards against a standstill: until the entry that votes it out is committed, this member may be the only one with
+     * all that is committed, and its vote may be needed by those who don't have that entry.
+     */
+    private boolean isNeeded() {
+        long changed = log.membersIndex();
+        return commit < changed && log.votersAt(changed - 1).all().stream().anyMatch(m -> m.id() == self);
+    }
+
     private void stand(boolean handedOver) {
         term++;
         votedFor = self;
@@ -454,7 +465,7 @@
     }
 
     private void askAll(VoteRequest request) {
-        for (Member member : members) {
+        for (Member member : voters.all()) {
             if (member.id() != self) {
                 send(member.id(), request);
             }
@@ -542,12 +553,17 @@
         write(Kind.LEAD, new byte[0]);
         if (log.membersIndex() == 0) {
             // The first voters are known to themselves alone until the log tells of them.
-            write(Kind.MEMBERS, Members.write(members));
+            write(Kind.MEMBERS, voters.write());
         }
     }
 
     private boolean majority(Set<Long> ids) {
-        return 2 * members.stream().filter(m -> ids.contains(m.id())).count() > members.size();
+        return quorum().agreed(m -> ids.contains(m.id()) ? 1 : 0) == 1;
+    }
+
+    /** By whom votes, copies, reads and leases are counted. */
+    Voters quorum() {
+        return voters;
     }
 
     /** Guards against a leader that was cut off and doesn't know it: it goes on only while a majority answers. */
@@ -566,7 +582,7 @@
         log.append(entry);
         unwrittenFrom = unwrittenFrom > 0 ? Math.min(unwrittenFrom, entry.index()) : entry.index();
         if (kind == Kind.MEMBERS) {
-            members = Members.read(body);
+            voters = Voters.read(body);
             syncProgress();
         }
         broadcast();
@@ -576,7 +592,7 @@
 
     /** One progress for each voter; learners keep theirs. */
     private void syncProgress() {
-        for (Member member : members) {
+        for (Member member : voters.all()) {
             progress.computeIfAbsent(member.id(), id -> new Progress(member, log.lastIndex() + 1, now));
         }
     }
@@ -651,7 +667,7 @@
         log.append(entry);
         unwrittenFrom = unwrittenFrom > 0 ? Math.min(unwrittenFrom, entry.index()) : entry.index();
         if (cuts || entry.kind() == Kind.MEMBERS) {
-            members = log.membersAt(log.lastIndex());
+            voters = log.votersAt(log.lastIndex());
         }
     }
 
@@ -661,7 +677,7 @@
             log.rebase(snapshot);
             commit = snapshot.index();
             applied = commit;
-            members = log.membersAt(log.lastIndex());
+            voters = log.votersAt(log.lastIndex());
             unwrittenSnapshot = snapshot;
             // What the log no longer holds must go from the disk too.
             unwrittenFrom = snapshot.index() + 1;
@@ -705,15 +721,13 @@
         if (role != Role.LEADER) {
             return;
         }
-        long[] matches = members.stream().mapToLong(m -> progress.containsKey(m.id()) ? progress.get(m.id()).match : 0)
-                .sorted().toArray();
-        long reached = matches.length == 0 ? 0 : matches[(matches.length - 1) / 2];
+        long reached = quorum().agreed(m -> progress.containsKey(m.id()) ? progress.get(m.id()).match : 0);
         if (reached > commit && mayCommit(reached)) {
             commit = reached;
             // Followers learn of it at once and not with the next heartbeat: their callers wait for it.
             broadcast();
             answerReads();
-            leaveIfRemoved();
+            finishChange();
         }
     }
 
@@ -722,8 +736,14 @@
         return log.term(index) == term;
     }
 
-    private void leaveIfRemoved() {
-        if (!isVoter(self) && commit >= log.membersIndex()) {
+    /** Ends a change whose first entry is committed, whoever began it; one that leaves goes once the second is committed. */
+    private void finishChange() {
+        if (commit < log.membersIndex()) {
+            return;
+        }
+        if (voters.joint()) {
+            write(Kind.MEMBERS, Voters.of(voters.current()).write());
+        } else if (!isVoter(self)) {
             stepDown();
         }
     }
@@ -747,13 +767,4 @@
     private void send(long to, Message message) {
         outbox.add(new Envelope(to, stamped(to, message)));
     }
-
-    private static int differences(List<Member> before, List<Member> after) {
-        Set<Member> changed = new HashSet<>(before);
-        Set<Member> kept = new HashSet<>(before);
-        kept.retainAll(after);
-        changed.addAll(after);
-        changed.removeAll(kept);
-        return changed.size();
-    }
 }
--- a/src/main/java/tinworks/raft/Snapshot.java
+++ b/src/main/java/tinworks/raft/Snapshot.java
@@ -3,7 +3,8 @@
 import java.util.List;
 
 /**
- * What the log up to {@code index} came to: the voters and the state machine's bytes.
+ * What the log up to {@code index} came to: the voters and the state machine's bytes. No snapshot is made in the middle of
+ * a change of voters.
  *
  * @param term the term of the entry at {@code index}, 0 where there was none
  */
--- a/src/test/java/tinworks/fuzz/DecodersTest.java
+++ b/src/test/java/tinworks/fuzz/DecodersTest.java
@@ -28,6 +28,7 @@
 import tinworks.node.BootSettings;
 import tinworks.raft.Member;
 import tinworks.raft.Members;
+import tinworks.raft.Voters;
 
 /** Whatever comes in, a decoder reads it or refuses it in its own words; nothing else comes out of it. */
 class DecodersTest {
@@ -117,6 +118,12 @@
         assertEquals(voters, Members.read(Members.write(voters)));
     }
 
+    @Property(tries = 500, seed = SEED)
+    void votersBeforeAndAfterAChangeComeBackAsTheyWereWritten(@ForAll("voters") List<Member> current, @ForAll("voters") List<Member> outgoing) {
+        Voters voters = new Voters(current, outgoing);
+        assertEquals(voters, Voters.read(voters.write()));
+    }
+
     @Property(tries = TRIES, seed = SEED, shrinking = ShrinkingMode.BOUNDED)
     void anyBytesAreVotersOrRefused(@ForAll @Size(max = 120) byte[] bytes) {
         try {
@@ -124,6 +131,11 @@
         } catch (IllegalArgumentException e) {
             assertFalse(e.getMessage().isEmpty());
         }
+        try {
+            assertArrayEquals(bytes, Voters.read(bytes).write());
+        } catch (IllegalArgumentException e) {
+            assertFalse(e.getMessage().isEmpty());
+        }
     }
 
     @Property(tries = TRIES, seed = SEED, shrinking = ShrinkingMode.BOUNDED)
