Exchange a dead voter for a learner that has caught up, and hand over only to one that has all

Cause: the plan voted the dead one out first; a learner was ready only while it had all that was committed at the instant of the look, which one that takes entries all the time may never have; a voter that is silent for 2.6 s again and again, and another, could change places for ever; and a leader handed over with entries that weren't committed, or not at all where nobody had all at that moment, without telling the caller.

Change: VoterPlan exchanges in one change (joint consensus), several at once, the machine's own earlier life first, never to fewer voters; where no learner has caught up the dead voter stays. Who was let go for its silence takes no silent voter's place for 20 s. Progress.caughtUp(): synced up to where the log ended when the leader began to send, or heard it again. handOver() tells whether it is under way; asked too early it sends nothing and may be asked again. Once it has handed over a leader takes no proposals and begins no change.

--- a/src/main/java/tinworks/control/CoreMachine.java
+++ b/src/main/java/tinworks/control/CoreMachine.java
@@ -198,11 +198,11 @@
                 raft.removeLearner(p.member().id());
                 continue;
             }
-            seen.add(new VoterPlan.Seen(p.member(), p.match() >= raft.commit() && p.match() > 0, now - p.heardAt()));
+            seen.add(new VoterPlan.Seen(p.member(), p.caughtUp(), now - p.heardAt()));
         }
         if (raft.mayChangeMembers()) {
             List<Member> before = raft.members();
-            plan.next(id, before, seen).ifPresent(next -> {
+            plan.next(now, id, before, seen).ifPresent(next -> {
                 if (raft.changeMembers(next)) {
                     around.log("voters change from " + before + " to " + next);
                 }
--- a/src/main/java/tinworks/control/VoterPlan.java
+++ b/src/main/java/tinworks/control/VoterPlan.java
@@ -1,16 +1,20 @@
 package tinworks.control;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import tinworks.raft.Member;
 
 /**
- * Who should vote. A pure function of what the leader sees; it moves by one voter at a time.
+ * Who should vote, from what the leader sees; it remembers whom it let go, and reads no clock.
  *
  * <p>So many machines vote that the losses to be borne leave a majority, and no more: with three of four machines
  * voting, any one may go while the fourth, which holds the log too, takes its place. With four of four, a second
- * machine that is merely slow would stop the log.
+ * machine that is merely slow would stop the log. Who is gone changes places with a learner in one change: there are
+ * never fewer voters than there were, and one that nobody can take the place of stays. Two of three have to agree
+ * with a dead third as without one, and the dead one may yet come back.
  */
 final class VoterPlan {
     /** One that gets the log. {@code silentMillis} is how long it has said nothing. */
@@ -18,51 +22,63 @@
 
     /** A restart takes less; a voter that is gone for longer is replaced where another can take its place. */
     static final long GONE_MILLIS = 2_500;
+    /** Who was let go for its silence takes no silent voter's place for so long, or two that come and go would change for ever. */
+    static final long REST_MILLIS = 20_000;
     private static final long ALIVE_MILLIS = 1_000;
 
     private final int wanted;
+    private final Map<Long, Long> letGoAt = new HashMap<>();
 
     /** {@code losses} is how many voters may be lost at a time. */
     VoterPlan(int losses) {
         wanted = 2 * losses + 1;
     }
 
-    /** The voters that there should be next, or nothing where they are well. {@code self} leads. */
-    Optional<List<Member>> next(long self, List<Member> voters, List<Seen> others) {
+    /**
+     * The voters that there should be instead, or nothing where they are well.
+     *
+     * @param now steady milliseconds
+     * @param self the leader, which stays
+     */
+    Optional<List<Member>> next(long now, long self, List<Member> voters, List<Seen> others) {
+        letGoAt.values().removeIf(at -> now - at >= REST_MILLIS);
         List<Seen> learners = others.stream().filter(o -> !voters.contains(o.member()) && o.silentMillis() < ALIVE_MILLIS).toList();
+        List<Member> ready = new ArrayList<>(learners.stream().filter(Seen::caughtUp).map(Seen::member).toList());
+        List<Member> next = new ArrayList<>(voters);
         for (Member voter : voters) {
             // The machine has come back without its disk: what voted under this id is no more.
-            boolean replaced = learners.stream().anyMatch(l -> l.member().address().equals(voter.address()));
-            if (voter.id() != self && replaced && quorumWithout(voter, self, voters, others)) {
-                return Optional.of(without(voter, voters));
+            boolean replaced = voter.id() != self && learners.stream().anyMatch(l -> l.member().address().equals(voter.address()));
+            if (replaced && !ready.isEmpty()) {
+                Member successor = ready.stream().filter(m -> m.address().equals(voter.address())).findFirst().orElse(ready.get(0));
+                exchange(next, voter, successor, ready);
             }
         }
-        Optional<Member> ready = learners.stream().filter(Seen::caughtUp).map(Seen::member).findFirst();
-        if (ready.isEmpty()) {
-            return Optional.empty();
-        }
-        if (voters.size() < wanted) {
-            List<Member> more = new ArrayList<>(voters);
-            more.add(ready.get());
-            return Optional.of(more);
-        }
         for (Seen other : others) {
-            if (voters.contains(other.member()) && other.silentMillis() > GONE_MILLIS
-                    && quorumWithout(other.member(), self, voters, others)) {
-                return Optional.of(without(other.member(), voters));
+            Optional<Member> rested = ready.stream().filter(m -> !letGoAt.containsKey(m.id())).findFirst();
+            if (next.contains(other.member()) && other.silentMillis() > GONE_MILLIS && rested.isPresent()) {
+                exchange(next, other.member(), rested.get(), ready);
             }
         }
-        return Optional.empty();
+        while (next.size() < wanted && !ready.isEmpty()) {
+            next.add(ready.remove(0));
+        }
+        if (next.equals(voters) || !isQuorum(self, voters, others) || !isQuorum(self, next, others)) {
+            return Optional.empty();
+        }
+        others.stream().filter(o -> voters.contains(o.member()) && !next.contains(o.member()))
+                .forEach(o -> letGoAt.put(o.member().id(), now));
+        return Optional.of(next);
     }
 
-    /** Guards against a change that the voters who are left can't commit. */
-    private static boolean quorumWithout(Member gone, long self, List<Member> voters, List<Seen> others) {
-        long alive = 1 + others.stream().filter(o -> voters.contains(o.member()) && o.member().id() != gone.id()
-                && o.member().id() != self && o.silentMillis() < ALIVE_MILLIS).count();
-        return 2 * alive > voters.size() - 1;
+    private static void exchange(List<Member> next, Member gone, Member successor, List<Member> ready) {
+        next.set(next.indexOf(gone), successor);
+        ready.remove(successor);
     }
 
-    private static List<Member> without(Member gone, List<Member> voters) {
-        return voters.stream().filter(v -> v.id() != gone.id()).toList();
+    /** Guards against a change that can't be committed: it takes a majority of those before and of those to come. */
+    private static boolean isQuorum(long self, List<Member> voters, List<Seen> others) {
+        long alive = voters.stream().filter(v -> v.id() == self
+                || others.stream().anyMatch(o -> o.member().equals(v) && o.silentMillis() < ALIVE_MILLIS)).count();
+        return 2 * alive > voters.size();
     }
 }
--- a/src/main/java/tinworks/raft/Progress.java
+++ b/src/main/java/tinworks/raft/Progress.java
@@ -7,6 +7,8 @@
     final Member member;
     long next;
     long match;
+    /** What it has to have before it may vote: where the log ended when the leader began to send it. */
+    long target;
     long round;
     long heardAt;
     long rewoundAt;
@@ -19,6 +21,7 @@
     Progress(Member member, long next, long now) {
         this.member = member;
         this.next = next;
+        target = next - 1;
         heardAt = now;
     }
 
@@ -32,6 +35,14 @@
         return match;
     }
 
+    /**
+     * Whether it has synced all that the log held when the leader began to send it, or when it was last heard again. An
+     * index that stands still, since one that takes entries all the time may never have all that is committed.
+     */
+    public boolean caughtUp() {
+        return match > 0 && match >= target;
+    }
+
     /** When it last said anything, in the machine's milliseconds. */
     public long heardAt() {
         return heardAt;
--- a/src/main/java/tinworks/raft/Raft.java
+++ b/src/main/java/tinworks/raft/Raft.java
@@ -146,14 +146,18 @@
         }
     }
 
-    /** Writes a command to the log and returns its index, or 0 where this member doesn't lead. */
+    /** Writes a command to the log and returns its index, or 0 where this member doesn't lead or has handed over. */
     public long propose(byte[] command) {
-        return role == Role.LEADER ? write(Kind.COMMAND, command) : 0;
+        return role == Role.LEADER && !leaves() ? write(Kind.COMMAND, command) : 0;
     }
 
     /**
      * Makes these the voters, any number of them others than now; false where this member doesn't lead, an earlier change
      * isn't done yet, nothing would change, or the list is empty or names an id twice.
+     *
+     * <p>One that leaves may hold the only other copy of an entry: logs have no gaps, so the change's first entry commits
+     * only once a majority of those to come has synced all that stands before it. Whatever commits after that needs a
+     * majority of those to come as well, so when those before lose their say everything committed is on such a majority.
      */
     public boolean changeMembers(List<Member> wanted) {
         boolean distinct = wanted.stream().mapToLong(Member::id).distinct().count() == wanted.size();
@@ -166,7 +170,7 @@
 
     /** Whether a change of voters may be written now. */
     public boolean mayChangeMembers() {
-        return ready() && !voters.joint() && commit >= log.membersIndex();
+        return ready() && !leaves() && !voters.joint() && commit >= log.membersIndex();
     }
 
     /** Sends the log to one who doesn't vote. */
@@ -175,6 +179,8 @@
             Progress known = progress.get(learner.id());
             if (known == null || !known.member.equals(learner)) {
                 progress.put(learner.id(), new Progress(learner, log.lastIndex() + 1, now));
+            } else if (now - known.heardAt > 2 * timing.electionMillis()) {
+                known.target = log.lastIndex();
             }
         }
     }
@@ -202,19 +208,30 @@
         return tickets;
     }
 
-    /** Hands the lead to the voter that is furthest on, so that an end in good order costs no election. */
-    public void handOver() {
-        Progress best = null;
-        for (Progress p : progress.values()) {
-            if (p.member.id() != self && isVoter(p.member.id()) && now - p.heardAt < timing.electionMillis() && (best == null || p.match > best.match)) {
-                best = p;
+    /**
+     * Hands the lead to a voter that has all of the log, so that an end in good order costs no election. False where this
+     * member leads and nobody has all yet, or there are entries that aren't committed: it goes on and may be asked again.
+     * Once it has handed over it takes no proposals, has no lease, and steps down if nobody leads an election time later.
+     */
+    public boolean handOver() {
+        if (role != Role.LEADER || leaves()) {
+            return true;
+        }
+        for (Member member : voters.current()) {
+            Progress p = progress.get(member.id());
+            if (member.id() != self && p != null && now - p.heardAt < timing.electionMillis() && hasAll(p)) {
+                // A vote that is handed over breaks the promises that a lease stands on.
+                leavesAt = now + timing.electionMillis();
+                send(member.id(), new HandOver(term));
+                return true;
             }
         }
-        if (role == Role.LEADER && best != null && best.match == log.lastIndex()) {
-            // A vote that is handed over breaks the promises that a lease stands on.
-            leavesAt = now + timing.electionMillis();
-            send(best.member.id(), new HandOver(term));
-        }
+        return false;
+    }
+
+    /** Guards against a successor whom the others deny their votes, or who takes the lead without what is acknowledged next. */
+    boolean hasAll(Progress p) {
+        return p.match == log.lastIndex() && commit == log.lastIndex();
     }
 
     /** Puts the applied state in place of the log up to an index that has been applied; not in the middle of a change of voters. */
--- a/src/test/java/tinworks/raft/Model.java
+++ b/src/test/java/tinworks/raft/Model.java
@@ -480,6 +480,7 @@
     private static Progress copyOf(Progress p) {
         Progress copy = new Progress(p.member, p.next, p.heardAt);
         copy.match = p.match;
+        copy.target = p.target;
         copy.round = p.round;
         copy.rewoundAt = p.rewoundAt;
         return copy;
