--- a/src/main/java/tinworks/channel/SignalCodec.java
+++ b/src/main/java/tinworks/channel/SignalCodec.java
@@ -26,6 +26,7 @@
 import tinworks.raft.Message.AppendReply;
 import tinworks.raft.Message.HandOver;
 import tinworks.raft.Message.Install;
+import tinworks.raft.Message.InstallReply;
 import tinworks.raft.Message.VoteReply;
 import tinworks.raft.Message.VoteRequest;
 import tinworks.raft.Snapshot;
@@ -46,7 +47,8 @@
     private static final byte HELLO = 1, PING = 2, AGREEMENT = 3, JOIN = 4, ANNOUNCE = 5, PULL_CONFIGURATION = 6,
             CONFIGURATION = 7, PULL_HOSTS = 8, HOSTS = 9, CALL = 10, CALL_ANSWER = 11, HOSTS_CHANGED = 12,
             CONFIGURATION_CHANGED = 13;
-    private static final byte VOTE_REQUEST = 1, VOTE_REPLY = 2, APPEND = 3, APPEND_REPLY = 4, INSTALL = 5, HAND_OVER = 6;
+    private static final byte VOTE_REQUEST = 1, VOTE_REPLY = 2, APPEND = 3, APPEND_REPLY = 4, INSTALL = 5, HAND_OVER = 6,
+            INSTALL_REPLY = 7;
     private static final Entry.Kind[] KINDS = Entry.Kind.values();
     private static final Part[] PARTS = Part.values();
 
@@ -198,8 +200,12 @@
         } else if (message instanceof AppendReply m) {
             out.one(APPEND_REPLY).eight(m.term()).flag(m.taken()).eight(m.index()).eight(m.round()).eight(m.sentAt());
         } else if (message instanceof Install m) {
-            out.one(INSTALL).eight(m.term()).eight(m.round()).eight(m.snapshot().index()).eight(m.snapshot().term())
-                    .bytes(Members.write(m.snapshot().members())).bytes(m.snapshot().state());
+            Snapshot.Label label = m.label();
+            out.one(INSTALL).eight(m.term()).eight(m.round()).eight(label.index()).eight(label.term())
+                    .bytes(Members.write(label.members())).four(label.length()).four(label.checksum()).eight(m.number())
+                    .four(m.offset()).bytes(m.piece());
+        } else if (message instanceof InstallReply m) {
+            out.one(INSTALL_REPLY).eight(m.term()).eight(m.index()).four(m.offset()).eight(m.number()).eight(m.round());
         } else if (message instanceof HandOver m) {
             out.one(HAND_OVER).eight(m.term());
         }
@@ -214,6 +220,7 @@
             case APPEND -> readAppend(in, term);
             case APPEND_REPLY -> new AppendReply(term, in.flag(), in.eight(), in.eight(), in.eight());
             case INSTALL -> readInstall(in, term);
+            case INSTALL_REPLY -> new InstallReply(term, in.eight(), in.four(), in.eight(), in.eight());
             case HAND_OVER -> new HandOver(term);
             default -> throw new Malformed("no message of kind " + kind);
         };
@@ -241,6 +248,8 @@
         long round = in.eight();
         long index = in.eight();
         long itsTerm = in.eight();
-        return new Install(term, new Snapshot(index, itsTerm, Members.read(in.bytes()), in.bytes()), round);
+        Snapshot.Label label = new Snapshot.Label(index, itsTerm, Members.read(in.bytes()), in.four(), in.four());
+        long number = in.eight();
+        return new Install(term, label, in.four(), in.bytes(), number, round);
     }
 }
--- a/src/main/java/tinworks/raft/Message.java
+++ b/src/main/java/tinworks/raft/Message.java
@@ -60,8 +60,23 @@
         }
     }
 
-    /** A snapshot in place of entries that the leader no longer has. */
-    record Install(long term, Snapshot snapshot, long round) implements Message { }
+    /**
+     * A piece of a snapshot, which stands in place of entries that the leader no longer has; with no bytes a heartbeat that
+     * asks how far the follower has come.
+     *
+     * @param offset where in the state the piece belongs
+     * @param number counts the leader's messages of this kind
+     */
+    record Install(long term, Snapshot.Label label, int offset, byte[] piece, long number, long round) implements Message { }
+
+    /**
+     * Answers an {@link Install} while bytes are missing; once all are on the disk an {@link AppendReply} does.
+     *
+     * @param index the snapshot's
+     * @param offset how many bytes of it are there, from its beginning on
+     * @param number of the message that is answered
+     */
+    record InstallReply(long term, long index, int offset, long number, long round) implements Message { }
 
     /** The leader asks its best follower to stand at once, since it is about to end. */
     record HandOver(long term) implements Message { }
--- a/src/main/java/tinworks/raft/Progress.java
+++ b/src/main/java/tinworks/raft/Progress.java
@@ -17,6 +17,8 @@
     /** The time that it sent last, on a clock of its own, 0 where none; and when that came. */
     long echo;
     long echoAt;
+    /** The snapshot that is on its way, null where none is. */
+    Transfer transfer;
 
     Progress(Member member, long next, long now) {
         this.member = member;
--- a/src/main/java/tinworks/raft/Raft.java
+++ b/src/main/java/tinworks/raft/Raft.java
@@ -13,6 +13,7 @@
 import tinworks.raft.Message.AppendReply;
 import tinworks.raft.Message.HandOver;
 import tinworks.raft.Message.Install;
+import tinworks.raft.Message.InstallReply;
 import tinworks.raft.Message.VoteReply;
 import tinworks.raft.Message.VoteRequest;
 import tinworks.raft.Output.Envelope;
@@ -34,7 +35,13 @@
     public enum Role { FOLLOWER, ASKING, CANDIDATE, LEADER }
 
     /** Entries of one message: enough for a batch, little enough not to hold up heartbeats. */
-    private static final int MESSAGE_BYTES = 1 << 20;
+    private static final int MESSAGE_BYTES = 128 << 10;
+    /** What one follower may be sent ahead of its answers; one entry may lie over it. */
+    static final int MOST_IN_FLIGHT = 512 << 10;
+    /** What a leader may write ahead of its commit index, the first entry always. */
+    static final int MOST_UNCOMMITTED = 2 << 20;
+    /** Entries that a snapshot covers and that are kept for followers a little behind. */
+    static final int TAIL_BYTES = 1 << 20;
 
     private final long self;
     private final Timing timing;
@@ -73,6 +80,8 @@
     private long unwrittenFrom;
     private Snapshot unwrittenSnapshot;
     private Snapshot restore;
+    private Gathering gathering;
+    private long installs;
     private List<Envelope> outbox = new ArrayList<>();
     private final List<Long> readable = new ArrayList<>();
 
@@ -141,6 +150,8 @@
         } else if (message instanceof AppendReply m) {
             roundAnswered(from, m);
             appendReplied(from, m);
+        } else if (message instanceof InstallReply m) {
+            installReplied(from, m);
         } else if (message instanceof HandOver m && m.term() == term && isVoter(self)) {
             stand(true);
         }
@@ -151,6 +162,12 @@
         return role == Role.LEADER && !leaves() ? write(Kind.COMMAND, command) : 0;
     }
 
+    /** Whether a command of so many bytes may be written ahead of the commit index: one at least, and then by their bytes. */
+    public boolean hasRoom(int bytes) {
+        long uncommitted = log.bytes(commit, log.lastIndex());
+        return commit == log.lastIndex() || uncommitted + bytes <= MOST_UNCOMMITTED;
+    }
+
     /**
      * Makes these the voters, any number of them others than now; false where this member doesn't lead, an earlier change
      * isn't done yet, nothing would change, or the list is empty or names an id twice.
@@ -238,7 +255,7 @@
     public void compact(long index, byte[] state) {
         if (index > log.base().index() && index <= applied && !log.votersAt(index).joint()) {
             Snapshot snapshot = new Snapshot(index, log.term(index), log.membersAt(index), state);
-            log.rebase(snapshot);
+            log.rebase(snapshot, tailBytes());
             unwrittenSnapshot = snapshot;
             unwrittenFrom = unwrittenFrom > 0 ? Math.max(unwrittenFrom, index + 1) : 0;
         }
@@ -307,6 +324,11 @@
         return log.lastIndex() - log.base().index();
     }
 
+    /** What those entries take in memory. */
+    public long bytes() {
+        return log.bytes(log.base().index(), log.lastIndex());
+    }
+
     /** The voters as this member's log has them, committed or not; during a change those to come and those before. */
     public List<Member> members() {
         return voters.all();
@@ -627,16 +649,41 @@
     }
 
     private void sendLog(Progress p) {
-        if (p.next <= log.base().index()) {
-            send(p.member.id(), new Install(term, log.base(), round));
-            p.next = log.base().index() + 1;
+        if (p.next <= log.start()) {
+            sendSnapshot(p);
             return;
         }
-        List<Entry> entries = log.from(p.next, MESSAGE_BYTES);
+        p.transfer = null;
+        List<Entry> entries = mayFly(log.bytes(p.match, p.next - 1)) ? log.from(p.next, MESSAGE_BYTES) : List.of();
         send(p.member.id(), new Append(term, p.next - 1, log.term(p.next - 1), commit, round, entries));
         p.next += entries.size();
     }
 
+    /**
+     * Guards against filling the memory with what a slow follower doesn't take: with so many bytes unanswered it is sent
+     * heartbeats alone, and whichever of them it refuses tells from where to send again.
+     */
+    boolean mayFly(long unanswered) {
+        return unanswered < MOST_IN_FLIGHT;
+    }
+
+    /** Guards against sending everything to a follower that lacks an entry or two. */
+    int tailBytes() {
+        return TAIL_BYTES;
+    }
+
+    /** The next piece of the snapshot, or while one is under way a heartbeat that asks for it. */
+    private void sendSnapshot(Progress p) {
+        if (p.transfer == null) {
+            p.transfer = Transfer.of(log.base());
+        }
+        Transfer transfer = p.transfer;
+        boolean asks = transfer.awaited() > 0;
+        byte[] piece = asks ? new byte[0] : transfer.piece();
+        send(p.member.id(), new Install(term, transfer.label(), transfer.offset(), piece, ++installs, round));
+        p.transfer = asks ? transfer : transfer.sent(installs);
+    }
+
     /** Whether the sender leads the present term; one of an earlier term is told so. */
     private boolean leads(long from, long itsTerm, long itsRound) {
         if (itsTerm < term) {
@@ -667,6 +714,9 @@
         }
         long alike = m.previousIndex() + m.entries().size();
         commit = Math.max(commit, Math.min(m.commit(), alike));
+        if (gathering != null && gathering.label().index() <= commit) {
+            gathering = null;
+        }
         send(from, new AppendReply(term, true, alike, m.round()));
     }
 
@@ -689,9 +739,12 @@
     }
 
     private void install(long from, Install m) {
-        Snapshot snapshot = m.snapshot();
-        if (snapshot.index() > commit) {
-            log.rebase(snapshot);
+        if (m.label().index() > commit && !gather(from, m)) {
+            return;
+        }
+        if (m.label().index() > commit) {
+            Snapshot snapshot = gathering.snapshot();
+            log.rebase(snapshot, tailBytes());
             commit = snapshot.index();
             applied = commit;
             voters = log.votersAt(log.lastIndex());
@@ -700,7 +753,51 @@
             unwrittenFrom = snapshot.index() + 1;
             restore = snapshot;
         }
-        send(from, new AppendReply(term, true, Math.max(snapshot.index(), 0), m.round()));
+        gathering = null;
+        send(from, new AppendReply(term, true, m.label().index(), m.round()));
+    }
+
+    /** Takes a piece; true once all are here. Another snapshot begins anew, and a leader's older one is passed over. */
+    private boolean gather(long from, Install m) {
+        if (m.label().length() > Gathering.LONGEST || gathering != null && gathering.overtakes(m)) {
+            return false;
+        }
+        if (gathering == null || !gathering.label().equals(m.label())) {
+            gathering = new Gathering(m.label(), m.term());
+        }
+        gathering.add(m.offset(), m.piece());
+        if (gathering.isComplete() && isSound(gathering)) {
+            return true;
+        }
+        if (gathering.isComplete()) {
+            gathering = new Gathering(m.label(), m.term());
+        }
+        send(from, new InstallReply(term, m.label().index(), gathering.gathered(), m.number(), m.round()));
+        return false;
+    }
+
+    /** Guards against taking for the leader's state what was spoilt or mixed up on its way. */
+    boolean isSound(Gathering whole) {
+        return whole.isSound();
+    }
+
+    private void installReplied(long from, InstallReply m) {
+        follow(m.term());
+        Progress p = progress.get(from);
+        if (role != Role.LEADER || m.term() != term || p == null) {
+            return;
+        }
+        p.heardAt = now;
+        p.round = Math.max(p.round, m.round());
+        if (p.transfer != null && p.next <= log.start()) {
+            Transfer answered = p.transfer.answered(m);
+            boolean more = answered != p.transfer;
+            p.transfer = answered;
+            if (more) {
+                sendSnapshot(p);
+            }
+        }
+        answerReads();
     }
 
     private void appendReplied(long from, AppendReply m) {
@@ -714,6 +811,9 @@
         if (m.taken()) {
             p.match = Math.max(p.match, m.index());
             p.next = Math.max(p.next, p.match + 1);
+            if (p.transfer != null && p.match >= p.transfer.label().index()) {
+                p.transfer = null;
+            }
             advance();
             if (p.next <= log.lastIndex()) {
                 sendLog(p);
