Carry the operator's body packed, and read its JSON piece by piece

Change: a command holds the body deflated and a digest of base, rev and what was sent, made once where the call arrives; the history keeps and saves it packed and unpacks it for show. The reader takes routes and services one by one from a stream, and what many routes have alike is in memory once. Packed moves to config, which channel uses. The format of commands and of the saved history changes.

Measured: ConfigurationTest, 3,000 routes come to under a sixth; faults name the same fields as before.

--- a/src/main/java/tinworks/channel/Signal.java
+++ b/src/main/java/tinworks/channel/Signal.java
@@ -1,6 +1,7 @@
 package tinworks.channel;
 
 import java.util.List;
+import tinworks.config.Packed;
 import tinworks.raft.Member;
 import tinworks.raft.Message;
 
--- a/src/main/java/tinworks/config/ConfigurationHistory.java
+++ b/src/main/java/tinworks/config/ConfigurationHistory.java
@@ -28,25 +28,47 @@
     private static final int KEPT_DIGESTS = 256;
     private static final int DIGEST_BYTES = 32;
     private static final int ENTRY_BYTES = Long.BYTES + DIGEST_BYTES;
+    private static final int HEAD_BYTES = 2 * Long.BYTES + DIGEST_BYTES;
+    /** The longest configuration that is taken, as the operator sends it. */
+    public static final int LONGEST_BODY = 8 << 20;
 
     private final Map<Long, byte[]> taken = new LinkedHashMap<>();
     private long rev;
-    private byte[] body = { };
+    /** The version in force, {@link Packed}; empty where there is none. */
+    private byte[] packed = { };
 
-    /** The bytes of a command: the version it builds on, its own, and the configuration as it was sent. */
+    /** The bytes of a command: {@link #command(long, long, ByteBuffer)}. */
     public static byte[] command(long base, long rev, byte[] body) {
-        return ByteBuffer.allocate(2 * Long.BYTES + body.length).putLong(base).putLong(rev).put(body).array();
+        return command(base, rev, ByteBuffer.wrap(body));
+    }
+
+    /**
+     * The bytes of a command: the version it builds on, its own, a digest of both and of the configuration as it was sent, and
+     * that configuration {@link Packed}. Made once, where the call arrives; {@code body} is left as it was.
+     */
+    public static byte[] command(long base, long rev, ByteBuffer body) {
+        byte[] packed = Packed.pack(body);
+        ByteBuffer command = ByteBuffer.allocate(HEAD_BYTES + packed.length).putLong(base).putLong(rev);
+        return command.put(digest(base, rev, body)).put(packed).array();
+    }
+
+    /** The version that a command builds on. */
+    public static long base(byte[] command) {
+        return ByteBuffer.wrap(command).getLong();
+    }
+
+    /** A command's own version. */
+    public static long rev(byte[] command) {
+        return ByteBuffer.wrap(command).getLong(Long.BYTES);
     }
 
     /** Carries out a command. */
     public Verdict apply(byte[] command) {
-        ByteBuffer in = ByteBuffer.wrap(command);
-        long base = in.getLong();
-        long next = in.getLong();
-        Verdict verdict = judge(base, next, command);
+        long next = rev(command);
+        Verdict verdict = judge(base(command), next, command);
         if (verdict == Verdict.TAKEN && next > rev) {
             rev = next;
-            body = Arrays.copyOfRange(command, in.position(), command.length);
+            packed = Arrays.copyOfRange(command, HEAD_BYTES, command.length);
             taken.put(next, digest(command));
             Iterator<Long> oldest = taken.keySet().iterator();
             while (taken.size() > KEPT_DIGESTS) {
@@ -73,15 +95,20 @@
         return rev;
     }
 
-    /** The version in force as it was sent. The caller doesn't write to it. */
+    /** The version in force as it was sent, unpacked for the caller; empty where there is none yet. */
     public byte[] body() {
-        return body;
+        return rev == 0 ? new byte[0] : Packed.unpack(packed, LONGEST_BODY);
+    }
+
+    /** The version in force, {@link Packed}; empty where there is none yet. The caller doesn't write to it. */
+    public byte[] packed() {
+        return packed;
     }
 
-    /** The whole as bytes: the version, the body behind its length, then the digests. */
+    /** The whole as bytes: the version, the packed body behind its length, then the digests. */
     public byte[] save() {
-        ByteBuffer out = ByteBuffer.allocate(Long.BYTES + 2 * Integer.BYTES + body.length + taken.size() * ENTRY_BYTES);
-        out.putLong(rev).putInt(body.length).put(body).putInt(taken.size());
+        ByteBuffer out = ByteBuffer.allocate(Long.BYTES + 2 * Integer.BYTES + packed.length + taken.size() * ENTRY_BYTES);
+        out.putLong(rev).putInt(packed.length).put(packed).putInt(taken.size());
         taken.forEach((version, digest) -> out.putLong(version).put(digest));
         return out.array();
     }
@@ -102,7 +129,7 @@
                 taken.put(version, digest);
             }
             rev = savedRev;
-            body = savedBody;
+            packed = savedBody;
         } catch (java.nio.BufferUnderflowException e) {
             throw new IllegalArgumentException("history: cut short", e);
         }
@@ -117,8 +144,15 @@
     }
 
     private static byte[] digest(byte[] command) {
+        return Arrays.copyOfRange(command, 2 * Long.BYTES, HEAD_BYTES);
+    }
+
+    private static byte[] digest(long base, long rev, ByteBuffer body) {
         try {
-            return MessageDigest.getInstance("SHA-256").digest(command);
+            MessageDigest sum = MessageDigest.getInstance("SHA-256");
+            sum.update(ByteBuffer.allocate(2 * Long.BYTES).putLong(base).putLong(rev).flip());
+            sum.update(body.duplicate());
+            return sum.digest();
         } catch (NoSuchAlgorithmException e) {
             throw new IllegalStateException("every Java runtime has SHA-256", e);
         }
--- a/src/main/java/tinworks/config/ConfigurationReader.java
+++ b/src/main/java/tinworks/config/ConfigurationReader.java
@@ -1,10 +1,14 @@
 package tinworks.config;
 
+import java.io.ByteArrayInputStream;
 import java.io.IOException;
-import java.nio.ByteBuffer;
+import java.io.InputStream;
+import java.io.InputStreamReader;
 import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -24,82 +28,179 @@
  */
 public final class ConfigurationReader {
     private static final int MOST_ROUTES = 100_000;
+    private static final String SERVICES = "svcs", ROUTES = "routes", REV = "rev", LIMITS = "limits";
 
     private ConfigurationReader() { }
 
     /** The configuration, or why it can't be taken and where. */
     public static Configuration read(byte[] json) throws InvalidConfiguration {
-        Json root = parse(json);
-        if (!root.isObject()) {
-            throw new InvalidConfiguration("", "not a JSON object");
-        }
-        long rev = whole(root, "", "rev", 1, Long.MAX_VALUE, null);
-        Map<String, Service> services = services(array(root, "svcs"));
-        List<Route> routes = routes(array(root, "routes"), services);
-        return new Configuration(rev, routes, services, limits(root.field("limits")));
+        return read(new ByteArrayInputStream(json));
     }
 
-    private static Json parse(byte[] json) throws InvalidConfiguration {
+    /** As {@link #read(byte[])}, from a stream that is read once and never held whole. */
+    public static Configuration read(InputStream json) throws InvalidConfiguration {
+        Parts parts = new Parts();
+        boolean isObject;
         try {
-            String text = StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(json)).toString();
-            return Json.read(text);
+            // By a decoder of its own, which refuses what isn't UTF-8; the library would guess at other encodings.
+            isObject = Json.read(new InputStreamReader(json, StandardCharsets.UTF_8.newDecoder()), parts);
         } catch (CharacterCodingException e) {
             throw new InvalidConfiguration("", "not UTF-8");
         } catch (IOException e) {
             throw new InvalidConfiguration("", "can't be read as JSON: " + e.getMessage().lines().findFirst().orElse(""));
         }
+        if (!isObject) {
+            throw new InvalidConfiguration("", "not a JSON object");
+        }
+        return parts.configuration();
     }
 
-    private static List<Json> array(Json root, String name) throws InvalidConfiguration {
-        Json field = root.field(name);
-        if (!field.isArray()) {
-            throw new InvalidConfiguration(name, "wanted an array");
+    /** What has been read so far. Faults wait until the end: a text that isn't JSON throughout has no places to name. */
+    private static final class Parts implements Json.Pieces {
+        private final Map<String, Object> fields = new HashMap<>();
+        private final Shared shared = new Shared();
+        /** The routes that name one service and no split. */
+        private final BitSet plain = new BitSet();
+        private Map<String, Service> services;
+        private List<Route> routes;
+        private Set<ConfigurationChange.Place> places;
+        private InvalidConfiguration servicesFault;
+        private InvalidConfiguration routesFault;
+        private String array = "";
+
+        @Override
+        public void field(String name, Json value) {
+            forget(name);
+            if (name.equals(REV) || name.equals(LIMITS)) {
+                fields.put(name, value.value());
+            }
         }
-        if (field.entries().size() > MOST_ROUTES) {
-            throw new InvalidConfiguration(name, "more than " + MOST_ROUTES + " entries");
+
+        @Override
+        public void array(String name) {
+            forget(name);
+            array = name;
+            if (name.equals(SERVICES)) {
+                services = new LinkedHashMap<>();
+            } else if (name.equals(ROUTES)) {
+                routes = new ArrayList<>();
+                places = new HashSet<>();
+                plain.clear();
+            } else if (name.equals(REV) || name.equals(LIMITS)) {
+                fields.put(name, List.of());
+            }
+        }
+
+        /** Of a field that stands there twice the last one counts. */
+        private void forget(String name) {
+            fields.remove(name);
+            if (name.equals(SERVICES)) {
+                services = null;
+                servicesFault = null;
+            } else if (name.equals(ROUTES)) {
+                routes = null;
+                routesFault = null;
+            }
         }
-        return field.entries();
-    }
 
-    private static Map<String, Service> services(List<Json> entries) throws InvalidConfiguration {
-        Map<String, Service> services = new LinkedHashMap<>();
-        for (int i = 0; i < entries.size(); i++) {
-            String at = "svcs[" + i + "].";
-            Json entry = entries.get(i);
-            String name = text(entry, at, "name");
-            String check = entry.field("check").value() == null ? "/" : text(entry, at, "check");
-            String proto = entry.field("proto").text();
-            if (!proto.isEmpty() && !proto.equals("h1")) {
-                throw new InvalidConfiguration(at + "proto", "only h1 is spoken, not '" + proto + "'");
+        @Override
+        public void entry(Json entry) {
+            if (array.equals(SERVICES) && servicesFault == null) {
+                try {
+                    takeService(entry);
+                } catch (InvalidConfiguration e) {
+                    servicesFault = e;
+                }
+            } else if (array.equals(ROUTES) && routesFault == null) {
+                try {
+                    takeRoute(entry);
+                } catch (InvalidConfiguration e) {
+                    routesFault = e;
+                }
             }
-            if (entry.field("tls").isTrue()) {
-                throw new InvalidConfiguration(at + "tls", "TLS to hosts is not spoken");
+        }
+
+        private void takeService(Json entry) throws InvalidConfiguration {
+            if (services.size() == MOST_ROUTES) {
+                throw tooMany(SERVICES);
             }
-            int maxconn = (int) whole(entry, at, "maxconn", 1, Integer.MAX_VALUE, (long) Integer.MAX_VALUE);
-            if (services.put(name, new Service(name, check, maxconn)) != null) {
-                throw new InvalidConfiguration(at + "name", "a second service '" + name + "'");
+            String at = SERVICES + "[" + services.size() + "].";
+            Service service = service(entry, at);
+            if (services.put(service.name(), service) != null) {
+                throw new InvalidConfiguration(at + "name", "a second service '" + service.name() + "'");
             }
         }
-        return services;
-    }
 
-    private static List<Route> routes(List<Json> entries, Map<String, Service> services) throws InvalidConfiguration {
-        List<Route> routes = new ArrayList<>();
-        Set<String> places = new HashSet<>();
-        for (int i = 0; i < entries.size(); i++) {
-            String at = "routes[" + i + "].";
-            Route route = route(entries.get(i), at, services);
-            if (!places.add(route.domain() + ' ' + route.prefix())) {
-                throw new InvalidConfiguration(at + "prefix", "another route has this domain and prefix");
+        private void takeRoute(Json entry) throws InvalidConfiguration {
+            if (routes.size() == MOST_ROUTES) {
+                routes.clear();
+                throw tooMany(ROUTES);
             }
+            String at = ROUTES + "[" + routes.size() + "].";
+            Route route = route(entry, at, shared);
+            plain.set(routes.size(), entry.field("split").value() == null);
             routes.add(route);
+            if (!places.add(ConfigurationChange.Place.of(route))) {
+                throw new InvalidConfiguration(at + "prefix", "another route has this domain and prefix");
+            }
+        }
+
+        Configuration configuration() throws InvalidConfiguration {
+            Json root = new Json(fields);
+            long rev = whole(root, "", REV, 1, Long.MAX_VALUE, null);
+            requireArray(services, SERVICES, servicesFault);
+            requireArray(routes, ROUTES, null);
+            checkServices();
+            if (routesFault != null) {
+                throw routesFault;
+            }
+            return new Configuration(rev, routes, services, limits(root.field(LIMITS)));
+        }
+
+        private static void requireArray(Object array, String name, InvalidConfiguration fault) throws InvalidConfiguration {
+            if (array == null) {
+                throw new InvalidConfiguration(name, "wanted an array");
+            }
+            if (fault != null) {
+                throw fault;
+            }
+        }
+
+        /** Routes may stand before the services that they name. */
+        private void checkServices() throws InvalidConfiguration {
+            for (int i = 0; i < routes.size(); i++) {
+                List<Split> split = routes.get(i).split();
+                for (int part = 0; part < split.size(); part++) {
+                    String service = split.get(part).service();
+                    if (!services.containsKey(service)) {
+                        String where = plain.get(i) ? "svc" : "split[" + part + "].svc";
+                        throw new InvalidConfiguration(ROUTES + "[" + i + "]." + where, "no service '" + service + "' in svcs");
+                    }
+                }
+            }
+        }
+    }
+
+    private static InvalidConfiguration tooMany(String name) {
+        return new InvalidConfiguration(name, "more than " + MOST_ROUTES + " entries");
+    }
+
+    private static Service service(Json entry, String at) throws InvalidConfiguration {
+        String name = text(entry, at, "name");
+        String check = entry.field("check").value() == null ? "/" : text(entry, at, "check");
+        String proto = entry.field("proto").text();
+        if (!proto.isEmpty() && !proto.equals("h1")) {
+            throw new InvalidConfiguration(at + "proto", "only h1 is spoken, not '" + proto + "'");
+        }
+        if (entry.field("tls").isTrue()) {
+            throw new InvalidConfiguration(at + "tls", "TLS to hosts is not spoken");
         }
-        return routes;
+        return new Service(name, check, (int) whole(entry, at, "maxconn", 1, Integer.MAX_VALUE, (long) Integer.MAX_VALUE));
     }
 
-    private static Route route(Json entry, String at, Map<String, Service> services) throws InvalidConfiguration {
+    private static Route route(Json entry, String at, Shared shared) throws InvalidConfiguration {
         String name = text(entry, at, "name");
-        String domain = text(entry, at, "domain").toLowerCase(Locale.ROOT);
+        String domain = shared.text(text(entry, at, "domain").toLowerCase(Locale.ROOT));
         String prefix = text(entry, at, "prefix");
         if (!prefix.startsWith("/") || !prefix.endsWith("/")) {
             throw new InvalidConfiguration(at + "prefix", "wanted a slash at both ends of '" + prefix + "'");
@@ -114,18 +215,17 @@
         long target = whole(entry, at, "targetMs", 1, Integer.MAX_VALUE, timeout);
         int prio = (int) whole(entry, at, "prio", 0, 1_000, 0L);
         int tries = (int) whole(entry, at, "tries", 1, 32, 1L);
-        return new Route(name, domain, prefix, type, timeout, target, prio, split(entry, at, services), tries);
+        return new Route(name, domain, prefix, type, timeout, target, prio, split(entry, at, shared), tries);
     }
 
-    private static List<Split> split(Json entry, String at, Map<String, Service> services) throws InvalidConfiguration {
-        List<Split> parts = new ArrayList<>();
+    private static List<Split> split(Json entry, String at, Shared shared) throws InvalidConfiguration {
         if (entry.field("split").value() == null) {
-            parts.add(new Split(known(text(entry, at, "svc"), at + "svc", services), 1));
-            return parts;
+            return shared.list(List.of(new Split(shared.text(text(entry, at, "svc")), 1)));
         }
         if (!entry.field("split").isArray()) {
             throw new InvalidConfiguration(at + "split", "wanted an array");
         }
+        List<Split> parts = new ArrayList<>();
         double sum = 0;
         int i = 0;
         for (Json part : entry.field("split").entries()) {
@@ -134,20 +234,27 @@
             if (!(weight >= 0 && weight < 1e12)) {
                 throw new InvalidConfiguration(here + "weight", "wanted a number that isn't below 0");
             }
-            parts.add(new Split(known(text(part, here, "svc"), here + "svc", services), weight));
+            parts.add(new Split(shared.text(text(part, here, "svc")), weight));
             sum += weight;
         }
         if (sum <= 0) {
             throw new InvalidConfiguration(at + "split", "the weights sum to 0");
         }
-        return parts;
+        return shared.list(List.copyOf(parts));
     }
 
-    private static String known(String service, String at, Map<String, Service> services) throws InvalidConfiguration {
-        if (!services.containsKey(service)) {
-            throw new InvalidConfiguration(at, "no service '" + service + "' in svcs");
+    /** What many routes have alike is in memory once. */
+    private static final class Shared {
+        private final Map<String, String> texts = new HashMap<>();
+        private final Map<List<Split>, List<Split>> lists = new HashMap<>();
+
+        String text(String text) {
+            return texts.computeIfAbsent(text, same -> same);
+        }
+
+        List<Split> list(List<Split> list) {
+            return lists.computeIfAbsent(list, same -> same);
         }
-        return service;
     }
 
     private static Limits limits(Json entry) throws InvalidConfiguration {
--- a/src/main/java/tinworks/channel/Packed.java
+++ b/src/main/java/tinworks/config/Packed.java
@@ -1,11 +1,14 @@
-package tinworks.channel;
+package tinworks.config;
 
+import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
+import java.io.InputStream;
 import java.nio.ByteBuffer;
 import java.util.Arrays;
 import java.util.zip.DataFormatException;
 import java.util.zip.Deflater;
 import java.util.zip.Inflater;
+import java.util.zip.InflaterInputStream;
 
 /**
  * Long texts on narrow links: the length of the whole (4 bytes), then its bytes, deflated where the length is above
@@ -20,15 +23,21 @@
 
     /** Packs bytes; a configuration of many routes comes to about a tenth. */
     public static byte[] pack(byte[] whole) {
-        if (whole.length <= PLAIN) {
-            return ByteBuffer.allocate(Integer.BYTES + whole.length).putInt(whole.length).put(whole).array();
+        return pack(ByteBuffer.wrap(whole));
+    }
+
+    /** Packs the rest of a buffer, and leaves the buffer as it was. */
+    public static byte[] pack(ByteBuffer whole) {
+        int length = whole.remaining();
+        if (length <= PLAIN) {
+            return ByteBuffer.allocate(Integer.BYTES + length).putInt(length).put(whole.duplicate()).array();
         }
         Deflater deflater = new Deflater();
         try {
-            deflater.setInput(whole);
+            deflater.setInput(whole.duplicate());
             deflater.finish();
-            ByteArrayOutputStream out = new ByteArrayOutputStream(whole.length / 4 + CHUNK);
-            out.writeBytes(ByteBuffer.allocate(Integer.BYTES).putInt(whole.length).array());
+            ByteArrayOutputStream out = new ByteArrayOutputStream(length / 8 + CHUNK);
+            out.writeBytes(ByteBuffer.allocate(Integer.BYTES).putInt(length).array());
             byte[] chunk = new byte[CHUNK];
             while (!deflater.finished()) {
                 out.write(chunk, 0, deflater.deflate(chunk));
@@ -39,9 +48,24 @@
         }
     }
 
+    /** The length that packed bytes say the whole has, or -1 where they are too short to say it. */
+    public static int length(byte[] packed) {
+        return packed.length < Integer.BYTES ? -1 : ByteBuffer.wrap(packed).getInt();
+    }
+
+    /**
+     * The whole as a stream, so that it need never be in memory at once. What is cut short or spoilt is an
+     * {@link java.io.IOException} at its place; whoever reads bounds how much.
+     */
+    public static InputStream open(byte[] packed) {
+        int length = length(packed);
+        InputStream rest = new ByteArrayInputStream(packed, Integer.BYTES, Math.max(0, packed.length - Integer.BYTES));
+        return length <= PLAIN ? rest : new InflaterInputStream(rest);
+    }
+
     /** Unpacks at most so many bytes; what is longer, cut short or spoilt is an {@link IllegalArgumentException}. */
     public static byte[] unpack(byte[] packed, int most) {
-        int length = packed.length < Integer.BYTES ? -1 : ByteBuffer.wrap(packed).getInt();
+        int length = length(packed);
         if (length < 0 || length > most) {
             throw new IllegalArgumentException("packed: a length of " + length);
         }
--- a/src/main/java/tinworks/control/ConfigurationFeed.java
+++ b/src/main/java/tinworks/control/ConfigurationFeed.java
@@ -4,13 +4,13 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import tinworks.channel.ConfigurationCodec;
-import tinworks.channel.Packed;
 import tinworks.channel.Signal;
 import tinworks.config.Configuration;
 import tinworks.config.ConfigurationChange;
 import tinworks.config.ConfigurationHistory;
 import tinworks.config.ConfigurationReader;
 import tinworks.config.InvalidConfiguration;
+import tinworks.config.Packed;
 
 /**
  * The configuration in force as edges are told it: what has changed since the version that one holds, or the whole where
--- a/src/main/java/tinworks/edge/CoreFollower.java
+++ b/src/main/java/tinworks/edge/CoreFollower.java
@@ -7,8 +7,6 @@
 import tinworks.channel.ConfigurationCodec;
 import tinworks.channel.Conversation;
 import tinworks.channel.HostList;
-import tinworks.channel.Packed;
-import tinworks.channel.Signal;
 import tinworks.channel.Signal.Announce;
 import tinworks.channel.Signal.ConfigurationBody;
 import tinworks.channel.Signal.ConfigurationChanged;
@@ -16,7 +14,9 @@
 import tinworks.channel.Signal.HostsChanged;
 import tinworks.channel.Signal.PullConfiguration;
 import tinworks.channel.Signal.PullHosts;
+import tinworks.channel.Signal;
 import tinworks.config.Configuration;
+import tinworks.config.Packed;
 
 /**
  * What an edge knows from the core machines: it pulls from whichever announces something newer, and versions only rise.
--- a/src/main/java/tinworks/json/Json.java
+++ b/src/main/java/tinworks/json/Json.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
+import java.io.Reader;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -29,6 +30,46 @@
         }
     }
 
+    /** Told what a text's outermost object holds, piece by piece, so that the whole need never be in memory. */
+    public interface Pieces {
+        /** A field whose value is no array. */
+        void field(String name, Json value);
+
+        /** A field whose value is an array; its entries follow. */
+        void array(String name);
+
+        /** The next entry of the array. */
+        void entry(Json entry);
+    }
+
+    /**
+     * Reads one text that holds one object and tells of it as it comes; false where the text holds another value. What can't
+     * be read is an {@link IOException}, at times after much has been told.
+     */
+    public static boolean read(Reader text, Pieces told) throws IOException {
+        try (JsonParser parser = FACTORY.createParser(text)) {
+            boolean isObject = parser.nextToken() == JsonToken.START_OBJECT;
+            while (isObject && parser.nextToken() != JsonToken.END_OBJECT) {
+                String name = parser.currentName();
+                if (parser.nextToken() != JsonToken.START_ARRAY) {
+                    told.field(name, new Json(value(parser)));
+                    continue;
+                }
+                told.array(name);
+                while (parser.nextToken() != JsonToken.END_ARRAY) {
+                    told.entry(new Json(value(parser)));
+                }
+            }
+            if (!isObject) {
+                value(parser);
+            }
+            if (parser.nextToken() != null) {
+                throw new JsonParseException(parser, "something stands behind the value");
+            }
+            return isObject;
+        }
+    }
+
     /** The value that begins with the present token; the library bounds how deep it may go. */
     private static Object value(JsonParser parser) throws IOException {
         JsonToken token = parser.currentToken();
--- a/src/test/java/tinworks/config/ConfigurationTest.java
+++ b/src/test/java/tinworks/config/ConfigurationTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.charset.StandardCharsets;
 import java.util.SplittableRandom;
@@ -43,6 +44,9 @@
         "'prefix':'/q/'   | 'prefix':'q'       | routes[1].prefix",
         "'type':'idem'    | 'type':'odd'       | routes[0].type",
         "{'name':'t'}     | {'name':'s'}       | svcs[1].name",
+        "{'name':'t'}     | {'name':'u'}       | routes[0].split[1].svc",
+        "'tries':2        | 'tries':0          | routes[0].tries",
+        "'svcs':[         | 'svcs':5,'odd':[   | svcs",
     })
     void namesTheFieldThatIsWrong(String quotedFrom, String quotedTo, String where) throws InvalidConfiguration {
         String changed = VALID.replace(quotedFrom.trim(), quotedTo.trim());
@@ -76,6 +80,32 @@
         }
     }
 
+    @Test
+    void whatStandsTwiceCountsAsItStandsLast() throws InvalidConfiguration {
+        assertEquals(9, read(VALID.replace("{'rev':7,", "{'rev':'x','routes':[5],'svcs':[{}],'rev':8,").replace("'svcs'", "'rev':9,'svcs'"))
+                .rev());
+        assertEquals("routes", assertThrows(InvalidConfiguration.class, () -> read(VALID.replace("]}]}", "]}],'routes':5}")
+                .replace("'t'}]}", "'t'}],'routes':5}"))).where());
+    }
+
+    /** The bytes come back, and the command's size is that of the packed body. */
+    @Test
+    void aLongConfigurationIsKeptPackedAndShownAsItWasSent() {
+        StringBuilder text = new StringBuilder("{\"rev\":4,\"routes\":[");
+        for (int i = 0; i < 3_000; i++) {
+            text.append("{\"name\":\"r-").append(Integer.toString(i * 7919, 36)).append("\",\"type\":\"idem\",\"timeoutMs\":2500},\n");
+        }
+        byte[] sent = text.toString().getBytes(StandardCharsets.UTF_8);
+        byte[] command = ConfigurationHistory.command(0, 4, sent);
+        assertTrue(command.length * 6 < sent.length, command.length + " of " + sent.length);
+        assertEquals(0, ConfigurationHistory.base(command));
+        assertEquals(4, ConfigurationHistory.rev(command));
+        ConfigurationHistory history = new ConfigurationHistory();
+        assertEquals(Verdict.TAKEN, history.apply(command));
+        assertArrayEquals(sent, history.body());
+        assertTrue(history.save().length < command.length + 100);
+    }
+
     private static byte[] command(long base, long rev, String body) {
         return ConfigurationHistory.command(base, rev, body.getBytes(StandardCharsets.UTF_8));
     }
--- a/src/test/java/tinworks/channel/PackedTest.java
+++ b/src/test/java/tinworks/config/PackedTest.java
@@ -1,4 +1,4 @@
-package tinworks.channel;
+package tinworks.config;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
--- a/src/test/java/tinworks/control/ConfigurationFeedTest.java
+++ b/src/test/java/tinworks/control/ConfigurationFeedTest.java
@@ -15,11 +15,11 @@
 import org.junit.jupiter.api.Test;
 import tinworks.channel.ConfigurationCodec;
 import tinworks.channel.Malformed;
-import tinworks.channel.Packed;
 import tinworks.channel.Signal;
 import tinworks.config.Configuration;
 import tinworks.config.ConfigurationHistory;
 import tinworks.config.ConfigurationReader;
+import tinworks.config.Packed;
 
 /** What edges are told of the configuration: changes that lead to the very same, in bytes of the change's own size. */
 class ConfigurationFeedTest {
