End a process that can't go on, and never take a full heap for a full disk

Cause: an OutOfMemoryError within the store came as its exception and was tried again for ever, on all core machines; an error on the event loop was logged or swallowed, and one at the start left a process that waits for good.

--- a/src/main/java/tinworks/control/CoreNode.java
+++ b/src/main/java/tinworks/control/CoreNode.java
@@ -11,6 +11,7 @@
 import tinworks.channel.Signal.Part;
 import tinworks.channel.SteadyClock;
 import tinworks.channel.TcpLinks;
+import tinworks.logging.Fatal;
 import tinworks.net.GatewayClock;
 import tinworks.node.BootSettings;
 import tinworks.platform.HostPoller;
@@ -36,7 +37,7 @@
         this.settings = settings;
         current = settings;
         GatewayClock clock = new GatewayClock();
-        disk = new DiskThread(loop, store, this::log);
+        disk = new DiskThread(work -> loop.execute(() -> orEnd(work)), store, this::log);
         machine = new CoreMachine(new CoreMachine.Identity(id, settings.innerAddress(), settings.losses()), stored, disk, this);
         links = new TcpLinks(loop, new Hello(Part.CORE, id, settings.innerAddress(), settings.node(), settings.zone()), machine);
         poller = new HostPoller(loop, clock, settings.provider(), id, machine::listed, this::log);
@@ -54,7 +55,17 @@
 
     private void tick() {
         loop.schedule(this::tick, CoreMachine.TICK_MILLIS, TimeUnit.MILLISECONDS);
-        machine.tick();
+        orEnd(machine::tick);
+    }
+
+    /** Guards against going on after an error that the event loop would only log. */
+    private static void orEnd(Runnable work) {
+        try {
+            work.run();
+        } catch (Error e) {
+            Fatal.pass(e);
+            throw e;
+        }
     }
 
     /** Follows changed settings; on the event loop. */
--- a/src/main/java/tinworks/control/DiskThread.java
+++ b/src/main/java/tinworks/control/DiskThread.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.h2.mvstore.MVStoreException;
+import tinworks.logging.Fatal;
 import tinworks.raft.Output;
 import tinworks.store.CoreStore;
 
@@ -40,6 +41,11 @@
                 owner.execute(done);
                 return;
             } catch (MVStoreException | IllegalStateException e) {
+                Error fatal = Fatal.in(e);
+                if (fatal != null) {
+                    // No full disk: the store tells of a full heap in the same words. Nobody catches it, and the process ends.
+                    throw fatal;
+                }
                 if (!complained) {
                     complained = true;
                     tell("the disk doesn't take the log, trying again: " + e.getMessage());
--- a/src/main/java/tinworks/node/NodeProcess.java
+++ b/src/main/java/tinworks/node/NodeProcess.java
@@ -17,6 +17,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.slf4j.event.Level;
+import tinworks.logging.Fatal;
 import tinworks.logging.JsonLog;
 import tinworks.net.GatewayClock;
 import tinworks.net.LoopLag;
@@ -51,6 +52,7 @@
 
     /** A process with the settings that the environment names; bad ones are an {@link IllegalArgumentException}. */
     public static NodeProcess start(Map<String, String> environment) {
+        Fatal.install();
         // Guards against a search for logging libraries that aren't there, which costs a start as much as a list.
         InternalLoggerFactory.setDefaultFactory(Slf4JLoggerFactory.INSTANCE);
         String text = BootSettings.text(environment);
@@ -100,6 +102,10 @@
                 done.complete(work.call());
             } catch (Exception e) {
                 done.completeExceptionally(e);
+            } catch (Error e) {
+                // Whoever waits for it is told too, so that nobody waits for good.
+                done.completeExceptionally(e);
+                Fatal.pass(e);
             }
         });
         return done.join();
--- /dev/null
+++ b/src/test/java/tinworks/logging/FatalTest.java
@@ -0,0 +1,68 @@
+package tinworks.logging;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+@Timeout(value = 60, unit = TimeUnit.SECONDS)
+class FatalTest {
+    /** A process that has installed the handler and then fails on another thread, while its first waits for good. */
+    static final class Failing {
+        private Failing() { }
+
+        public static void main(String[] args) throws InterruptedException {
+            Fatal.install();
+            Thread thread = new Thread(args[0].equals("heap") ? Failing::fillHeap : Failing::passOn);
+            thread.start();
+            TimeUnit.SECONDS.sleep(50);
+        }
+
+        private static void fillHeap() {
+            List<byte[]> all = new ArrayList<>();
+            while (true) {
+                all.add(new byte[1 << 20]);
+            }
+        }
+
+        private static void passOn() {
+            try {
+                passOn();
+            } catch (StackOverflowError e) {
+                Fatal.pass(new IllegalStateException("as a library tells it", e));
+            }
+        }
+    }
+
+    private static String said(String how) throws IOException, InterruptedException {
+        Process process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx16m", "-Xss256k", "-cp",
+                System.getProperty("java.class.path"), Failing.class.getName(), how).redirectErrorStream(true).start();
+        String said = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertEquals(Fatal.EXIT_CODE, process.waitFor(), said);
+        return said;
+    }
+
+    @Test
+    void aFullHeapOrStackEndsTheProcessWithALineAndACodeOfItsOwn() throws IOException, InterruptedException {
+        assertTrue(said("heap").contains("OutOfMemoryError"));
+        assertTrue(said("stack").contains("StackOverflowError"));
+    }
+
+    @Test
+    void anErrorIsFoundBelowWhatALibraryMadeOfIt() {
+        OutOfMemoryError error = new OutOfMemoryError("test");
+        assertSame(error, Fatal.in(error));
+        assertSame(error, Fatal.in(new IllegalStateException(new IOException(error))));
+        assertNull(Fatal.in(new IllegalStateException(new IOException("disk full"))));
+        Fatal.pass(new IOException("nothing happens"));
+    }
+}
