Bound the memory of operators' calls, of the feed and of what waits on connections

Cause: eight bodies of 8 MiB, a log of 64 whole configurations, sixteen changes of everything, 32 MiB waiting on one connection: each is more than a core machine's heap of 48 MB.

Change: bodies on their way in or out come out of a budget of 16 MiB, and who finds no room gets a 503 with Retry-After at once; a configuration is checked one at a time on a thread of its own, beside the heartbeats, straight from the bytes that came; commands that wait are 4 MiB at most, uncommitted ones 2 MiB, one alone 2 MiB packed (413); the log is compacted at 1 MiB or 64 entries; the feed keeps 256 KiB of changes, and follows once edges are linked; a connection with 4 MiB waiting is closed. Show travels packed between core machines.

Measured: BodiesTest (without a budget all are taken), ConfigurationFeedTest.

--- a/src/main/java/tinworks/channel/TcpConversation.java
+++ b/src/main/java/tinworks/channel/TcpConversation.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import tinworks.channel.Signal.Hello;
 import tinworks.channel.Signal.Ping;
+import tinworks.logging.Fatal;
 
 /**
  * A conversation over TCP. A frame is a length (4 bytes) and as many bytes of a
@@ -19,8 +20,8 @@
  */
 public final class TcpConversation extends ByteToMessageDecoder implements Conversation {
     static final long PING_MILLIS = 1_000, SILENCE_MILLIS = 2_600;
-    /** What a far side that doesn't read may pile up here. */
-    private static final int MOST_WAITING = 32 << 20;
+    /** What a far side that doesn't read may pile up here before something else is said: a tenth of a core machine's heap. */
+    static final int MOST_WAITING = 4 << 20;
 
     private final Hello own;
     private final boolean dialled;
@@ -57,15 +58,15 @@
         if (channel == null || !channel.isActive()) {
             return;
         }
-        ByteBuffer bytes = SignalCodec.write(signal);
-        ByteBuf frame = Unpooled.buffer(Integer.BYTES + bytes.remaining());
-        frame.writeInt(bytes.remaining()).writeBytes(bytes);
-        saidAt = SteadyClock.millis();
-        channel.writeAndFlush(frame, channel.voidPromise());
         if (channel.unsafe().outboundBuffer() != null
                 && channel.unsafe().outboundBuffer().totalPendingWriteBytes() > MOST_WAITING) {
             close("the far side doesn't read");
+            return;
         }
+        ByteBuffer bytes = SignalCodec.write(signal);
+        ByteBuf frame = Unpooled.wrappedBuffer(Unpooled.copyInt(bytes.remaining()), Unpooled.wrappedBuffer(bytes));
+        saidAt = SteadyClock.millis();
+        channel.writeAndFlush(frame, channel.voidPromise());
     }
 
     @Override
@@ -167,6 +168,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        Fatal.pass(cause);
         listener.log("the connection with " + name() + " broke: " + cause);
         ctx.close();
     }
--- a/src/main/java/tinworks/config/ConfigurationHistory.java
+++ b/src/main/java/tinworks/config/ConfigurationHistory.java
@@ -37,16 +37,16 @@
     /** The version in force, {@link Packed}; empty where there is none. */
     private byte[] packed = { };
 
-    /** The bytes of a command: {@link #command(long, long, ByteBuffer)}. */
+    /** The bytes of a command: {@link #command(long, long, ByteBuffer...)}. */
     public static byte[] command(long base, long rev, byte[] body) {
         return command(base, rev, ByteBuffer.wrap(body));
     }
 
     /**
      * The bytes of a command: the version it builds on, its own, a digest of both and of the configuration as it was sent, and
-     * that configuration {@link Packed}. Made once, where the call arrives; {@code body} is left as it was.
+     * that configuration {@link Packed}. Made once, where the call arrives; the body's parts are left as they were.
      */
-    public static byte[] command(long base, long rev, ByteBuffer body) {
+    public static byte[] command(long base, long rev, ByteBuffer... body) {
         byte[] packed = Packed.pack(body);
         ByteBuffer command = ByteBuffer.allocate(HEAD_BYTES + packed.length).putLong(base).putLong(rev);
         return command.put(digest(base, rev, body)).put(packed).array();
@@ -147,11 +147,13 @@
         return Arrays.copyOfRange(command, 2 * Long.BYTES, HEAD_BYTES);
     }
 
-    private static byte[] digest(long base, long rev, ByteBuffer body) {
+    private static byte[] digest(long base, long rev, ByteBuffer... body) {
         try {
             MessageDigest sum = MessageDigest.getInstance("SHA-256");
             sum.update(ByteBuffer.allocate(2 * Long.BYTES).putLong(base).putLong(rev).flip());
-            sum.update(body.duplicate());
+            for (ByteBuffer part : body) {
+                sum.update(part.duplicate());
+            }
             return sum.digest();
         } catch (NoSuchAlgorithmException e) {
             throw new IllegalStateException("every Java runtime has SHA-256", e);
--- a/src/main/java/tinworks/config/Packed.java
+++ b/src/main/java/tinworks/config/Packed.java
@@ -26,19 +26,31 @@
         return pack(ByteBuffer.wrap(whole));
     }
 
-    /** Packs the rest of a buffer, and leaves the buffer as it was. */
-    public static byte[] pack(ByteBuffer whole) {
-        int length = whole.remaining();
+    /** Packs what is left in buffers one after the other, and leaves them as they were. */
+    public static byte[] pack(ByteBuffer... parts) {
+        int length = 0;
+        for (ByteBuffer part : parts) {
+            length += part.remaining();
+        }
         if (length <= PLAIN) {
-            return ByteBuffer.allocate(Integer.BYTES + length).putInt(length).put(whole.duplicate()).array();
+            ByteBuffer plain = ByteBuffer.allocate(Integer.BYTES + length).putInt(length);
+            for (ByteBuffer part : parts) {
+                plain.put(part.duplicate());
+            }
+            return plain.array();
         }
         Deflater deflater = new Deflater();
         try {
-            deflater.setInput(whole.duplicate());
-            deflater.finish();
             ByteArrayOutputStream out = new ByteArrayOutputStream(length / 8 + CHUNK);
             out.writeBytes(ByteBuffer.allocate(Integer.BYTES).putInt(length).array());
             byte[] chunk = new byte[CHUNK];
+            for (ByteBuffer part : parts) {
+                deflater.setInput(part.duplicate());
+                while (!deflater.needsInput()) {
+                    out.write(chunk, 0, deflater.deflate(chunk));
+                }
+            }
+            deflater.finish();
             while (!deflater.finished()) {
                 out.write(chunk, 0, deflater.deflate(chunk));
             }
--- a/src/main/java/tinworks/control/Agreement.java
+++ b/src/main/java/tinworks/control/Agreement.java
@@ -30,7 +30,8 @@
         void log(String line);
     }
 
-    private static final int MOST_ENTRIES = 64;
+    /** Behind the snapshot, whichever comes first: what a start reads, and what the log takes of the memory. */
+    static final int MOST_ENTRIES = 64, MOST_BYTES = 1 << 20;
 
     private final Raft raft;
     private final Disk disk;
@@ -128,7 +129,7 @@
                 told.accept(true);
             }
         });
-        if (raft.length() > MOST_ENTRIES) {
+        if (appliedIndex - raft.snapshotIndex() > MOST_ENTRIES || raft.bytes(appliedIndex) > MOST_BYTES) {
             raft.compact(appliedIndex, history.save());
         }
         if (output.restored() != null || !output.committed().isEmpty()) {
--- a/src/main/java/tinworks/control/ConfigurationFeed.java
+++ b/src/main/java/tinworks/control/ConfigurationFeed.java
@@ -20,8 +20,14 @@
     private static final Logger LOG = LoggerFactory.getLogger(ConfigurationFeed.class);
     /** Versions come seconds apart; an edge that was away for longer is told the whole. */
     private static final int MOST_CHANGES = 16;
+    /** What the changes may take as bytes together; the oldest go first. */
+    static final int MOST_BYTES = 256 << 10;
 
-    private final ArrayDeque<ConfigurationChange> changes = new ArrayDeque<>();
+    /** A change, and what it takes as bytes. */
+    private record Kept(ConfigurationChange change, int bytes) { }
+
+    private final ArrayDeque<Kept> changes = new ArrayDeque<>();
+    private int changesBytes;
     private Configuration newest;
     /** The last version that was looked at, whether or not it could be read. */
     private long followed;
@@ -39,22 +45,34 @@
         followed = history.rev();
         Configuration next;
         try {
-            next = ConfigurationReader.read(history.body());
+            next = ConfigurationReader.read(Packed.open(history.packed()));
         } catch (InvalidConfiguration e) {
             LOG.error("can't read the configuration {} that was taken: {}", history.rev(), e.getMessage());
             return;
         }
         if (newest != null) {
-            changes.addLast(ConfigurationChange.between(newest, next));
-            if (changes.size() > MOST_CHANGES) {
-                changes.removeFirst();
-            }
+            keep(ConfigurationChange.between(newest, next));
         }
         newest = next;
         whole = null;
         lastAsked = null;
     }
 
+    /** Guards against changes of everything, each of which is as long as the whole and is of use to few. */
+    private void keep(ConfigurationChange change) {
+        int bytes = ConfigurationCodec.write(change).length;
+        changes.addLast(new Kept(change, bytes));
+        changesBytes += bytes;
+        while (changes.size() > MOST_CHANGES || changesBytes > MOST_BYTES) {
+            changesBytes -= changes.removeFirst().bytes();
+        }
+    }
+
+    /** How many changes are kept. */
+    int changes() {
+        return changes.size();
+    }
+
     /** What to tell an edge that holds this version, 0 for none; null while there is nothing to tell. */
     Signal since(long held) {
         if (newest == null || held >= newest.rev()) {
@@ -64,7 +82,8 @@
             return lastAsked;
         }
         ConfigurationChange all = null;
-        for (ConfigurationChange change : changes) {
+        for (Kept kept : changes) {
+            ConfigurationChange change = kept.change();
             if (all != null) {
                 all = all.then(change);
             } else if (change.base() == held) {
--- a/src/main/java/tinworks/control/CoreMachine.java
+++ b/src/main/java/tinworks/control/CoreMachine.java
@@ -219,7 +219,9 @@
         if (announcedRev != agreement.history().rev()) {
             // First the news, so that the bytes are made while it travels.
             announce();
-            configurations.follow(agreement.history());
+            if (edges() > 0) {
+                configurations.follow(agreement.history());
+            }
         }
     }
 
--- a/src/main/java/tinworks/control/OperatorCalls.java
+++ b/src/main/java/tinworks/control/OperatorCalls.java
@@ -1,5 +1,7 @@
 package tinworks.control;
 
+import java.io.ByteArrayInputStream;
+import java.io.InputStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
@@ -12,11 +14,11 @@
 import tinworks.channel.Conversation;
 import tinworks.channel.Signal.Call;
 import tinworks.channel.Signal.CallAnswer;
-import tinworks.config.Configuration;
 import tinworks.config.ConfigurationHistory;
 import tinworks.config.ConfigurationHistory.Verdict;
 import tinworks.config.ConfigurationReader;
 import tinworks.config.InvalidConfiguration;
+import tinworks.config.Packed;
 import tinworks.raft.Raft;
 
 /**
@@ -28,13 +30,18 @@
     /** The header that names the version which a change builds on. */
     static final String BASE = "Base-Rev";
     static final int OK = 200, UNCLEAR = 503;
-    private static final int CONFLICT = 412, INVALID = 400, NOT_FOUND = 404;
+    private static final int CONFLICT = 412, INVALID = 400, NOT_FOUND = 404, TOO_LONG = 413;
+    /** What a command may take: eight times what 14,000 routes come to. Guards against a log, and frames, of any length. */
+    static final int LONGEST_COMMAND = 2 << 20;
+    /** What calls without an answer may take at one machine, the first always. */
+    static final int MOST_HELD = 4 << 20;
     /** Callers move on after a second of silence. */
     private static final long ANSWER_MILLIS = 850;
 
     private final CoreMachine machine;
     private final LongSupplier clock;
     private final Map<Long, Waiting> waiting = new HashMap<>();
+    private long held;
     private long calls;
 
     /** A call that has no answer yet; it has been passed on where {@code passedTo} is not null. */
@@ -64,19 +71,41 @@
         return waiting.size();
     }
 
-    /** A whole configuration, with what the header says that it builds on; the answer's number means nothing. */
-    void replace(List<String> bases, byte[] body, Consumer<CallAnswer> told) {
+    /** A call that was checked: the command that it comes to, or else the answer why there is none. */
+    record Checked(byte[] command, CallAnswer refusal) { }
+
+    /**
+     * Checks a whole configuration, with what the header says that it builds on. Takes long and holds much memory; needs
+     * nothing of the machine, so it may be done on another thread, one at a time.
+     */
+    static Checked check(List<String> bases, InputStream json, ByteBuffer... body) {
         try {
             long base = base(bases);
-            Configuration configuration = ConfigurationReader.read(body);
-            submit(false, ConfigurationHistory.command(base, configuration.rev(), body), told);
+            long rev = ConfigurationReader.read(json).rev();
+            byte[] command = ConfigurationHistory.command(base, rev, body);
+            return command.length <= LONGEST_COMMAND ? new Checked(command, null) : new Checked(null, new CallAnswer(0, TOO_LONG,
+                    error("", "over " + LONGEST_COMMAND + " bytes when it is packed")));
         } catch (InvalidConfiguration e) {
             LOG.info("refused a configuration: {}", e.getMessage());
-            told.accept(new CallAnswer(0, INVALID, error(e.where(), e.getMessage())));
+            return new Checked(null, new CallAnswer(0, INVALID, error(e.where(), e.getMessage())));
+        }
+    }
+
+    /** A whole configuration that was checked; the answer's number means nothing. */
+    void replace(Checked call, Consumer<CallAnswer> told) {
+        if (call.refusal() != null) {
+            told.accept(call.refusal());
+        } else {
+            submit(false, call.command(), told);
         }
     }
 
-    /** The newest configuration. */
+    /** A whole configuration, with what the header says that it builds on; the answer's number means nothing. */
+    void replace(List<String> bases, byte[] body, Consumer<CallAnswer> told) {
+        replace(check(bases, new ByteArrayInputStream(body), ByteBuffer.wrap(body)), told);
+    }
+
+    /** The newest configuration, {@link Packed} where the status is {@link #OK}. */
     void show(Consumer<CallAnswer> told) {
         submit(true, new byte[0], told);
     }
@@ -112,12 +141,18 @@
             call.atWork = false;
             call.passedTo = null;
         } else if (call != null) {
-            waiting.remove(answer.number());
+            remove(answer.number());
             call.told.accept(answer);
         }
     }
 
+    /** Guards against calls that together are more than the memory; each is told to come back, and nothing became of it. */
     private void submit(boolean read, byte[] command, Consumer<CallAnswer> told) {
+        if (!waiting.isEmpty() && held + command.length > MOST_HELD) {
+            told.accept(new CallAnswer(0, UNCLEAR, error("", "too many calls at once")));
+            return;
+        }
+        held += command.length;
         Waiting call = new Waiting(read, command, told, clock.getAsLong() + ANSWER_MILLIS);
         long number = ++calls;
         waiting.put(number, call);
@@ -133,7 +168,7 @@
         for (Map.Entry<Long, Waiting> entry : List.copyOf(waiting.entrySet())) {
             Waiting call = entry.getValue();
             if (now >= call.until) {
-                waiting.remove(entry.getKey());
+                remove(entry.getKey());
                 call.told.accept(new CallAnswer(entry.getKey(), UNCLEAR, error("", "no answer from a leader in time")));
             } else {
                 call.atWork &= call.passedTo == null || call.passedTo.isOpen();
@@ -142,6 +177,10 @@
         }
     }
 
+    private void remove(long number) {
+        held -= waiting.remove(number).command.length;
+    }
+
     private void work(long number, Waiting call) {
         if (call.atWork) {
             return;
@@ -163,13 +202,16 @@
 
     private void change(long number, Waiting call, Agreement agreement) {
         ConfigurationHistory history = agreement.history();
-        long base = ByteBuffer.wrap(call.command).getLong();
-        long rev = ByteBuffer.wrap(call.command, Long.BYTES, Long.BYTES).getLong();
+        long base = ConfigurationHistory.base(call.command);
+        long rev = ConfigurationHistory.rev(call.command);
         Verdict now = history.judge(base, rev, call.command);
         boolean settled = now == Verdict.TAKEN && rev <= history.rev() || now == Verdict.CONFLICT && base < history.rev();
         if (settled) {
             // True for good, whoever leads: a version that was taken or passed stays so.
             done(number, verdict(now));
+        } else if (!agreement.raft().hasRoom(call.command.length)) {
+            // Until what is written before it is committed, or its time is over.
+            call.atWork = false;
         } else {
             agreement.propose(call.command, verdict -> done(number, verdict == null ? null : verdict(verdict)));
         }
@@ -184,7 +226,7 @@
         if (answer == null) {
             call.atWork = false;
         } else {
-            waiting.remove(number);
+            remove(number);
             call.told.accept(answer);
         }
     }
@@ -201,7 +243,7 @@
     private CallAnswer show() {
         ConfigurationHistory history = machine.agreement().history();
         return history.rev() == 0 ? new CallAnswer(0, NOT_FOUND, error("", "no configuration yet"))
-                : new CallAnswer(0, OK, history.body());
+                : new CallAnswer(0, OK, history.packed());
     }
 
     private static byte[] error(String where, String what) {
--- a/src/main/java/tinworks/control/OperatorServer.java
+++ b/src/main/java/tinworks/control/OperatorServer.java
@@ -1,5 +1,6 @@
 package tinworks.control;
 
+import io.netty.buffer.ByteBufInputStream;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
@@ -9,15 +10,20 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.buffer.ByteBufUtil;
 import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.Iterator;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import tinworks.channel.Signal.CallAnswer;
+import tinworks.config.ConfigurationHistory;
+import tinworks.config.Packed;
 import tinworks.metrics.MetricsPage;
+import tinworks.net.ByteBudget;
 import tinworks.net.ClientServer;
 import tinworks.net.ClientServer.BadRequest;
 import tinworks.net.ClientServer.Reply;
@@ -30,17 +36,31 @@
     private static final Logger LOG = LoggerFactory.getLogger(OperatorServer.class);
     private static final String REPLACE = "/-/config/replace", SHOW = "/-/config/show", STATUS = "/-/status",
             READYZ = "/-/readyz", METRICS = "/-/metrics";
-    private static final int CONNECTIONS = 128, LONGEST_HEAD = 16_384, LONGEST_BODY = 8 << 20;
+    private static final int CONNECTIONS = 128, LONGEST_HEAD = 16_384;
+    /** Bodies on their way in or out: two of the longest, or seven of 14,000 routes. */
+    static final int MOST_BODIES = 2 * ConfigurationHistory.LONGEST_BODY;
+    private static final byte[] NO_ROOM = error("too many calls at once"), ENDING = error("this machine ends"),
+            UNCHECKED = error("the configuration could not be checked");
     private static final long PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
+    private final EventLoop loop;
     private final String name;
     private final CoreMachine machine;
+    private final ByteBudget bodies = new ByteBudget(MOST_BODIES);
     private final ClientServer server;
+    private final ExecutorService checks = Executors.newSingleThreadExecutor(work -> new Thread(work, "configuration"));
+
     OperatorServer(EventLoop loop, GatewayClock clock, String name, CoreMachine machine) {
+        this.loop = loop;
         this.name = name;
         this.machine = machine;
         server = new ClientServer(loop, Transport.TCP, clock, new ClientServer.Bounds(CONNECTIONS,
-                TimeUnit.SECONDS.toNanos(10), TimeUnit.SECONDS.toNanos(30), LONGEST_HEAD, LONGEST_BODY, READYZ), this);
+                TimeUnit.SECONDS.toNanos(10), TimeUnit.SECONDS.toNanos(30), LONGEST_HEAD,
+                ConfigurationHistory.LONGEST_BODY, READYZ), bodies, this);
+    }
+
+    private static byte[] error(String what) {
+        return ("{\"err\":\"" + what + "\"}\n").getBytes(StandardCharsets.UTF_8);
     }
 
     ChannelFuture listen(SocketAddress address) {
@@ -49,6 +69,7 @@
 
     void close() {
         server.stopAccepting();
+        checks.shutdown();
     }
 
     @Override
@@ -61,10 +82,10 @@
         String path = request.uri().split("\\?", 2)[0];
         if (path.equals(REPLACE)) {
             need(request, HttpMethod.POST);
-            machine.calls().replace(request.headers().getAll(OperatorCalls.BASE), ByteBufUtil.getBytes(request.content()), answer -> write(reply, answer));
+            replace(request, reply);
         } else if (path.equals(SHOW)) {
             need(request, HttpMethod.GET);
-            machine.calls().show(answer -> write(reply, answer));
+            machine.calls().show(answer -> show(reply, answer));
         } else if (path.equals(STATUS)) {
             need(request, HttpMethod.GET);
             write(reply, new CallAnswer(0, OperatorCalls.OK, status().getBytes(StandardCharsets.UTF_8)));
@@ -83,6 +104,45 @@
         }
     }
 
+    /** Checked one at a time on a thread of its own: heartbeats don't wait for it, and the memory holds one that is read. */
+    private void replace(FullHttpRequest request, Reply reply) {
+        if (checks.isShutdown()) {
+            write(reply, new CallAnswer(0, OperatorCalls.UNCLEAR, ENDING));
+            return;
+        }
+        reply.keepBody(request);
+        checks.execute(() -> {
+            OperatorCalls.Checked checked = checked(request);
+            loop.execute(() -> {
+                reply.dropBody();
+                machine.calls().replace(checked, answer -> write(reply, answer));
+            });
+        });
+    }
+
+    private static OperatorCalls.Checked checked(FullHttpRequest request) {
+        try {
+            return OperatorCalls.check(request.headers().getAll(OperatorCalls.BASE),
+                    new ByteBufInputStream(request.content().duplicate()), request.content().nioBuffers());
+        } catch (IllegalArgumentException | IllegalStateException e) {
+            LOG.error("a configuration could not be checked", e);
+            return new OperatorCalls.Checked(null, new CallAnswer(0, OperatorCalls.UNCLEAR, UNCHECKED));
+        }
+    }
+
+    /** The configuration as it was sent, while there is room for it; a client may be slow to take it. */
+    private void show(Reply reply, CallAnswer answer) {
+        int length = answer.status() == OperatorCalls.OK ? Packed.length(answer.body()) : 0;
+        if (length == 0) {
+            write(reply, answer);
+        } else if (!bodies.take(length)) {
+            write(reply, new CallAnswer(0, OperatorCalls.UNCLEAR, NO_ROOM));
+        } else {
+            reply.onWritten(() -> bodies.give(length));
+            write(reply, new CallAnswer(0, OperatorCalls.OK, Packed.unpack(answer.body(), ConfigurationHistory.LONGEST_BODY)));
+        }
+    }
+
     private static void write(Reply reply, CallAnswer answer) {
         HttpHeaders headers = new DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
         reply.write(HttpResponseStatus.valueOf(answer.status()), headers, Unpooled.wrappedBuffer(answer.body()),
--- a/src/main/java/tinworks/net/ClientServer.java
+++ b/src/main/java/tinworks/net/ClientServer.java
@@ -35,6 +35,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import tinworks.logging.Fatal;
 
 /** The side that clients see: takes in requests, and writes one answer to each. */
 public final class ClientServer {
@@ -87,6 +88,7 @@
     /** Who connects to ask does so within this time. */
     private static final long YOUNG_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
     private static final long RECHECK_MILLIS = 20, LINGER_MILLIS = 200;
+    private static final long NO_ROOM_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
     /** Where places are scarce, who has asked nothing for so long is thought to have no more to ask. */
     private static final long LONG_IDLE_NANOS = TimeUnit.SECONDS.toNanos(2);
 
@@ -102,13 +104,23 @@
     /** Those that have been told what is wrong and are about to be closed. */
     private final Set<Connection> lingering = new LinkedHashSet<>();
     private final Future<?> sweeper;
+    private final ByteBudget bodies;
     private Bounds bounds;
     private Channel acceptor;
     private boolean ending;
     private boolean rechecking;
 
-    /** A server that doesn't listen yet. */
+    /** A server that doesn't listen yet, with room for all bodies. */
     public ClientServer(EventLoop loop, Transport transport, GatewayClock clock, Bounds bounds, Listener listener) {
+        this(loop, transport, clock, bounds, new ByteBudget(Long.MAX_VALUE), listener);
+    }
+
+    /**
+     * A server that doesn't listen yet. Bodies come out of a budget, from a request's head until its listener has done with it;
+     * whoever finds no room gets a 503 that says when to come back.
+     */
+    public ClientServer(EventLoop loop, Transport transport, GatewayClock clock, Bounds bounds, ByteBudget bodies, Listener listener) {
+        this.bodies = bodies;
         this.loop = loop;
         this.transport = transport;
         this.clock = clock;
@@ -239,6 +251,9 @@
         private final Connection connection;
         private final boolean keepAlive;
         private Runnable left = () -> { };
+        private Runnable written = () -> { };
+        private FullHttpRequest kept;
+        private long taken;
         private boolean done;
 
         private Reply(Connection connection, boolean keepAlive) {
@@ -251,6 +266,26 @@
             left = action;
         }
 
+        /** What to do when the answer has been written, or can't be any more. */
+        public void onWritten(Runnable action) {
+            written = action;
+        }
+
+        /** Keeps the request and its body beyond the call of {@link Listener#requested}, until {@link #dropBody}. */
+        public void keepBody(FullHttpRequest request) {
+            kept = request.retain();
+        }
+
+        /** Lets a body go that was kept. */
+        public void dropBody() {
+            bodies.give(taken);
+            taken = 0;
+            if (kept != null) {
+                kept.release();
+                kept = null;
+            }
+        }
+
         /** Whether the client has its answer, or has gone. */
         public boolean isDone() {
             return done;
@@ -274,6 +309,7 @@
         public void write(HttpResponseStatus status, HttpHeaders headers, ByteBuf body, long pauseNanos) {
             if (done) {
                 body.release();
+                written.run();
                 return;
             }
             done = true;
@@ -285,7 +321,7 @@
             }
             // What was sent ahead is still owed its answer.
             boolean spared = crowded() && connection.pipelined.isEmpty();
-            connection.answer(answer, keepAlive && !ending && !spared);
+            connection.answer(answer, keepAlive && !ending && !spared, written);
         }
     }
 
@@ -297,7 +333,7 @@
     }
 
     /** A request, or what came in place of one, and when its last byte came. */
-    private record Arrived(FullHttpRequest request, long at) { }
+    private record Arrived(FullHttpRequest request, long at, long taken) { }
 
     private static final class Decoder extends HttpRequestDecoder {
         Decoder(int headBytes) {
@@ -313,7 +349,7 @@
     private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> {
         private final Channel channel;
         private final Decoder decoder = new Decoder(bounds.headBytes());
-        private final RequestAssembler assembler = new RequestAssembler(this::isFree, bounds.bodyBytes());
+        private final RequestAssembler assembler = new RequestAssembler(this::isFree, bounds.bodyBytes(), bodies);
         /** Requests that came before the one ahead had its answer. */
         private final ArrayDeque<Arrived> pipelined = new ArrayDeque<>();
         private Reply open;
@@ -352,11 +388,12 @@
             }
             begun = false;
             if (!request.decoderResult().isSuccess()) {
-                // Guards against spending time on the rest of what can't be read.
+                // Guards against spending time on the rest of what can't be read. Of one that there is no room for the rest is
+                // read past: its client sends a whole body before it looks for an answer.
                 deaf = true;
-                channel.config().setAutoRead(false);
+                channel.config().setAutoRead(request.decoderResult().cause() instanceof RequestAssembler.NoRoom);
             }
-            Arrived arrived = new Arrived(request, clock.nanos());
+            Arrived arrived = new Arrived(request, clock.nanos(), assembler.handOver());
             if (isFree()) {
                 take(arrived);
             } else {
@@ -403,10 +440,13 @@
             boolean probes = request.uri().equals(bounds.readyPath());
             // Guards against probes that take clients' places: each comes on a connection of its own.
             Reply reply = new Reply(this, readable && !probes && HttpUtil.isKeepAlive(request));
+            reply.taken = arrived.taken;
             open = reply;
             place();
             try {
-                if (!readable) {
+                if (request.decoderResult().cause() instanceof RequestAssembler.NoRoom) {
+                    reply.plain(HttpResponseStatus.SERVICE_UNAVAILABLE, "no room for the body at present", NO_ROOM_NANOS);
+                } else if (!readable) {
                     boolean tooLong = request.decoderResult().cause() instanceof TooLongHttpContentException;
                     reply.plain(tooLong ? HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE : HttpResponseStatus.BAD_REQUEST,
                             tooLong ? "the body is too long" : "not a readable HTTP request", 0);
@@ -420,14 +460,17 @@
             } catch (BadRequest e) {
                 reply.plain(e.status, e.getMessage(), 0);
             } finally {
+                if (reply.kept == null) {
+                    reply.dropBody();
+                }
                 request.release();
             }
         }
 
-        private void answer(DefaultFullHttpResponse answer, boolean keepAlive) {
+        private void answer(DefaultFullHttpResponse answer, boolean keepAlive, Runnable whenWritten) {
             open = null;
             if (keepAlive) {
-                channel.writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+                channel.writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE_ON_FAILURE).addListener(done -> whenWritten.run());
                 if (!pipelined.isEmpty()) {
                     // Guards against recursion through a run of requests that are answered at once.
                     loop.execute(this::takeNext);
@@ -437,7 +480,7 @@
                 deaf = true;
                 closing = true;
                 answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-                ChannelFuture written = channel.writeAndFlush(answer);
+                ChannelFuture written = channel.writeAndFlush(answer).addListener(done -> whenWritten.run());
                 if (unread) {
                     linger(written);
                 } else {
@@ -494,7 +537,11 @@
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             forget();
-            pipelined.forEach(arrived -> arrived.request.release());
+            assembler.giveUp();
+            pipelined.forEach(arrived -> {
+                bodies.give(arrived.taken);
+                arrived.request.release();
+            });
             pipelined.clear();
             bound();
             Reply unanswered = open;
@@ -507,6 +554,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            Fatal.pass(cause);
             ctx.close();
         }
     }
--- a/src/main/java/tinworks/net/RequestAssembler.java
+++ b/src/main/java/tinworks/net/RequestAssembler.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.TooLongHttpContentException;
 import java.util.function.BooleanSupplier;
 
@@ -21,13 +22,43 @@
  * still owed, and pass for it. Here a request that is too long comes out as one that can't be read, in its turn.
  */
 final class RequestAssembler extends HttpObjectAggregator {
+    /** Why a request was turned away whose body there was no room for. */
+    static final class NoRoom extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        NoRoom() {
+            super("no room for the body");
+        }
+    }
+
     private final BooleanSupplier free;
+    private final int largestBody;
+    private final ByteBudget bodies;
     private boolean amidst;
+    /** What the request under way, or the one that has just come whole, has taken of the budget. */
+    private long taken;
 
-    /** Tells clients to go on with a body only while {@code free}: while no earlier request waits. */
-    RequestAssembler(BooleanSupplier free, int largestBody) {
+    /**
+     * Tells clients to go on with a body only while {@code free}: while no earlier request waits. Bodies come out of a budget,
+     * those of unknown length with the largest.
+     */
+    RequestAssembler(BooleanSupplier free, int largestBody, ByteBudget bodies) {
         super(largestBody);
         this.free = free;
+        this.largestBody = largestBody;
+        this.bodies = bodies;
+    }
+
+    /** What the request that has come whole has taken of the budget; the caller gives it back. */
+    long handOver() {
+        long handed = taken;
+        taken = 0;
+        return handed;
+    }
+
+    /** Gives back what a request has taken that will never be whole. */
+    void giveUp() {
+        bodies.give(handOver());
     }
 
     /** Whether the head of a request has come and the end of its body has not. */
@@ -42,6 +73,21 @@
                 ? super.newContinueResponse(start, most, pipeline) : null;
     }
 
+    /** Guards against bodies that together are more than the memory: whoever finds no room is told so at once. */
+    @Override
+    protected boolean isContentLengthInvalid(HttpMessage start, int most) {
+        if (super.isContentLengthInvalid(start, most)) {
+            return true;
+        }
+        giveUp();
+        long wanted = HttpUtil.isTransferEncodingChunked(start) ? largestBody : Math.max(0, HttpUtil.getContentLength(start, 0L));
+        if (!bodies.take(wanted)) {
+            return true;
+        }
+        taken = wanted;
+        return false;
+    }
+
     @Override
     protected FullHttpMessage beginAggregation(HttpMessage start, ByteBuf content) throws Exception {
         amidst = true;
@@ -57,10 +103,12 @@
     @Override
     protected void handleOversizedMessage(ChannelHandlerContext ctx, HttpMessage oversized) {
         amidst = false;
+        giveUp();
         HttpRequest request = (HttpRequest) oversized;
+        boolean tooLong = super.isContentLengthInvalid(oversized, largestBody) || oversized instanceof FullHttpMessage;
         DefaultFullHttpRequest told = new DefaultFullHttpRequest(request.protocolVersion(), request.method(),
                 request.uri(), Unpooled.EMPTY_BUFFER);
-        told.setDecoderResult(DecoderResult.failure(new TooLongHttpContentException("body too long")));
+        told.setDecoderResult(DecoderResult.failure(tooLong ? new TooLongHttpContentException("body too long") : new NoRoom()));
         ctx.fireChannelRead(told);
     }
 }
--- a/src/main/java/tinworks/raft/Gathering.java
+++ b/src/main/java/tinworks/raft/Gathering.java
@@ -3,7 +3,7 @@
 /** The pieces of a leader's snapshot that have come so far: from its beginning on, without a gap. */
 final class Gathering {
     /** More than any snapshot holds. Guards against a length that lies. */
-    static final int LONGEST = 16 << 20;
+    static final int LONGEST = 8 << 20;
 
     private final Snapshot.Label label;
     private final long term;
--- a/src/main/java/tinworks/raft/Raft.java
+++ b/src/main/java/tinworks/raft/Raft.java
@@ -325,9 +325,14 @@
         return log.lastIndex() - log.base().index();
     }
 
-    /** What those entries take in memory. */
-    public long bytes() {
-        return log.bytes(log.base().index(), log.lastIndex());
+    /** The last index that the snapshot covers. */
+    public long snapshotIndex() {
+        return log.base().index();
+    }
+
+    /** What the entries behind the snapshot and up to an index take in memory. */
+    public long bytes(long upTo) {
+        return log.bytes(log.base().index(), upTo);
     }
 
     /** The voters as this member's log has them, committed or not; during a change those to come and those before. */
--- a/src/test/java/tinworks/control/ConfigurationFeedTest.java
+++ b/src/test/java/tinworks/control/ConfigurationFeedTest.java
@@ -120,6 +120,22 @@
         }
     }
 
+    /** Each version changes every route: as changes they would be as long as the whole, sixteen times over. */
+    @Test
+    void changesOfEverythingAreKeptWithinABoundOfBytes() throws Exception {
+        List<String> services = List.of(service("s0", 1), service("fixed", 1));
+        for (int version = 1; version <= 20; version++) {
+            List<String> routes = new ArrayList<>();
+            for (int n = 0; n < 1_000; n++) {
+                routes.add(route(n, 2_000 + version, "s0"));
+            }
+            take(json(version, routes, services, 1_000));
+        }
+        assertTrue(feed.changes() > 0 && feed.changes() < 16, feed.changes() + " changes");
+        assertInstanceOf(Signal.ConfigurationBody.class, feed.since(5));
+        assertInstanceOf(Signal.ConfigurationChanged.class, feed.since(19));
+    }
+
     @Test
     void bytesThatAreCutOrSpoiltAreRefusedWithoutHarm() throws Exception {
         take(json(1, List.of(route(1, 2_000, "s0")), List.of(service("s0", 1), service("fixed", 1)), 1_000));
--- /dev/null
+++ b/src/test/java/tinworks/net/BodiesTest.java
@@ -0,0 +1,146 @@
+package tinworks.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import tinworks.node.NodeProcess;
+
+/** Bodies of several clients together: what there is no room for is told to come back, and the room is had again. */
+@Timeout(value = 60, unit = TimeUnit.SECONDS)
+class BodiesTest {
+    private static final int LONGEST = 1 << 20;
+
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final ByteBudget bodies = new ByteBudget(2 * LONGEST);
+    private ClientServer server;
+
+    /** Each request is answered with the length of its body; one for {@code /keep} keeps its body until another comes. */
+    private final class Counting implements ClientServer.Listener {
+        private final List<ClientServer.Reply> kept = new ArrayList<>();
+
+        @Override
+        public boolean ready() {
+            return true;
+        }
+
+        @Override
+        public void requested(FullHttpRequest request, long arrivedAt, ClientServer.Reply reply) {
+            if (request.uri().equals("/keep")) {
+                reply.keepBody(request);
+                kept.add(reply);
+            } else {
+                kept.forEach(ClientServer.Reply::dropBody);
+                kept.clear();
+            }
+            reply.plain(HttpResponseStatus.OK, "took " + request.content().readableBytes(), 0);
+        }
+    }
+
+    private void start(ByteBudget budget) {
+        server = NodeProcess.call(loop, () -> new ClientServer(loop, Transport.TCP, new GatewayClock(),
+                new ClientServer.Bounds(50, TimeUnit.SECONDS.toNanos(20), 0, 8_192, LONGEST, "/ready"), budget, new Counting()));
+        NodeProcess.call(loop, () -> server.listen(new InetSocketAddress("127.0.0.1", 0))).syncUninterruptibly();
+    }
+
+    @AfterEach
+    void stop() throws InterruptedException {
+        NodeProcess.run(loop, server::close);
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).await(5, TimeUnit.SECONDS);
+    }
+
+    private Socket begin(String path, String length) throws IOException {
+        Socket socket = new Socket();
+        socket.connect(server.address(), 2_000);
+        socket.setSoTimeout(10_000);
+        socket.getOutputStream().write(("POST " + path + " HTTP/1.1\r\nHost: x\r\n" + length + "\r\nConnection: close\r\n\r\nbegun")
+                .getBytes(StandardCharsets.US_ASCII));
+        return socket;
+    }
+
+    private static String answer(Socket socket) throws IOException {
+        return new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+    }
+
+    private String whole(String path, int length) throws IOException {
+        try (Socket socket = begin(path, "Content-Length: " + length)) {
+            socket.getOutputStream().write(new byte[length - "begun".length()]);
+            return answer(socket);
+        }
+    }
+
+    private void awaitTaken(long bytes) throws InterruptedException {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
+        while (NodeProcess.call(loop, bodies::taken) != bytes) {
+            assertTrue(System.nanoTime() < until, "taken: " + bodies.taken() + ", wanted " + bytes);
+            TimeUnit.MILLISECONDS.sleep(5);
+        }
+    }
+
+    /** The third of three of the longest while two are under way. */
+    private String third(ByteBudget budget) throws IOException, InterruptedException {
+        start(budget);
+        try (Socket one = begin("/a", "Content-Length: " + LONGEST); Socket two = begin("/a", "Transfer-Encoding: chunked")) {
+            if (budget == bodies) {
+                awaitTaken(2 * LONGEST);
+            }
+            assertTrue(two.isConnected());
+            String third = whole("/a", LONGEST);
+            assertTrue(whole("/a", LONGEST + 1).startsWith("HTTP/1.1 413 "), "too long for any time");
+            one.getOutputStream().write(new byte[LONGEST - "begun".length()]);
+            assertTrue(answer(one).endsWith("took " + LONGEST + "\n"));
+            return third;
+        }
+    }
+
+    @Test
+    void aBodyThatThereIsNoRoomForIsToldToComeBackAndTheRoomIsHadAgain() throws Exception {
+        String third = third(bodies);
+        assertTrue(third.startsWith("HTTP/1.1 503 "), third);
+        assertTrue(third.toLowerCase(java.util.Locale.ROOT).contains("retry-after: 0.2"), third);
+        awaitTaken(0);
+        assertTrue(whole("/a", LONGEST).endsWith("took " + LONGEST + "\n"));
+        awaitTaken(0);
+    }
+
+    @Test
+    void withoutABudgetAllAreTaken() throws Exception {
+        assertTrue(third(new ByteBudget(Long.MAX_VALUE)).startsWith("HTTP/1.1 200 "));
+    }
+
+    @Test
+    void aBodyThatIsKeptCountsUntilItIsDroppedAndOneThatBreaksOffNoMore() throws Exception {
+        start(bodies);
+        assertTrue(whole("/keep", LONGEST).startsWith("HTTP/1.1 200 "));
+        assertTrue(whole("/keep", LONGEST).startsWith("HTTP/1.1 200 "));
+        assertEquals(2 * LONGEST, NodeProcess.call(loop, bodies::taken));
+        assertTrue(whole("/a", 100).startsWith("HTTP/1.1 503 "));
+        try (Socket asks = new Socket()) {
+            asks.connect(server.address(), 2_000);
+            asks.getOutputStream().write("GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            assertTrue(answer(asks).startsWith("HTTP/1.1 200 "), "what has no body needs no room");
+        }
+        awaitTaken(0);
+        try (Socket breaks = begin("/a", "Content-Length: " + LONGEST)) {
+            awaitTaken(LONGEST);
+            assertFalse(breaks.isClosed());
+        }
+        awaitTaken(0);
+    }
+}
