--- a/src/main/java/tinworks/cli/DemoCommand.java
+++ b/src/main/java/tinworks/cli/DemoCommand.java
@@ -8,6 +8,7 @@
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Spec;
+import tinworks.demo.Changes;
 import tinworks.demo.Demo;
 import tinworks.demo.Fault;
 
@@ -15,9 +16,11 @@
 @Command(name = "demo", mixinStandardHelpOptions = true,
         description = "Plays a whole deployment on this machine's loopback addresses: core and edge processes, hosts, clients.",
         footer = {"", "Faults: kill-leader, kill-edge, kill-all, term-edge, slow-host, drain-host, end-host, config.",
-            "Exit code 1 where a request ran twice or against a promise, or none was served."})
+            "Exit code 1 where a request ran twice or against a promise, or none was served; with --changes, where one was not",
+            "acknowledged, or the member that is killed in the middle had not caught up within 5 s."})
 final class DemoCommand implements Callable<Integer> {
-    private static final int MOST_MACHINES = 50, MOST_HOSTS = 300, MOST_PER_SECOND = 2_000, MOST_SECONDS = 3_600;
+    private static final int MOST_MACHINES = 50, MOST_HOSTS = 300, MOST_PER_SECOND = 2_000, MOST_SECONDS = 3_600,
+            MOST_CHANGES = 100_000, MOST_ROUTES = 50_000;
 
     @Spec
     private CommandSpec spec;
@@ -36,6 +39,12 @@
     @Option(names = "--fault", paramLabel = "SECONDS:KIND", converter = Arguments.FaultConverter.class,
             description = "something that goes wrong; may be repeated")
     private List<Fault> faults = new ArrayList<>();
+    @Option(names = "--routes", paramLabel = "N", defaultValue = "1240",
+            description = "with --changes: routes of each configuration (${DEFAULT-VALUE})")
+    private int routes;
+    @Option(names = "--changes", paramLabel = "N", defaultValue = "0",
+            description = "play core machines alone, which take so many whole configurations one on the other")
+    private int changes;
     @Option(names = "--java-option", paramLabel = "OPTION",
             description = "an option of each process of the system, in place of the usual ones; {node} is its machine's name")
     private List<String> javaOptions = new ArrayList<>(List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m"));
@@ -47,6 +56,9 @@
         Arguments.within(spec, "--cores", cores, 3, MOST_MACHINES);
         Arguments.within(spec, "--edges", edges, 1, MOST_MACHINES);
         Arguments.within(spec, "--hosts", hosts, 2, MOST_HOSTS);
+        if (changes > 0) {
+            return playChanges();
+        }
         Demo demo = new Demo(new Demo.Plan(cores, edges, hosts, rate, seconds, seed, faults, javaOptions), spec.commandLine().getOut());
         Thread atCtrlC = new Thread(() -> close(demo), "end of the demo");
         Runtime.getRuntime().addShutdownHook(atCtrlC);
@@ -55,10 +67,21 @@
         }
     }
 
-    private static void close(Demo demo) {
+    private int playChanges() throws IOException, InterruptedException {
+        Arguments.within(spec, "--changes", changes, 2, MOST_CHANGES);
+        Arguments.within(spec, "--routes", routes, 1, MOST_ROUTES);
+        Changes played = new Changes(new Changes.Plan(cores, routes, changes, javaOptions), spec.commandLine().getOut());
+        Thread atCtrlC = new Thread(() -> close(played), "end of the demo");
+        Runtime.getRuntime().addShutdownHook(atCtrlC);
+        try (played) {
+            return played.play() ? 0 : 1;
+        }
+    }
+
+    private static void close(AutoCloseable demo) {
         try {
             demo.close();
-        } catch (IOException e) {
+        } catch (Exception e) {
             System.err.println("tinworks: can't delete the demo's folder: " + e.getMessage());
         }
     }
--- a/src/main/java/tinworks/demo/Machines.java
+++ b/src/main/java/tinworks/demo/Machines.java
@@ -96,6 +96,11 @@
         return costs;
     }
 
+    /** The id of a machine's present process. */
+    synchronized long pid(String name) {
+        return machines.get(name).process.pid();
+    }
+
     /** How often processes were started, the first time of each left out. */
     synchronized int restarts() {
         return machines.values().stream().mapToInt(machine -> machine.starts - 1).sum();
--- a/src/main/java/tinworks/demo/Operator.java
+++ b/src/main/java/tinworks/demo/Operator.java
@@ -38,6 +38,28 @@
         return false;
     }
 
+    /**
+     * Sends a configuration to one machine after another, from this one on, until it is taken; how many calls that took, or 0
+     * when it takes too long.
+     */
+    int replace(long base, byte[] configuration, int first, long longestMillis) throws InterruptedException {
+        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(longestMillis);
+        for (int i = 0; System.nanoTime() < until; i++) {
+            HttpRequest request = request(cores.get((first + i) % cores.size()), "/-/config/replace").header("Base-Rev", Long.toString(base))
+                    .POST(HttpRequest.BodyPublishers.ofByteArray(configuration)).build();
+            if (ask(request).filter(answer -> answer.statusCode() == OK).isPresent()) {
+                return i + 1;
+            }
+            TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
+        }
+        return 0;
+    }
+
+    /** The newest configuration as one machine shows it, or nothing. */
+    Optional<String> show(int core) throws InterruptedException {
+        return ask(request(cores.get(core), "/-/config/show").build()).filter(answer -> answer.statusCode() == OK).map(HttpResponse::body);
+    }
+
     /** What a core machine says of itself, or nothing where it is silent. */
     Optional<String> status(int core) throws InterruptedException {
         return ask(request(cores.get(core), "/-/status").build()).map(HttpResponse::body);
--- a/src/main/java/tinworks/demo/ProcessCosts.java
+++ b/src/main/java/tinworks/demo/ProcessCosts.java
@@ -71,12 +71,22 @@
     private static double field(Path file, String name) throws IOException {
         for (String line : Files.readAllLines(file)) {
             if (line.startsWith(name + ":")) {
-                return Double.parseDouble(line.substring(name.length() + 1).strip());
+                return Double.parseDouble(line.substring(name.length() + 1).strip().split(" ")[0]);
             }
         }
         return 0;
     }
 
+    /** The most memory that a process has had at a time, in kilobytes; 0 where the system doesn't tell. */
+    static long peakKilobytes(long pid) {
+        try {
+            return (long) field(Path.of("/proc", Long.toString(pid), "status"), "VmHWM");
+        } catch (IOException e) {
+            // It has ended, or this system tells nothing of processes.
+            return 0;
+        }
+    }
+
     /** How many processes were added. */
     int processes() {
         return processes;
