Find out a core's file that was changed, whichever bytes

Cause: a flipped bit in a chunk's head made MVStore fall back to an older chunk, many acknowledged writes back, and a key or a page's place had no checksum of its own.

Change: opening a store holds all records against the sum that was written with the last of them, and the version that was opened against the last footer in the file; anything else is Damaged. MVStore's asserts, on in tests, count as damage.

Measured: DamageTest, 6,000 flips and zeroed sectors: found out or read as written; the state before the last write comes back only where the last sector, with the last footer, was hit. 1,000 files cut short: found out or one of the states.

--- a/src/main/java/tinworks/store/CoreStore.java
+++ b/src/main/java/tinworks/store/CoreStore.java
@@ -166,7 +166,7 @@
         number = numbers.isEmpty() ? -1 : numbers.first();
         if (number >= 0) {
             records = openFile(name(number));
-            check();
+            check(name(number));
             // What a killed process left may not be synced yet, and this one acts on it.
             records.store.sync();
         }
@@ -179,7 +179,7 @@
     private boolean isWhole(String file) throws IOException {
         try {
             records = openFile(file);
-            check();
+            check(file);
             records.store.sync();
             return true;
         } catch (Damaged e) {
@@ -217,7 +217,7 @@
                     .keyType(LongDataType.INSTANCE).valueType(ByteArrayDataType.INSTANCE)),
                     store.openMap("meta", new MVMap.Builder<String, byte[]>().keyType(StringDataType.INSTANCE)
                     .valueType(ByteArrayDataType.INSTANCE)));
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | AssertionError e) {
             if (store != null) {
                 store.closeImmediately();
             }
@@ -225,11 +225,11 @@
         }
     }
 
-    /** What became of reading a file: the disk's fault, or the file's. An {@link Error} is neither. */
-    private static Damaged unreadable(RuntimeException e) throws IOException {
+    /** What became of reading a file: the disk's fault, or the file's. An {@link Error} is neither, but for MVStore's asserts. */
+    private static Damaged unreadable(Throwable e) throws IOException {
         IOException disk = null;
         for (Throwable cause = e; cause != null; cause = cause.getCause()) {
-            if (cause instanceof Error error) {
+            if (cause instanceof Error error && !(cause instanceof AssertionError)) {
                 throw error;
             }
             if (cause instanceof IOException io && !(cause instanceof EOFException)) {
@@ -290,12 +290,12 @@
             }
             checkOrder(snapshot, entries);
             return new Stored(hard, snapshot, entries);
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | AssertionError e) {
             throw damaged(e);
         }
     }
 
-    private static Damaged damaged(RuntimeException e) {
+    private static Damaged damaged(Throwable e) {
         try {
             return unreadable(e);
         } catch (IOException io) {
@@ -304,7 +304,7 @@
     }
 
     /** Reads every record, and holds their sum against the one that was written with the last of them. */
-    private void check() throws IOException, Damaged {
+    private void check(String file) throws IOException, Damaged {
         try {
             sum = 0;
             liveBytes = 0;
@@ -321,15 +321,20 @@
                 }
             }
             byte[] record = records.meta.get(SUM);
-            // Stores of earlier versions have none.
-            if (record != null && unsealed(record, SUM).getInt() != sum) {
+            if (record == null) {
+                throw new Damaged("there is no sum of the records", null);
+            }
+            if (unsealed(record, SUM).getInt() != sum) {
                 throw new Damaged("the records don't match their sum", null);
             }
+            if (OrderedFile.newestVersion(folder.path(file)) != records.store.getCurrentVersion()) {
+                throw new Damaged("what was written last can't be read", null);
+            }
             if (identity() == 0) {
                 throw new Damaged("there is no identity in it", null);
             }
             renewAt = 2 * liveBytes + spareBytes;
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | AssertionError e) {
             throw unreadable(e);
         }
     }
--- a/src/main/java/tinworks/store/OrderedFile.java
+++ b/src/main/java/tinworks/store/OrderedFile.java
@@ -4,6 +4,10 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.channels.FileLock;
+import java.nio.charset.StandardCharsets;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.h2.mvstore.DataUtils;
 import org.h2.store.fs.FileBase;
 import org.h2.store.fs.FilePath;
 import org.h2.store.fs.FilePathWrapper;
@@ -17,7 +21,9 @@
 public final class OrderedFile extends FilePathWrapper {
     /** What stands before a file's path. */
     static final String SCHEME = "ordered";
-    private static final int FOOTER = 128;
+    private static final int FOOTER = 128, BLOCK = 4096, HEADER = 2 * BLOCK, RADIX = 16;
+    private static final Pattern FOOTER_TEXT =
+            Pattern.compile("(chunk:[0-9a-f]{1,8},len:[0-9a-f]{1,8},version:([0-9a-f]{1,15})),fletcher:([0-9a-f]{1,8})[^0-9a-f]");
 
     static {
         FilePath.register(new OrderedFile());
@@ -28,6 +34,28 @@
         return SCHEME + ":" + path;
     }
 
+    /**
+     * The version of the last chunk that was ever whole, by its footer, 0 where there is none. As a file is only added to,
+     * this is the newest one; where MVStore opens an older one, the newest has been damaged since.
+     */
+    static long newestVersion(String path) throws IOException {
+        try (FileChannel file = FilePath.get(path).open("r")) {
+            ByteBuffer footer = ByteBuffer.allocate(FOOTER);
+            for (long end = file.size() / BLOCK * BLOCK; end > HEADER; end -= BLOCK) {
+                footer.clear();
+                for (int count = 0; footer.hasRemaining() && count >= 0;) {
+                    count = file.read(footer, end - FOOTER + footer.position());
+                }
+                Matcher matcher = FOOTER_TEXT.matcher(new String(footer.array(), StandardCharsets.ISO_8859_1));
+                if (matcher.lookingAt() && DataUtils.getFletcher32(footer.array(), 0, matcher.end(1))
+                        == Integer.parseUnsignedInt(matcher.group(3), RADIX)) {
+                    return Long.parseUnsignedLong(matcher.group(2), RADIX);
+                }
+            }
+            return 0;
+        }
+    }
+
     @Override
     public String getScheme() {
         return SCHEME;
--- /dev/null
+++ b/src/test/java/tinworks/store/DamageTest.java
@@ -0,0 +1,98 @@
+package tinworks.store;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.junit.jupiter.api.Assertions.fail;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import tinworks.raft.Entry;
+import tinworks.raft.HardState;
+import tinworks.raft.Output;
+import tinworks.raft.Snapshot;
+import tinworks.raft.Stored;
+
+/** A file whose bytes were changed or lost on the disk is found out, or read as it was. */
+class DamageTest {
+    private static final String FILE = "state.mv";
+    private static final int WRITES = 16, ROUNDS = 6_000, SECTOR = 512;
+
+    private final List<String> states = new ArrayList<>();
+
+    private byte[] written() throws Exception {
+        SimulatedDisk disk = new SimulatedDisk(1);
+        SplittableRandom random = new SplittableRandom(2);
+        CoreStore store = CoreStore.open(disk.folder());
+        store.found(42, HardState.NONE, Snapshot.NONE);
+        states.add(describe(store.load()));
+        for (int i = 1; i <= WRITES; i++) {
+            byte[] body = new byte[random.nextInt(3_000)];
+            random.nextBytes(body);
+            Snapshot snapshot = i % 7 == 0 ? new Snapshot(i - 2, 1, List.of(), body) : null;
+            store.write(new Output(1, new HardState(i, i), snapshot, i, List.of(new Entry(i, i, Entry.Kind.COMMAND, body)), i,
+                    List.of(), null, List.of(), List.of()));
+            states.add(describe(store.load()));
+        }
+        return disk.read(FILE);
+    }
+
+    private static String describe(Stored stored) {
+        return stored.hard() + " " + stored.snapshot().index() + " " + Arrays.hashCode(stored.snapshot().state()) + " "
+                + stored.entries();
+    }
+
+    /** What a damaged file is read as: the number of the state, or -1 where it is found out. */
+    private int read(byte[] bytes, String how) {
+        SimulatedDisk disk = new SimulatedDisk(3);
+        disk.put(FILE, bytes);
+        try (CoreStore store = CoreStore.open(disk.folder())) {
+            assertEquals(42, store.identity(), how);
+            int state = states.indexOf(describe(store.load()));
+            assertTrue(state >= 0, "a state that never was, " + how);
+            return state;
+        } catch (CoreStore.Damaged e) {
+            return -1;
+        } catch (IOException e) {
+            return fail(how, e);
+        }
+    }
+
+    @Test
+    void flipsAndZeroesAreFoundOutOrChangeNothing() throws Exception {
+        byte[] whole = written();
+        SplittableRandom random = new SplittableRandom(4);
+        int found = 0;
+        int before = 0;
+        for (int round = 0; round < ROUNDS; round++) {
+            byte[] bytes = whole.clone();
+            int at = random.nextInt(bytes.length);
+            if (round % 3 == 0) {
+                Arrays.fill(bytes, at / SECTOR * SECTOR, at / SECTOR * SECTOR + SECTOR, (byte) 0);
+            } else {
+                bytes[at] ^= (byte) (1 << random.nextInt(8));
+            }
+            int state = read(bytes, "round " + round + " at byte " + at);
+            assertTrue(state < 0 || state >= WRITES - 1, "round " + round + " at byte " + at + ": state " + state);
+            found += state < 0 ? 1 : 0;
+            before += state == WRITES - 1 ? 1 : 0;
+            // A footer that is gone looks like a write that power cut short.
+            assertTrue(state != WRITES - 1 || at >= bytes.length - SECTOR, "an older state at byte " + at);
+        }
+        assertTrue(found > ROUNDS / 50, found + " found out");
+        assertTrue(before > 0, "no round hit the last footer");
+    }
+
+    @Test
+    void aFileCutShortIsReadAsOneOfItsStatesOrFoundOut() throws Exception {
+        byte[] whole = written();
+        SplittableRandom random = new SplittableRandom(5);
+        for (int round = 0; round < ROUNDS / 6; round++) {
+            int length = random.nextInt(whole.length);
+            read(Arrays.copyOf(whole, length), "cut to " + length);
+        }
+    }
+}
