Let no machine whose store was set aside be a voter of a first start

Cause: a core machine whose store is damaged, or lost, while its settings still say bootstrap took the id that it had, having forgotten its votes and entries: two of three such starts could found a second history beside the first. And a store that couldn't be opened as the disk was full or failed for the moment was set aside as damaged.

Change: a machine takes an id of a first start only where nothing was ever founded in its folder nor set aside; a mark that is synced before the rename keeps that so where power takes the renamed file. A disk that can't be read, written or synced ends the start in an error; only a file that was read and is wrong is set aside. With most voters begun empty there is no leader: the core refuses, and an operator restores.

--- a/src/main/java/tinworks/control/Core.java
+++ b/src/main/java/tinworks/control/Core.java
@@ -9,6 +9,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.zip.CRC32C;
+import org.h2.mvstore.MVStoreException;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import tinworks.node.BootSettings;
@@ -52,37 +53,40 @@
     }
 
     /** Opens the store; one that can't be trusted is set aside, and this machine begins anew as another member. */
-    private static CoreStore open(Folder folder) throws IOException, CoreStore.Damaged {
-        CoreStore store = null;
-        try {
-            store = CoreStore.open(folder);
-            store.identity();
-            store.load();
-            return store;
-        } catch (CoreStore.Damaged e) {
-            if (store != null) {
-                store.close();
+    static CoreStore open(Folder folder) throws IOException, CoreStore.Damaged {
+        folder.make();
+        for (int files = folder.files().size(); ; files--) {
+            try {
+                return CoreStore.open(folder);
+            } catch (CoreStore.Damaged e) {
+                if (files <= 0) {
+                    throw e;
+                }
+                String date = LocalDateTime.now().format(DateTimeFormatter.ofPattern("yyyyMMdd-HHmmss"));
+                String aside = CoreStore.setAside(folder, date);
+                LOG.error("the store can't be trusted and was set aside as {}; this machine begins empty: {}", aside, e.getMessage());
             }
-            String date = LocalDateTime.now().format(DateTimeFormatter.ofPattern("yyyyMMdd-HHmmss"));
-            String aside = CoreStore.setAside(folder, date);
-            LOG.error("the store can't be trusted and was set aside as {}; this machine begins empty: {}", aside, e.getMessage());
-            return CoreStore.open(folder);
         }
     }
 
     /**
-     * Who this machine is. On a disk that was empty it is somebody new, who has voted for nobody; only when the whole
-     * system starts for the first time the seeds take ids that each of them can work out for all.
+     * Who this machine is. On a disk that was empty it is somebody new, who has voted for nobody, and no voter; only when the
+     * whole system starts for the first time the seeds take ids that each of them can work out for all. A machine whose store
+     * was set aside may have voted under such an id, so it takes none again, whatever its settings say.
      */
-    private static long identity(CoreStore store, BootSettings settings) throws CoreStore.Damaged {
+    static long identity(CoreStore store, BootSettings settings) throws IOException, CoreStore.Damaged {
         long known = store.identity();
         if (known != 0) {
             return known;
         }
-        boolean first = settings.bootstrap() && settings.seeds().contains(settings.innerAddress());
+        boolean first = settings.bootstrap() && settings.seeds().contains(settings.innerAddress()) && store.untouched();
         long id = first ? firstId(settings.innerAddress()) : newId(settings.innerAddress());
         List<Member> voters = settings.seeds().stream().map(seed -> new Member(firstId(seed), seed)).toList();
-        store.found(id, HardState.NONE, first ? new Snapshot(0, 0, voters, new byte[0]) : Snapshot.NONE);
+        try {
+            store.found(id, HardState.NONE, first ? new Snapshot(0, 0, voters, new byte[0]) : Snapshot.NONE);
+        } catch (IllegalStateException | MVStoreException e) {
+            throw new IOException(e.getMessage(), e);
+        }
         return id;
     }
 
--- a/src/main/java/tinworks/store/CoreStore.java
+++ b/src/main/java/tinworks/store/CoreStore.java
@@ -120,15 +120,23 @@
         }
     }
 
-    /** Renames a damaged store, so that nothing is lost and an empty one can be made; returns the file's new name. */
+    /**
+     * Renames a damaged store, so that nothing is lost and an empty one can be made; returns the file's new name. A file that
+     * is renamed may be lost by itself with the power, so a mark is made and synced first: it keeps the folder from looking
+     * {@link #untouched}.
+     */
     public static String setAside(Folder folder, String date) throws IOException {
         List<String> files = folder.files();
-        String aside = ASIDE + date + ".mv";
-        for (int i = 2; files.contains(aside); i++) {
-            aside = ASIDE + date + "-" + i + ".mv";
+        String name = ASIDE + date;
+        for (int i = 2; files.contains(name) || files.contains(name + ".mv"); i++) {
+            name = ASIDE + date + "-" + i;
         }
+        String aside = name + ".mv";
+        folder.create(name);
+        folder.sync();
         folder.move(name(numbers(files).first()), aside);
         folder.sync();
+        folder.remove(name);
         return aside;
     }
 
--- a/src/main/java/tinworks/store/DiskFolder.java
+++ b/src/main/java/tinworks/store/DiskFolder.java
@@ -40,6 +40,11 @@
         }
     }
 
+    @Override
+    public void create(String file) throws IOException {
+        Files.createFile(place.resolve(file));
+    }
+
     @Override
     public void move(String file, String to) throws IOException {
         Files.move(place.resolve(file), place.resolve(to));
--- a/src/main/java/tinworks/store/Folder.java
+++ b/src/main/java/tinworks/store/Folder.java
@@ -17,6 +17,9 @@
     /** The names of the files in it, in no order. */
     List<String> files() throws IOException;
 
+    /** Makes an empty file; there must be none of this name. */
+    void create(String file) throws IOException;
+
     /** Renames a file; there must be none of the new name. */
     void move(String file, String to) throws IOException;
 
--- a/src/test/java/tinworks/store/SimulatedDisk.java
+++ b/src/test/java/tinworks/store/SimulatedDisk.java
@@ -208,6 +208,16 @@
         }
     }
 
+    private Contents newFile(String file) throws IOException {
+        if (taken == 0) {
+            throw new IOException("No space left on device");
+        }
+        change();
+        Contents made = new Contents();
+        names.put(file, made);
+        return made;
+    }
+
     private void synced() throws IOException {
         Runnable hook;
         synchronized (this) {
@@ -314,6 +324,17 @@
             return SimulatedDisk.this.files();
         }
 
+        @Override
+        public void create(String file) throws IOException {
+            synchronized (SimulatedDisk.this) {
+                alive();
+                if (names.containsKey(file)) {
+                    throw new IOException("there is " + file + " already");
+                }
+                newFile(file);
+            }
+        }
+
         @Override
         public void move(String file, String to) throws IOException {
             synchronized (SimulatedDisk.this) {
@@ -489,15 +510,7 @@
             SimulatedDisk disk = disk();
             synchronized (disk) {
                 Contents contents = disk.names.get(file());
-                if (contents == null) {
-                    if (disk.taken == 0) {
-                        throw new IOException("No space left on device");
-                    }
-                    disk.change();
-                    contents = new Contents();
-                    disk.names.put(file(), contents);
-                }
-                return disk.new Opened(contents);
+                return disk.new Opened(contents == null ? disk.newFile(file()) : contents);
             }
         }
 
