Remember the last 8,192 versions that were taken, and refuse nothing that is older

A repeat of an order that had been taken got 412 once 256 further versions had come: ConfigurationHistory forgot its digest and judged it by its base.

Of what is older the highest number is kept: such an order gets the verdict FORGOTTEN and stays without a clear answer.

--- a/src/main/java/tinworks/config/ConfigurationHistory.java
+++ b/src/main/java/tinworks/config/ConfigurationHistory.java
@@ -1,17 +1,15 @@
 package tinworks.config;
 
+import java.nio.BufferUnderflowException;
 import java.nio.ByteBuffer;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.Arrays;
-import java.util.Iterator;
-import java.util.LinkedHashMap;
-import java.util.Map;
 
 /**
  * The versions of the configuration: the state machine that the agreed log drives. Equal commands in equal order
  * give equal verdicts at every member. Of older versions only a digest is kept, so that a call that is repeated is
- * known again.
+ * known again ({@link TakenVersions}).
  */
 public final class ConfigurationHistory {
     /** What became of a command. */
@@ -21,22 +19,32 @@
         /** It was built on a version that is not the current one. */
         CONFLICT,
         /** It was built on the current version, and its number isn't above it. */
-        NOT_ABOVE
+        NOT_ABOVE,
+        /** It may have been taken: its number is among those that are no longer known. */
+        FORGOTTEN
     }
 
-    /** A call's repeat comes within seconds; so many versions don't. */
-    private static final int KEPT_DIGESTS = 256;
     private static final int DIGEST_BYTES = 32;
-    private static final int ENTRY_BYTES = Long.BYTES + DIGEST_BYTES;
     private static final int HEAD_BYTES = 2 * Long.BYTES + DIGEST_BYTES;
     /** The longest configuration that is taken, as the operator sends it. */
     public static final int LONGEST_BODY = 8 << 20;
+    /** The first byte of what {@link #save} writes. */
+    private static final byte FORMAT = 1;
 
-    private final Map<Long, byte[]> taken = new LinkedHashMap<>();
+    private TakenVersions taken;
     private long rev;
     /** The version in force, {@link Packed}; empty where there is none. */
     private byte[] packed = { };
 
+    /** Before the first version. */
+    public ConfigurationHistory() {
+        this(new TakenVersions());
+    }
+
+    ConfigurationHistory(TakenVersions taken) {
+        this.taken = taken;
+    }
+
     /** The bytes of a command: {@link #command(long, long, ByteBuffer...)}. */
     public static byte[] command(long base, long rev, byte[] body) {
         return command(base, rev, ByteBuffer.wrap(body));
@@ -69,21 +77,20 @@
         if (verdict == Verdict.TAKEN && next > rev) {
             rev = next;
             packed = Arrays.copyOfRange(command, HEAD_BYTES, command.length);
-            taken.put(next, digest(command));
-            Iterator<Long> oldest = taken.keySet().iterator();
-            while (taken.size() > KEPT_DIGESTS) {
-                oldest.next();
-                oldest.remove();
-            }
+            taken.add(next, digest(command));
         }
         return verdict;
     }
 
     /** What would become of a command now. */
     public Verdict judge(long base, long next, byte[] command) {
-        if (Arrays.equals(taken.get(next), digest(command))) {
+        if (taken.has(next, digest(command))) {
             return Verdict.TAKEN;
         }
+        // Guards against refusing what was taken long ago.
+        if (next <= taken.forgotten()) {
+            return Verdict.FORGOTTEN;
+        }
         if (base != rev) {
             return Verdict.CONFLICT;
         }
@@ -105,11 +112,11 @@
         return packed;
     }
 
-    /** The whole as bytes: the version, the packed body behind its length, then the digests. */
+    /** The whole as bytes: their format (1), the version (8), the packed body behind its length (4), then what was taken. */
     public byte[] save() {
-        ByteBuffer out = ByteBuffer.allocate(Long.BYTES + 2 * Integer.BYTES + packed.length + taken.size() * ENTRY_BYTES);
-        out.putLong(rev).putInt(packed.length).put(packed).putInt(taken.size());
-        taken.forEach((version, digest) -> out.putLong(version).put(digest));
+        ByteBuffer out = ByteBuffer.allocate(1 + Long.BYTES + Integer.BYTES + packed.length + taken.bytes());
+        out.put(FORMAT).putLong(rev).putInt(packed.length).put(packed);
+        taken.save(out);
         return out.array();
     }
 
@@ -117,32 +124,25 @@
     public void load(byte[] saved) {
         ByteBuffer in = ByteBuffer.wrap(saved);
         try {
+            byte format = in.get();
+            if (format != FORMAT) {
+                throw new IllegalArgumentException("history: format " + format + ", known here is " + FORMAT);
+            }
             long savedRev = in.getLong();
-            byte[] savedBody = new byte[length(in, 1)];
-            in.get(savedBody);
-            int digests = length(in, ENTRY_BYTES);
-            taken.clear();
-            for (int i = 0; i < digests; i++) {
-                long version = in.getLong();
-                byte[] digest = new byte[DIGEST_BYTES];
-                in.get(digest);
-                taken.put(version, digest);
+            int length = in.getInt();
+            if (length < 0 || length > in.remaining()) {
+                throw new IllegalArgumentException("history: a length of " + length);
             }
+            byte[] savedBody = new byte[length];
+            in.get(savedBody);
+            taken = taken.load(in);
             rev = savedRev;
             packed = savedBody;
-        } catch (java.nio.BufferUnderflowException e) {
+        } catch (BufferUnderflowException e) {
             throw new IllegalArgumentException("history: cut short", e);
         }
     }
 
-    private static int length(ByteBuffer in, int each) {
-        int length = in.getInt();
-        if (length < 0 || length > in.remaining() / each) {
-            throw new IllegalArgumentException("history: a length of " + length);
-        }
-        return length;
-    }
-
     private static byte[] digest(byte[] command) {
         return Arrays.copyOfRange(command, 2 * Long.BYTES, HEAD_BYTES);
     }
--- a/src/main/java/tinworks/control/OperatorCalls.java
+++ b/src/main/java/tinworks/control/OperatorCalls.java
@@ -209,6 +209,8 @@
         if (settled) {
             // True for good, whoever leads: a version that was taken or passed stays so.
             done(number, verdict(now));
+        } else if (now == Verdict.FORGOTTEN) {
+            done(number, null);
         } else if (!agreement.raft().hasRoom(call.command.length)) {
             // Until what is written before it is committed, or its time is over.
             call.atWork = false;
@@ -236,6 +238,7 @@
         return switch (verdict) {
             case TAKEN -> new CallAnswer(0, OK, ("{\"rev\":" + rev + "}\n").getBytes(StandardCharsets.UTF_8));
             case CONFLICT -> new CallAnswer(0, CONFLICT, error(BASE, "the current version is " + rev));
+            case FORGOTTEN -> null;
             case NOT_ABOVE -> new CallAnswer(0, INVALID, error("rev", "not above the current version " + rev));
         };
     }
--- a/src/test/java/tinworks/config/ConfigurationTest.java
+++ b/src/test/java/tinworks/config/ConfigurationTest.java
@@ -7,6 +7,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.SplittableRandom;
+import java.util.function.BiConsumer;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -128,4 +129,74 @@
         assertEquals(Verdict.TAKEN, copy.apply(command(2, 5, "one")));
         assertThrows(IllegalArgumentException.class, () -> copy.load(new byte[] {1, 2, 3}));
     }
+
+    /** Versions of uneven steps, each with a body of its own, on top of each other. */
+    private static long chain(ConfigurationHistory history, int count) {
+        for (int i = 1; i <= count; i++) {
+            assertEquals(Verdict.TAKEN, history.apply(command(history.rev(), history.rev() + 1 + i % 3, "body " + i)));
+        }
+        return history.rev();
+    }
+
+    /** The commands of {@link #chain}, from the first to the last. */
+    private static void forChain(int count, BiConsumer<Integer, byte[]> told) {
+        long rev = 0;
+        for (int i = 1; i <= count; i++) {
+            long base = rev;
+            rev += 1 + i % 3;
+            told.accept(i, command(base, rev, "body " + i));
+        }
+    }
+
+    private static int refusedOfADay(ConfigurationHistory history) {
+        int day = 4_600;
+        chain(history, day);
+        int[] refused = {0};
+        forChain(day, (i, command) -> refused[0] += history.apply(command) == Verdict.TAKEN ? 0 : 1);
+        return refused[0];
+    }
+
+    @Test
+    void aRepeatIsKnownAfterADayOfChanges() {
+        assertEquals(0, refusedOfADay(new ConfigurationHistory()));
+        assertEquals(4_600 - 256, refusedOfADay(new ConfigurationHistory(new TakenVersions(256))), "with too short a memory");
+    }
+
+    @Test
+    void whatIsOlderThanTheMemoryIsNeitherRefusedNorAcknowledgedAlsoAfterASnapshot() {
+        ConfigurationHistory history = new ConfigurationHistory();
+        int count = 10_000;
+        long last = chain(history, count);
+        ConfigurationHistory copy = new ConfigurationHistory();
+        copy.load(history.save());
+        assertEquals(last, copy.rev());
+        int[] known = {0};
+        forChain(count, (i, command) -> {
+            Verdict verdict = copy.apply(command);
+            assertEquals(i > count - 8_192 ? Verdict.TAKEN : Verdict.FORGOTTEN, verdict, "change " + i);
+            known[0] += verdict == Verdict.TAKEN ? 1 : 0;
+        });
+        assertEquals(8_192, known[0]);
+        assertEquals(Verdict.FORGOTTEN, copy.apply(command(1, 3, "never taken")), "nobody knows any more");
+        assertEquals(Verdict.CONFLICT, copy.apply(command(last - 9, last - 3, "never taken")));
+        assertEquals(last, copy.rev());
+        // The bound of what a snapshot holds besides the configuration itself.
+        assertEquals(25 + 8_192 * 24, history.save().length - history.packed().length);
+    }
+
+    @Test
+    void anotherBodyUnderATakenNumberIsAnotherOrder() {
+        ConfigurationHistory history = new ConfigurationHistory();
+        chain(history, 3);
+        byte[] other = command(0, 2, "another's");
+        assertEquals(Verdict.CONFLICT, history.apply(other));
+        ConfigurationHistory byNumber = new ConfigurationHistory(new TakenVersions() {
+            @Override
+            boolean has(long rev, byte[] digest) {
+                return rev <= 7;
+            }
+        });
+        chain(byNumber, 3);
+        assertEquals(Verdict.TAKEN, byNumber.apply(other), "known by its number alone it would be confirmed");
+    }
 }
