Confirm a repeated order under its own number

An order that was sent again after a later one had been taken was answered 200 with the later one's number: the answer named the version in force, so two operators could read a confirmation of one number. It names the order's own now.

--- a/src/main/java/tinworks/control/OperatorCalls.java
+++ b/src/main/java/tinworks/control/OperatorCalls.java
@@ -208,14 +208,14 @@
         boolean settled = now == Verdict.TAKEN && rev <= history.rev() || now == Verdict.CONFLICT && base < history.rev();
         if (settled) {
             // True for good, whoever leads: a version that was taken or passed stays so.
-            done(number, verdict(now));
+            done(number, verdict(now, rev));
         } else if (now == Verdict.FORGOTTEN) {
             done(number, null);
         } else if (!agreement.raft().hasRoom(call.command.length)) {
             // Until what is written before it is committed, or its time is over.
             call.atWork = false;
         } else {
-            agreement.propose(call.command, verdict -> done(number, verdict == null ? null : verdict(verdict)));
+            agreement.propose(call.command, verdict -> done(number, verdict == null ? null : verdict(verdict, rev)));
         }
     }
 
@@ -233,13 +233,14 @@
         }
     }
 
-    private CallAnswer verdict(Verdict verdict) {
-        long rev = machine.agreement().history().rev();
+    /** Null where it is open. A repeat is confirmed under its own number, whatever has come on top of it since. */
+    private CallAnswer verdict(Verdict verdict, long rev) {
+        long current = machine.agreement().history().rev();
         return switch (verdict) {
             case TAKEN -> new CallAnswer(0, OK, ("{\"rev\":" + rev + "}\n").getBytes(StandardCharsets.UTF_8));
-            case CONFLICT -> new CallAnswer(0, CONFLICT, error(BASE, "the current version is " + rev));
+            case CONFLICT -> new CallAnswer(0, CONFLICT, error(BASE, "the current version is " + current));
+            case NOT_ABOVE -> new CallAnswer(0, INVALID, error("rev", "not above the current version " + current));
             case FORGOTTEN -> null;
-            case NOT_ABOVE -> new CallAnswer(0, INVALID, error("rev", "not above the current version " + rev));
         };
     }
 
--- /dev/null
+++ b/src/test/java/tinworks/control/CoreNetwork.java
@@ -0,0 +1,394 @@
+package tinworks.control;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import tinworks.channel.Conversation;
+import tinworks.channel.Links;
+import tinworks.channel.Signal;
+import tinworks.channel.Signal.Hello;
+import tinworks.channel.Signal.Part;
+import tinworks.raft.HardState;
+import tinworks.raft.Member;
+import tinworks.raft.Output;
+import tinworks.raft.Snapshot;
+import tinworks.raft.Stored;
+
+/**
+ * Core machines on a simulated network, with simulated disks and one steady clock, all chance from one seed. Machines are cut
+ * off, frozen, killed and started again; the machines, their agreement and the operator's calls are the production classes.
+ */
+final class CoreNetwork {
+    /** A machine as the test wants it, sound or flawed. */
+    interface Maker {
+        CoreMachine make(CoreMachine.Identity self, Stored stored, Disk disk, CoreMachine.Environment around);
+    }
+
+    private static final int SILENCE_MILLIS = 2_600;
+
+    final SplittableRandom random;
+    final List<Node> nodes = new ArrayList<>();
+    private final Maker maker;
+    private final List<Member> voters = new ArrayList<>();
+    private final PriorityQueue<Event> events = new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparing(Event::order));
+    private final Map<Set<Process>, Long> cuts = new HashMap<>();
+    long now = 1_000;
+    private long order;
+
+    private record Event(long at, long order, Runnable work) { }
+
+    CoreNetwork(long seed, int machines, Maker maker) {
+        random = new SplittableRandom(seed);
+        this.maker = maker;
+        for (int i = 0; i < machines; i++) {
+            voters.add(new Member(i + 1, "core-" + i));
+        }
+        voters.forEach(voter -> nodes.add(new Node(voter)));
+        nodes.forEach(Node::start);
+    }
+
+    void later(long millis, Runnable work) {
+        events.add(new Event(now + millis, order++, work));
+    }
+
+    void run(long until) {
+        while (!events.isEmpty() && events.peek().at() <= until) {
+            Event event = events.poll();
+            now = event.at();
+            event.work().run();
+        }
+        now = until;
+    }
+
+    /** The machine that leads the highest term, null where none does. */
+    Node leader() {
+        return nodes.stream().filter(n -> n.up() && n.raft().ready())
+                .max(Comparator.comparingLong(n -> n.raft().term())).orElse(null);
+    }
+
+    Node ready(long within) {
+        for (long until = now + within; now < until;) {
+            run(now + 10);
+            if (leader() != null) {
+                return leader();
+            }
+        }
+        throw new AssertionError("no leader within " + within + " ms");
+    }
+
+    void cut(Process one, Process other) {
+        Set<Process> pair = Set.of(one, other);
+        long at = now;
+        if (cuts.putIfAbsent(pair, at) == null) {
+            later(SILENCE_MILLIS, () -> {
+                if (Long.valueOf(at).equals(cuts.get(pair))) {
+                    one.dropped(other);
+                    other.dropped(one);
+                }
+            });
+        }
+    }
+
+    void cutOff(Node node) {
+        nodes.stream().filter(n -> n != node).forEach(n -> cut(node, n));
+    }
+
+    void heal() {
+        cuts.clear();
+    }
+
+    private boolean isCut(Process one, Process other) {
+        return cuts.containsKey(Set.of(one, other));
+    }
+
+    /** One process: its connections, and what waits for it while it is frozen. */
+    abstract class Process implements Links {
+        final Map<String, End> dialled = new HashMap<>();
+        final Set<End> ends = new LinkedHashSet<>();
+        final ArrayDeque<Runnable> frozenWork = new ArrayDeque<>();
+        boolean frozen;
+        long life;
+
+        abstract Hello hello();
+
+        abstract Conversation.Listener listener();
+
+        abstract boolean up();
+
+        /** Does something in this process, once it isn't frozen, unless its life is over by then. */
+        final void work(long millis, Runnable work) {
+            long mine = life;
+            later(millis, () -> inLife(mine, work));
+        }
+
+        private void inLife(long mine, Runnable work) {
+            if (life == mine && up()) {
+                if (frozen) {
+                    frozenWork.add(work);
+                } else {
+                    work.run();
+                }
+            }
+        }
+
+        final void freeze() {
+            frozen = true;
+        }
+
+        final void thaw() {
+            frozen = false;
+            List<Runnable> waiting = List.copyOf(frozenWork);
+            frozenWork.clear();
+            long mine = life;
+            waiting.forEach(work -> inLife(mine, work));
+        }
+
+        @Override
+        public final void want(Collection<String> addresses) {
+            Set<String> wanted = new HashSet<>(addresses);
+            for (String old : List.copyOf(dialled.keySet())) {
+                if (!wanted.contains(old)) {
+                    dialled.remove(old).close("no longer wanted");
+                }
+            }
+            for (String address : wanted) {
+                End known = dialled.get(address);
+                if (known == null || known.closed) {
+                    nodes.stream().filter(n -> n.hello().address().equals(address) && n != this).findFirst()
+                            .ifPresent(n -> dial(address, n));
+                }
+            }
+        }
+
+        private void dial(String address, Node target) {
+            if (!target.up() || isCut(this, target)) {
+                return;
+            }
+            End here = new End(this, target.hello(), true);
+            End there = new End(target, hello(), false);
+            here.far = there;
+            there.far = here;
+            dialled.put(address, here);
+            there.deliver(() -> there.open());
+            there.send(() -> here.open());
+        }
+
+        @Override
+        public final List<Conversation> open() {
+            List<Conversation> open = new ArrayList<>();
+            dialled.values().stream().filter(End::isOpen).forEach(open::add);
+            return open;
+        }
+
+        final void dropped(Process far) {
+            List.copyOf(ends).stream().filter(e -> e.far.owner == far).forEach(e -> e.close("silent"));
+        }
+
+        final void end() {
+            life++;
+            frozen = false;
+            frozenWork.clear();
+            for (End end : List.copyOf(ends)) {
+                end.send(() -> end.far.close("reset"));
+                end.closed = true;
+            }
+            ends.clear();
+            dialled.clear();
+        }
+    }
+
+    /** One side of a connection. */
+    private final class End implements Conversation {
+        final Process owner;
+        private final Hello peer;
+        private final boolean dialled;
+        private final long itsLife;
+        private End far;
+        private boolean opened;
+        private boolean closed;
+        private long lastArrival;
+
+        End(Process owner, Hello peer, boolean dialled) {
+            this.owner = owner;
+            this.peer = peer;
+            this.dialled = dialled;
+            itsLife = owner.life;
+            owner.ends.add(this);
+        }
+
+        private void open() {
+            if (!closed) {
+                opened = true;
+                owner.listener().opened(this);
+            }
+        }
+
+        /** In order; lost on the way where the two are cut from each other. */
+        private void send(Runnable atFarSide) {
+            if (!isCut(owner, far.owner)) {
+                far.deliver(atFarSide);
+            }
+        }
+
+        private void deliver(Runnable work) {
+            lastArrival = Math.max(lastArrival, now + 1 + random.nextInt(4));
+            long mine = itsLife;
+            later(lastArrival - now, () -> {
+                if (!isCut(owner, far.owner) && owner.life == mine) {
+                    owner.inLife(mine, work);
+                }
+            });
+        }
+
+        @Override
+        public Hello peer() {
+            return opened ? peer : null;
+        }
+
+        @Override
+        public boolean dialled() {
+            return dialled;
+        }
+
+        @Override
+        public boolean isOpen() {
+            return opened && !closed;
+        }
+
+        @Override
+        public void send(Signal signal) {
+            if (!closed) {
+                send(() -> {
+                    if (far.isOpen()) {
+                        far.owner.listener().received(far, signal);
+                    }
+                });
+            }
+        }
+
+        @Override
+        public void close(String why) {
+            if (!closed) {
+                closed = true;
+                owner.ends.remove(this);
+                if (opened && owner.life == itsLife && owner.up()) {
+                    owner.listener().closed(this);
+                }
+                send(() -> far.close("closed there"));
+            }
+        }
+    }
+
+    /** A core machine with its disk. */
+    final class Node extends Process implements CoreMachine.Environment, Disk {
+        private final Member member;
+        private final ArrayDeque<Output> unsynced = new ArrayDeque<>();
+        private Stored synced;
+        private long diskFreeAt;
+        CoreMachine machine;
+        /** How long each write takes at most. */
+        int syncMillis = 4;
+
+        private Node(Member member) {
+            this.member = member;
+            synced = new Stored(HardState.NONE, new Snapshot(0, 0, voters, new byte[0]), List.of());
+        }
+
+        tinworks.raft.Raft raft() {
+            return machine.agreement().raft();
+        }
+
+        void start() {
+            machine = maker.make(new CoreMachine.Identity(member.id(), member.address(), 1), synced, this, this);
+            tick();
+        }
+
+        private void tick() {
+            machine.tick();
+            work(CoreMachine.TICK_MILLIS, this::tick);
+        }
+
+        /** Of what isn't synced, the disk keeps what had come first, up to some point. */
+        void kill() {
+            if (machine != null) {
+                for (int kept = random.nextInt(unsynced.size() + 1); kept > 0; kept--) {
+                    synced = written(synced, unsynced.poll());
+                }
+                unsynced.clear();
+                machine = null;
+                end();
+            }
+        }
+
+        @Override
+        public void write(Output output, Runnable done) {
+            unsynced.add(output);
+            diskFreeAt = Math.max(diskFreeAt, now) + 1 + random.nextInt(syncMillis);
+            long mine = life;
+            later(diskFreeAt - now, () -> {
+                if (life == mine && up()) {
+                    synced = written(synced, unsynced.poll());
+                    work(0, done);
+                }
+            });
+        }
+
+        @Override
+        boolean up() {
+            return machine != null;
+        }
+
+        @Override
+        Hello hello() {
+            return new Hello(Part.CORE, member.id(), member.address(), member.address(), "z");
+        }
+
+        @Override
+        Conversation.Listener listener() {
+            return machine;
+        }
+
+        @Override
+        public long millis() {
+            return now;
+        }
+
+        @Override
+        public Links links() {
+            return this;
+        }
+
+        @Override
+        public List<String> seeds() {
+            return voters.stream().map(Member::address).toList();
+        }
+
+        @Override
+        public void fetchList(boolean wanted) {
+            // Lists are told by the tests.
+        }
+
+        @Override
+        public void log(String line) {
+            // Nobody reads it.
+        }
+    }
+
+    private static Stored written(Stored before, Output output) {
+        HardState hard = output.hard() != null ? output.hard() : before.hard();
+        Snapshot snapshot = output.snapshot() != null ? output.snapshot() : before.snapshot();
+        List<tinworks.raft.Entry> entries = new ArrayList<>(before.entries());
+        entries.removeIf(e -> e.index() <= snapshot.index() || output.cutFrom() > 0 && e.index() >= output.cutFrom());
+        entries.addAll(output.entries());
+        return new Stored(hard, snapshot, entries);
+    }
+}
