Hold an order on a version that isn't known yet, rather than refuse it

An order on a base above the leader's version was judged by the log and got 412. What it builds on may still be under way: another copy of it, waiting at a machine without a leader, was proposed after its base had been taken and came into force although it had been refused.

The leader holds it until its base is known and gives 503 when its time is over; nothing is proposed meanwhile. What is proposed has a base that the leader has applied, so each verdict of the log stays true.

With the guard off, or with a leader's verdict taken for settled where it may be behind, the model fails within 300 runs.

--- a/src/main/java/tinworks/control/CoreMachine.java
+++ b/src/main/java/tinworks/control/CoreMachine.java
@@ -8,6 +8,8 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.BiFunction;
+import java.util.function.LongSupplier;
 import tinworks.channel.Conversation;
 import tinworks.channel.HostHistory;
 import tinworks.channel.HostList;
@@ -90,6 +92,11 @@
 
     /** A machine with what its disk holds; it does nothing before its first {@link #tick}. */
     CoreMachine(Identity self, Stored stored, Disk disk, Environment around) {
+        this(self, stored, disk, around, OperatorCalls::new);
+    }
+
+    /** One whose operator's calls are handled in this way. */
+    CoreMachine(Identity self, Stored stored, Disk disk, Environment around, BiFunction<CoreMachine, LongSupplier, OperatorCalls> handled) {
         this.self = self;
         this.around = around;
         id = self.id();
@@ -98,7 +105,7 @@
         touchedAt = now;
         plan = new VoterPlan(self.losses());
         agreement = new Agreement(raft, disk, around::millis, this);
-        calls = new OperatorCalls(this, around::millis);
+        calls = handled.apply(this, around::millis);
     }
 
     /** Hands the lead over and no longer has the list fetched. */
--- a/src/main/java/tinworks/control/OperatorCalls.java
+++ b/src/main/java/tinworks/control/OperatorCalls.java
@@ -25,7 +25,7 @@
  * The operator's calls at a core machine. A machine that doesn't lead passes a call on to the leader, and while there is
  * none it waits a little; a caller gets an answer within a second, and a 503 says that it is open what becomes of a change.
  */
-final class OperatorCalls {
+class OperatorCalls {
     private static final Logger LOG = LoggerFactory.getLogger(OperatorCalls.class);
     /** The header that names the version which a change builds on. */
     static final String BASE = "Base-Rev";
@@ -205,11 +205,9 @@
         long base = ConfigurationHistory.base(call.command);
         long rev = ConfigurationHistory.rev(call.command);
         Verdict now = history.judge(base, rev, call.command);
-        boolean settled = now == Verdict.TAKEN && rev <= history.rev() || now == Verdict.CONFLICT && base < history.rev();
-        if (settled) {
-            // True for good, whoever leads: a version that was taken or passed stays so.
+        if (isSettled(now, base, rev, history.rev())) {
             done(number, verdict(now, rev));
-        } else if (now == Verdict.FORGOTTEN) {
+        } else if (now == Verdict.FORGOTTEN || isAhead(base, history.rev())) {
             done(number, null);
         } else if (!agreement.raft().hasRoom(call.command.length)) {
             // Until what is written before it is committed, or its time is over.
@@ -219,6 +217,19 @@
         }
     }
 
+    /** Whether a verdict is true for good, whoever leads: a version that was taken, or passed, stays so. */
+    boolean isSettled(Verdict verdict, long base, long rev, long current) {
+        return verdict == Verdict.TAKEN && rev <= current || verdict == Verdict.CONFLICT && base < current;
+    }
+
+    /**
+     * Guards against refusing an order that may yet be taken: what it builds on may still be under way, or not be known
+     * here yet, and another copy of it may wait elsewhere. It waits for its base, and nothing is proposed meanwhile.
+     */
+    boolean isAhead(long base, long current) {
+        return base > current;
+    }
+
     /** Null where it is open: the call goes on until its time is over. */
     private void done(long number, CallAnswer answer) {
         Waiting call = waiting.get(number);
--- a/src/test/java/tinworks/control/CoreNetwork.java
+++ b/src/test/java/tinworks/control/CoreNetwork.java
@@ -243,8 +243,13 @@
             lastArrival = Math.max(lastArrival, now + 1 + random.nextInt(4));
             long mine = itsLife;
             later(lastArrival - now, () -> {
-                if (!isCut(owner, far.owner) && owner.life == mine) {
+                if (isCut(owner, far.owner)) {
+                    return;
+                }
+                if (owner.life == mine) {
                     owner.inLife(mine, work);
+                } else {
+                    far.close("reset");
                 }
             });
         }
--- a/src/test/java/tinworks/control/OrdersTest.java
+++ b/src/test/java/tinworks/control/OrdersTest.java
@@ -1,15 +1,21 @@
 package tinworks.control;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.BiFunction;
+import java.util.function.LongSupplier;
 import org.junit.jupiter.api.Test;
 import tinworks.channel.Signal.CallAnswer;
+import tinworks.config.ConfigurationHistory.Verdict;
 import tinworks.control.CoreNetwork.Node;
 
 /** Orders that race, repeat and lose their answers while machines are cut off, frozen and killed. */
 class OrdersTest {
+    private static final int RUNS = 300;
+
     private static List<CallAnswer> replace(Node node, long base, byte[] body) {
         List<CallAnswer> answers = new ArrayList<>();
         node.work(1, () -> node.machine.calls().replace(List.of(Long.toString(base)), body, answers::add));
@@ -21,6 +27,10 @@
         return answers.get(0).status();
     }
 
+    private static Node other(CoreNetwork network, Node... than) {
+        return network.nodes.stream().filter(n -> !List.of(than).contains(n)).findFirst().orElseThrow();
+    }
+
     @Test
     void aRepeatIsConfirmedUnderItsOwnNumberAlsoWhenALaterOneIsInForce() {
         CoreNetwork network = new CoreNetwork(1, 3, CoreMachine::new);
@@ -42,4 +52,124 @@
             assertEquals(2, Operators.rev(again.get(0)), "another's number");
         }
     }
+
+    /** A copy that waits for a leader must not come into force after another copy was refused. */
+    @Test
+    void anOrderOnAVersionThatIsStillUnderWayIsNotRefused() {
+        CoreNetwork network = new CoreNetwork(2, 3, CoreMachine::new);
+        Node leader = network.ready(3_000);
+        byte[] second = Operators.configuration(4, "b");
+        List<CallAnswer> early = replace(leader, 3, second);
+        network.run(network.now + 300);
+        List<CallAnswer> first = replace(leader, 0, Operators.configuration(3, "a"));
+        network.run(network.now + 300);
+        assertEquals(200, status(first));
+        assertEquals(200, status(early), "it waits for what it builds on");
+        List<CallAnswer> never = replace(leader, 8, Operators.configuration(9, "c"));
+        network.run(network.now + 1_000);
+        assertEquals(503, status(never), "a base that nobody knows");
+        assertEquals(0, leader.machine.calls().waiting());
+    }
+
+    /** One run: faults for some seconds, then calm, then everything said is checked. */
+    private static Operators play(long seed, CoreNetwork.Maker maker) {
+        CoreNetwork network = new CoreNetwork(seed, 3, maker);
+        network.ready(3_000);
+        Operators operators = new Operators(network, 0.3);
+        long end = network.now + 6_000;
+        while (network.now < end) {
+            network.run(network.now + 20 + network.random.nextInt(120));
+            operators.order();
+            if (network.random.nextInt(4) == 0) {
+                operators.show();
+            }
+            if (network.random.nextInt(12) == 0) {
+                trouble(network);
+            }
+        }
+        network.heal();
+        network.nodes.forEach(Node::thaw);
+        network.run(network.now + 6_000);
+        operators.check(network.ready(3_000).machine.agreement().history());
+        return operators;
+    }
+
+    private static void trouble(CoreNetwork network) {
+        Node leader = network.leader();
+        Node node = leader != null && network.random.nextBoolean() ? leader
+                : network.nodes.get(network.random.nextInt(network.nodes.size()));
+        long millis = 100 + network.random.nextInt(2_000);
+        switch (network.random.nextInt(4)) {
+            case 0 -> {
+                network.cutOff(node);
+                network.later(millis, network::heal);
+            }
+            case 1 -> {
+                node.freeze();
+                network.later(millis, node::thaw);
+            }
+            case 2 -> {
+                if (node.up()) {
+                    node.kill();
+                    network.later(millis / 2, node::start);
+                }
+            }
+            default -> {
+                node.syncMillis = 400;
+                network.later(millis, () -> node.syncMillis = 4);
+            }
+        }
+    }
+
+    @Test
+    void nothingThatWasTakenIsRefusedAndNothingRefusedIsInForce() {
+        int runs = Integer.getInteger("orders", RUNS);
+        int acknowledged = 0;
+        int refused = 0;
+        for (long seed = 0; seed < runs; seed++) {
+            try {
+                Operators operators = play(seed, CoreMachine::new);
+                acknowledged += operators.acknowledged;
+                refused += operators.refused;
+            } catch (AssertionError e) {
+                throw new AssertionError("seed " + seed + ": " + e.getMessage(), e);
+            }
+        }
+        assertTrue(acknowledged > 10 * runs && refused > 10 * runs, acknowledged + " acknowledged, " + refused + " refused");
+    }
+
+    private static CoreNetwork.Maker with(BiFunction<CoreMachine, LongSupplier, OperatorCalls> handled) {
+        return (self, stored, disk, around) -> new CoreMachine(self, stored, disk, around, handled);
+    }
+
+    private static void assertCaught(CoreNetwork.Maker flawed) {
+        for (long seed = 0; seed < RUNS; seed++) {
+            try {
+                play(seed, flawed);
+            } catch (AssertionError e) {
+                return;
+            }
+        }
+        throw new AssertionError("not caught in " + RUNS + " runs");
+    }
+
+    @Test
+    void refusingWhatIsAheadOfTheBaseIsCaught() {
+        assertCaught(with((machine, clock) -> new OperatorCalls(machine, clock) {
+            @Override
+            boolean isAhead(long base, long current) {
+                return false;
+            }
+        }));
+    }
+
+    @Test
+    void takingTheVerdictOfALeaderThatIsBehindForSettledIsCaught() {
+        assertCaught(with((machine, clock) -> new OperatorCalls(machine, clock) {
+            @Override
+            boolean isSettled(Verdict verdict, long base, long rev, long current) {
+                return super.isSettled(verdict, base, rev, current) || verdict == Verdict.CONFLICT;
+            }
+        }));
+    }
 }
