Take an answer only from whom the call was passed to, and speak on the latest connection

An answer was matched by the call's number alone, and numbers begin anew with each life of a process; any conversation could have given it. Messages to a machine went on the first of its connections that was open: after a loss of power and a quick start that is the one to its earlier life, which stays open here for up to 2.6 s, so the machine was sent nothing.

An answer counts only on the conversation that the call was passed to; of several connections with one machine the latest is used.

--- a/src/main/java/tinworks/control/CoreMachine.java
+++ b/src/main/java/tinworks/control/CoreMachine.java
@@ -146,13 +146,15 @@
         return raft.leader() == 0 || raft.leader() == id ? null : conversation(raft.leader());
     }
 
+    /** The newest open one: an older one may lead to an earlier life of that machine, which ended without a word. */
     private Conversation conversation(long peer) {
+        Conversation newest = null;
         for (Conversation c : conversations) {
             if (c.peer().id() == peer && c.isOpen()) {
-                return c;
+                newest = c;
             }
         }
-        return null;
+        return newest;
     }
 
     // ---- time
@@ -310,7 +312,7 @@
         } else if (signal instanceof Call s) {
             calls.called(s, answer -> from.send(answer));
         } else if (signal instanceof CallAnswer s) {
-            calls.answered(s);
+            calls.answered(from, s);
         }
     }
 
--- a/src/main/java/tinworks/control/OperatorCalls.java
+++ b/src/main/java/tinworks/control/OperatorCalls.java
@@ -134,8 +134,11 @@
     }
 
     /** The leader's answer to a call that was passed on. */
-    void answered(CallAnswer answer) {
+    void answered(Conversation from, CallAnswer answer) {
         Waiting call = waiting.get(answer.number());
+        if (call != null && !isAsked(call.passedTo, from)) {
+            return;
+        }
         if (call != null && answer.status() == UNCLEAR) {
             // Perhaps another leads by now; until its time is over the call goes on.
             call.atWork = false;
@@ -146,6 +149,11 @@
         }
     }
 
+    /** Guards against an answer to another call of the same number: numbers begin anew with each life of a process. */
+    boolean isAsked(Conversation passedTo, Conversation from) {
+        return passedTo == from;
+    }
+
     /** Guards against calls that together are more than the memory; each is told to come back, and nothing became of it. */
     private void submit(boolean read, byte[] command, Consumer<CallAnswer> told) {
         if (!waiting.isEmpty() && held + command.length > MOST_HELD) {
