Go by the leader's lease for what is fresh, and by its term for who leads

A core machine said that it was fresh from what it had received: a leader that had committed nothing, or had been cut off or frozen for up to a second, passed an old configuration on as the newest, and edges that started went into service with it; its readyz stayed good. What an old leader had said of core machines and edges was taken whenever it came.

CoreMachine.fresh() and leads() go by the lease, and by what has been applied: announcements, readyz, the metric and the operator's refusals use them. A leader without a lease leaves a refusal to the log. A list gets its version only under the lease, so of two versions the higher was fetched later; one that was fetched meanwhile waits. An announcement bears its speaker's term (8 bytes); core machines and edges take leads, cores and edges, and edges fresh, only from the latest term in which a leader has spoken. An edge that starts waits for the newest list as well as the newest configuration. After 3 s it serves with an old one only where no machine speaks by a lease; where one does, after 10 s (before: after 3 s always).

EdgeTest: Newest takes the list's version too, its steps are the same.

--- a/src/main/java/tinworks/channel/Signal.java
+++ b/src/main/java/tinworks/channel/Signal.java
@@ -30,12 +30,13 @@
     /**
      * What a core machine has: newer versions may be pulled from it.
      *
-     * @param fresh it hears a leader, so it isn't behind for long
-     * @param leads it is the leader
+     * @param term the sender's term in the agreement
+     * @param fresh by the leader's lease, the sender's versions were the newest less than a lease ago
+     * @param leads it is the leader, and by its lease nobody else can be
      * @param cores the addresses of all core machines that the sender knows of
      * @param edges how many edges are linked with the sender
      */
-    record Announce(long rev, HostListVersion hosts, boolean fresh, boolean leads, List<String> cores, int edges)
+    record Announce(long term, long rev, HostListVersion hosts, boolean fresh, boolean leads, List<String> cores, int edges)
             implements Signal {
         /** Keeps its own list. */
         public Announce {
--- a/src/main/java/tinworks/channel/SignalCodec.java
+++ b/src/main/java/tinworks/channel/SignalCodec.java
@@ -145,7 +145,7 @@
     }
 
     private static void writeAnnounce(ByteWriter out, Announce s) {
-        out.one(ANNOUNCE).eight(s.rev());
+        out.one(ANNOUNCE).eight(s.term()).eight(s.rev());
         writeVersion(out, s.hosts());
         out.flag(s.fresh()).flag(s.leads()).four(s.cores().size());
         s.cores().forEach(out::text);
@@ -153,7 +153,7 @@
     }
 
     private static Announce readAnnounce(ByteReader in) throws Malformed {
-        return new Announce(in.eight(), readVersion(in), in.flag(), in.flag(), readTexts(in), in.four());
+        return new Announce(in.eight(), in.eight(), readVersion(in), in.flag(), in.flag(), readTexts(in), in.four());
     }
 
     private static List<String> readTexts(ByteReader in) throws Malformed {
--- a/src/main/java/tinworks/control/Agreement.java
+++ b/src/main/java/tinworks/control/Agreement.java
@@ -62,6 +62,11 @@
         return history;
     }
 
+    /** The last index that the history holds. */
+    long appliedIndex() {
+        return appliedIndex;
+    }
+
     void tick() {
         raft.tick(clock.getAsLong());
         pump();
--- a/src/main/java/tinworks/control/CoreMachine.java
+++ b/src/main/java/tinworks/control/CoreMachine.java
@@ -37,7 +37,7 @@
  * others, and what it tells the edges. The leader alone has the platform's list fetched; the others pull it from there and
  * pass it on. All methods belong to one thread.
  */
-final class CoreMachine implements Conversation.Listener, Agreement.Owner {
+class CoreMachine implements Conversation.Listener, Agreement.Owner {
     /** The process round a core machine. */
     interface Environment {
         /** A steady clock's milliseconds. */
@@ -81,9 +81,14 @@
     private final Set<Conversation> conversations = new LinkedHashSet<>();
     private final Map<Long, Long> joins = new HashMap<>();
     private final Set<String> announced = new HashSet<>();
+    /** The term of the leader that told of {@link #announced}. */
+    private long announcedTerm;
     private final HostHistory hosts = new HostHistory();
     private final ConfigurationFeed configurations = new ConfigurationFeed();
     private long announcedRev = -1;
+    private boolean announcedLead;
+    /** The platform's list, where it was fetched while this machine had no lease. */
+    private List<HostList.Host> fetched;
     private long announceAt;
     private long joinAt;
     private long planAt;
@@ -128,6 +133,19 @@
         return agreement;
     }
 
+    /**
+     * Whether what is told here was the newest less than a lease ago: by the leader's lease, and only once what that speaks
+     * of has been applied. Guards against a machine that was cut off or frozen, or has just begun to lead.
+     */
+    boolean fresh() {
+        return raft.fresh(around.millis()) && agreement.appliedIndex() >= raft.freshIndex();
+    }
+
+    /** Whether this machine leads and, by its lease, nobody else can. */
+    boolean leads() {
+        return raft.holdsLease(around.millis()) && fresh();
+    }
+
     HostList hosts() {
         return hosts.newest();
     }
@@ -164,10 +182,11 @@
         long now = around.millis();
         agreement.tick();
         calls.tick();
-        if (raft.inTouch()) {
+        if (fresh()) {
             touchedAt = now;
         }
         around.fetchList(raft.ready());
+        takeFetched();
         if (!raft.isVoter(id) && now >= joinAt) {
             joinAt = now + JOIN_MILLIS;
             Signal join = new Join(new Member(id, self.address()));
@@ -178,7 +197,7 @@
             planVoters(now);
             around.links().want(wantedCores(now));
         }
-        if (now >= announceAt) {
+        if (now >= announceAt || leads() && !announcedLead) {
             announce();
         }
     }
@@ -236,13 +255,24 @@
 
     /** The platform's list was fetched. */
     void listed(List<HostList.Host> list) {
-        if (raft.role() != Raft.Role.LEADER) {
-            return;
-        }
-        HostListVersion old = hosts().version();
-        if (old.term() != raft.term() || !hosts().sameAs(list)) {
-            hosts.advance(new HostList(new HostListVersion(raft.term(), old.term() == raft.term() ? old.count() + 1 : 1), list));
-            announce();
+        fetched = list;
+        takeFetched();
+    }
+
+    /**
+     * Guards against a list from before a later leader's under a version above it: a list gets its version only while nobody
+     * else can lead, so of two versions the higher one was fetched later.
+     */
+    private void takeFetched() {
+        if (!raft.ready()) {
+            fetched = null;
+        } else if (fetched != null && leads()) {
+            HostListVersion old = hosts().version();
+            if (old.term() != raft.term() || !hosts().sameAs(fetched)) {
+                hosts.advance(new HostList(new HostListVersion(raft.term(), old.term() == raft.term() ? old.count() + 1 : 1), fetched));
+                announce();
+            }
+            fetched = null;
         }
     }
 
@@ -251,11 +281,12 @@
         announceAt = around.millis() + ANNOUNCE_MILLIS;
         announcedRev = agreement.history().rev();
         Announce said = said();
+        announcedLead = said.leads();
         conversations.stream().filter(c -> !c.dialled()).toList().forEach(c -> c.send(said));
     }
 
     private Announce said() {
-        boolean leads = raft.ready();
+        boolean leads = leads();
         Set<String> cores = new TreeSet<>(announced);
         if (leads) {
             cores.clear();
@@ -263,7 +294,7 @@
         }
         raft.members().forEach(m -> cores.add(m.address()));
         cores.add(self.address());
-        return new Announce(agreement.history().rev(), hosts().version(), raft.inTouch(), leads, List.copyOf(cores), edges());
+        return new Announce(raft.term(), agreement.history().rev(), hosts().version(), fresh(), leads, List.copyOf(cores), edges());
     }
 
     // ---- what it hears
@@ -325,7 +356,9 @@
     }
 
     private void heard(Conversation from, Announce s) {
-        if (s.leads() && raft.role() != Raft.Role.LEADER) {
+        // Guards against what an old leader said before it knew of a later one.
+        if (s.leads() && raft.role() != Raft.Role.LEADER && s.term() >= announcedTerm) {
+            announcedTerm = s.term();
             announced.clear();
             announced.addAll(s.cores());
         }
--- a/src/main/java/tinworks/control/OperatorCalls.java
+++ b/src/main/java/tinworks/control/OperatorCalls.java
@@ -227,7 +227,12 @@
 
     /** Whether a verdict is true for good, whoever leads: a version that was taken, or passed, stays so. */
     boolean isSettled(Verdict verdict, long base, long rev, long current) {
-        return verdict == Verdict.TAKEN && rev <= current || verdict == Verdict.CONFLICT && base < current;
+        return verdict == Verdict.TAKEN && rev <= current || verdict == Verdict.CONFLICT && base < current && mayRefuse();
+    }
+
+    /** Guards against a leader that was cut off and refuses with an old version at hand; then the log has to say so. */
+    boolean mayRefuse() {
+        return machine.leads();
     }
 
     /**
--- a/src/main/java/tinworks/control/OperatorServer.java
+++ b/src/main/java/tinworks/control/OperatorServer.java
@@ -74,7 +74,7 @@
 
     @Override
     public boolean ready() {
-        return machine.agreement().raft().inTouch();
+        return machine.fresh();
     }
 
     @Override
@@ -152,7 +152,7 @@
     private MetricsPage metrics() {
         Raft raft = machine.agreement().raft();
         return new MetricsPage().gauge("leads", "1 at the leader", raft.role() == Raft.Role.LEADER ? 1 : 0)
-                .gauge("in_touch", "1 where a leader is heard", raft.inTouch() ? 1 : 0)
+                .gauge("in_touch", "1 where the leader's lease vouches for the state", machine.fresh() ? 1 : 0)
                 .gauge("term", "The present term of the agreement", raft.term())
                 .gauge("commit_index", "The last entry known to be committed", raft.commit())
                 .gauge("log_entries", "Entries behind the snapshot", raft.length())
--- a/src/main/java/tinworks/edge/CoreFollower.java
+++ b/src/main/java/tinworks/edge/CoreFollower.java
@@ -22,7 +22,7 @@
  * What an edge knows from the core machines: it pulls from whichever announces something newer, and versions only rise.
  * Knows no sockets, threads or clock; all methods belong to one thread.
  */
-public final class CoreFollower implements Conversation.Listener {
+public class CoreFollower implements Conversation.Listener {
     /** The edge round it. */
     public interface Owner {
         /** A steady clock's milliseconds. */
@@ -45,7 +45,7 @@
     }
 
     private static final int LARGEST_CONFIGURATION = 8 << 20;
-    private static final long PULL_AGAIN_MILLIS = 400, ALONE_MILLIS = 3_000;
+    private static final long PULL_AGAIN_MILLIS = 400, ALONE_MILLIS = 3_000, BEHIND_MILLIS = 10_000;
 
     private final Owner owner;
     private final Newest newest = new Newest();
@@ -55,6 +55,9 @@
     private HostList list = HostList.NONE;
     private Set<String> cores = Set.of();
     private int edges = 1;
+    /** The highest term that a leader has spoken in. */
+    private long term;
+    private final long startedAt;
     private long heardLeaderAt;
     private long pulledConfigurationAt;
     private long pulledHostsAt;
@@ -62,7 +65,8 @@
     /** One that knows nothing yet. */
     public CoreFollower(Owner owner) {
         this.owner = owner;
-        heardLeaderAt = owner.millis();
+        startedAt = owner.millis();
+        heardLeaderAt = startedAt;
     }
 
     // ---- what is known
@@ -87,12 +91,20 @@
         return edges;
     }
 
-    /** Whether the newest version has ever been in use here. */
+    /** Whether the newest versions have ever been in use here. */
     public boolean upToDate() {
         return newest.reached();
     }
 
-    /** For how long no core machine has told that it hears a leader, in milliseconds. */
+    /**
+     * Whether clients may be served with what is held: once that has been the newest; without the core's word while that can't
+     * be had, since an old configuration serves better than none; and at last where the newest can't be reached.
+     */
+    public boolean mayServe() {
+        return configuration != null && (upToDate() || alone() || owner.millis() - startedAt > BEHIND_MILLIS);
+    }
+
+    /** For how long no core machine has told anything by a leader's lease, in milliseconds. */
     public long silentMillis() {
         return owner.millis() - heardLeaderAt;
     }
@@ -149,33 +161,44 @@
         pulledHostsAt = 0;
         if (newer.version().compareTo(list.version()) > 0) {
             list = newer;
+            newest.holds(rev(), list.version());
             owner.listed(list);
         }
     }
 
     private void heard(Conversation from, Announce s) {
         long now = owner.millis();
-        if (s.fresh()) {
+        boolean fresh = s.fresh() && !isOld(s);
+        if (fresh) {
             heardLeaderAt = now;
         }
-        if (s.leads()) {
+        if (s.leads() && !isOld(s)) {
+            term = s.term();
             cores = Set.copyOf(s.cores());
             count(s.edges());
-        } else if (cores.isEmpty() && s.fresh()) {
+        } else if (cores.isEmpty() && fresh) {
             cores = Set.copyOf(s.cores());
         }
         if (s.rev() > Math.max(rev(), readingRev) && now - pulledConfigurationAt > PULL_AGAIN_MILLIS) {
             pulledConfigurationAt = now;
             from.send(new PullConfiguration(rev()));
         }
-        newest.announced(s.rev(), s.fresh());
-        newest.holds(rev());
+        newest.announced(s.rev(), s.hosts(), fresh);
+        newest.holds(rev(), list.version());
         if (s.hosts().compareTo(list.version()) > 0 && now - pulledHostsAt > PULL_AGAIN_MILLIS) {
             pulledHostsAt = now;
             from.send(new PullHosts(list.version()));
         }
     }
 
+    /**
+     * Guards against the word of an old leader, or by its lease, that comes late. A term counts once its leader has spoken: a
+     * machine that is cut off from the others may raise its own term by itself.
+     */
+    boolean isOld(Announce s) {
+        return s.term() < term;
+    }
+
     private void count(int told) {
         if (told > 0 && told != edges) {
             edges = told;
@@ -208,7 +231,7 @@
             return false;
         }
         configuration = read;
-        newest.holds(read.rev());
+        newest.holds(read.rev(), list.version());
         return true;
     }
 
--- a/src/main/java/tinworks/edge/EdgeNode.java
+++ b/src/main/java/tinworks/edge/EdgeNode.java
@@ -55,7 +55,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(EdgeNode.class);
     private static final String READYZ = "/-/readyz", METRICS = "/-/metrics";
     private static final int PROBES = 32, PROBE_HEAD = 4_096, LARGEST_ANSWER = 8 << 20, LARGEST_REQUEST = 8 << 20;
-    private static final long TICK_MILLIS = 250, PLAIN_START_MILLIS = 3_000;
+    private static final long TICK_MILLIS = 250;
     private static final long DIAL_NANOS = TimeUnit.MILLISECONDS.toNanos(400), HOST_IDLE_NANOS = TimeUnit.SECONDS.toNanos(9);
     /** The platform asks once a second and takes a gateway out when it has missed twice. */
     private static final long LAST_ANSWERS_MILLIS = 1_300, STOP_MILLIS = 2_700, END_MARGIN_MILLIS = 500, END_CHECK_MILLIS = 20;
@@ -80,7 +80,6 @@
         return thread;
     });
     private final CompletableFuture<Void> ended = new CompletableFuture<>();
-    private final long startMillis = SteadyClock.millis();
     private BootSettings current;
     /** The hosts by their ids as last told, by a core machine or by the platform itself. */
     private Map<String, Host> known = Map.of();
@@ -174,10 +173,9 @@
         poller.turn(core.alone());
     }
 
-    /** Whether clients may be sent here: with a configuration and a list, and once the newest version is known. */
+    /** Whether clients may be sent here: with a list and a configuration that may be served with. */
     boolean ready() {
-        boolean waited = SteadyClock.millis() - startMillis > PLAIN_START_MILLIS;
-        return core.configuration() != null && listed && (core.upToDate() || waited) && !ending;
+        return core.mayServe() && listed && !ending;
     }
 
     private MetricsPage metrics() {
--- a/src/test/java/tinworks/channel/HostHistoryTest.java
+++ b/src/test/java/tinworks/channel/HostHistoryTest.java
@@ -71,7 +71,7 @@
             assertTrue(bytes < 200, bytes + " bytes for one host of " + hosts);
         }
         for (int edges : new int[] {4, 16, 64, 256}) {
-            int bytes = SignalCodec.write(new Signal.Announce(9, new HostListVersion(3, 4), true, true,
+            int bytes = SignalCodec.write(new Signal.Announce(7, 9, new HostListVersion(3, 4), true, true,
                     List.of("10.0.0.1:7540", "10.1.0.1:7540", "10.2.0.1:7540", "10.3.0.1:7540", "10.4.0.1:7540"), edges)).remaining();
             assertTrue(bytes < 150, bytes + " bytes at " + edges + " edges");
         }
--- a/src/test/java/tinworks/channel/SignalCodecTest.java
+++ b/src/test/java/tinworks/channel/SignalCodecTest.java
@@ -18,7 +18,7 @@
     private static final Member MEMBER = new Member(-5, "10.1.0.9:7540");
     private static final List<Signal> ALL = List.of(
             new Signal.Hello(Part.EDGE, 7, "", "edge-1", "zone"), new Signal.Ping(), new Signal.Join(MEMBER),
-            new Signal.Announce(9, new HostListVersion(3, 4), true, false, List.of("a:1", "b:1"), 69),
+            new Signal.Announce(7, 9, new HostListVersion(3, 4), true, false, List.of("a:1", "b:1"), 69),
             new Signal.PullConfiguration(8), new Signal.ConfigurationBody(9, new byte[] {1, 2}),
             new Signal.ConfigurationChanged(8, 9, new byte[] {1, 2}), new Signal.PullHosts(new HostListVersion(1, 1)),
             new Signal.Hosts(new HostList(new HostListVersion(1, 2),
--- a/src/test/java/tinworks/control/CoreMachineTest.java
+++ b/src/test/java/tinworks/control/CoreMachineTest.java
@@ -8,15 +8,20 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import tinworks.channel.Conversation;
+import tinworks.channel.HostList;
+import tinworks.channel.HostListVersion;
 import tinworks.channel.Signal;
+import tinworks.channel.Signal.Announce;
 import tinworks.channel.Signal.CallAnswer;
 import tinworks.channel.Signal.Hello;
 import tinworks.channel.Signal.Part;
 import tinworks.control.CoreNetwork.Node;
 import tinworks.raft.Message;
 
-/** Whom a core machine speaks to and hears. */
+/** What a core machine says of itself when it is cut off or frozen, or hears from one that was. */
 class CoreMachineTest {
+    private static final int LEASE_MILLIS = 450;
+
     private final CoreNetwork network = new CoreNetwork(5, 3, CoreMachine::new);
 
     /** One that dialled the machine and records what that says. */
@@ -28,6 +33,10 @@
             peer = new Hello(part, id, "x:1", "x", "z");
         }
 
+        Announce last() {
+            return (Announce) heard.stream().filter(Announce.class::isInstance).reduce((a, b) -> b).orElseThrow();
+        }
+
         @Override
         public Hello peer() {
             return peer;
@@ -54,6 +63,103 @@
         }
     }
 
+    private static HostList.Host host(String id) {
+        return new HostList.Host(id, "s", "10.0.0.1:80", "z", 3, false, 0);
+    }
+
+    private Node settled() {
+        Node leader = network.ready(3_000);
+        network.run(network.now + 1_000);
+        network.nodes.forEach(node -> assertTrue(node.machine.fresh(), node.hello().node()));
+        assertTrue(leader.machine.leads());
+        return leader;
+    }
+
+    @Test
+    void aLeaderThatIsCutOffNeitherLeadsNorIsFreshOnceItsLeaseIsOver() {
+        Node leader = settled();
+        Caller edge = new Caller(Part.EDGE, 77);
+        leader.machine.opened(edge);
+        assertTrue(edge.last().fresh() && edge.last().leads());
+        network.cutOff(leader);
+        network.run(network.now + LEASE_MILLIS);
+        assertTrue(leader.raft().ready(), "it doesn't know yet that another may lead");
+        assertFalse(leader.machine.leads() || leader.machine.fresh());
+        Caller late = new Caller(Part.EDGE, 78);
+        leader.machine.opened(late);
+        assertFalse(late.last().fresh() || late.last().leads());
+        network.run(network.now + 3_000);
+        assertFalse(leader.machine.fresh());
+        assertFalse(edge.last().fresh());
+        assertEquals(2, network.nodes.stream().filter(n -> n.machine.fresh()).count(), "the majority's side");
+    }
+
+    @Test
+    void aFollowerThatIsCutOffIsNotFresh() {
+        Node leader = settled();
+        Node follower = network.nodes.stream().filter(n -> n != leader).findFirst().orElseThrow();
+        network.cutOff(follower);
+        network.run(network.now + LEASE_MILLIS);
+        assertFalse(follower.machine.fresh());
+        assertTrue(leader.machine.leads());
+    }
+
+    @Test
+    void aLeaderThatThawsSaysNothingOfWhatItWas() {
+        Node leader = settled();
+        Caller edge = new Caller(Part.EDGE, 77);
+        leader.machine.opened(edge);
+        leader.freeze();
+        // What waits for it when it thaws, before any message of a later term.
+        leader.work(1, () -> leader.machine.listed(List.of(host("i-9"))));
+        leader.work(1, leader.machine::changed);
+        network.run(network.now + 5_000);
+        Node next = network.leader();
+        assertTrue(next != null && next != leader && next.machine.leads());
+        int heard = edge.heard.size();
+        leader.thaw();
+        edge.heard.subList(heard, edge.heard.size()).stream().filter(Announce.class::isInstance).map(Announce.class::cast)
+                .forEach(s -> assertFalse(s.leads() || s.fresh(), s.toString()));
+        assertTrue(leader.machine.hosts().version().is(HostListVersion.NONE), "a list from before");
+        network.run(network.now + 1_000);
+        assertFalse(leader.machine.leads());
+        assertTrue(leader.machine.hosts().version().is(HostListVersion.NONE));
+    }
+
+    @Test
+    void aListThatIsFetchedWithoutALeaseIsToldOnceThatIsThereAgain() {
+        Node leader = settled();
+        leader.machine.listed(List.of(host("i-1")));
+        HostListVersion first = leader.machine.hosts().version();
+        assertTrue(first.is(new HostListVersion(leader.raft().term(), 1)));
+        network.cutOff(leader);
+        network.run(network.now + LEASE_MILLIS + 50);
+        leader.machine.listed(List.of(host("i-2")));
+        assertTrue(leader.machine.hosts().version().is(first));
+        network.heal();
+        network.run(network.now + 300);
+        assertTrue(leader.machine.leads(), "nobody else had the time to stand");
+        assertTrue(leader.machine.hosts().version().is(new HostListVersion(first.term(), 2)));
+    }
+
+    @Test
+    void aLeaderThatIsCutOffRefusesNothing() {
+        Node leader = settled();
+        List<CallAnswer> answers = new ArrayList<>();
+        leader.machine.calls().replace(List.of("0"), Operators.configuration(3, "a"), answers::add);
+        network.run(network.now + 100);
+        leader.machine.calls().replace(List.of("0"), Operators.configuration(4, "b"), answers::add);
+        assertEquals(List.of(200, 412), answers.stream().map(CallAnswer::status).toList());
+        network.cutOff(leader);
+        network.run(network.now + LEASE_MILLIS);
+        leader.machine.calls().replace(List.of("0"), Operators.configuration(5, "c"), answers::add);
+        leader.machine.calls().replace(List.of("0"), Operators.configuration(3, "a"), answers::add);
+        leader.machine.calls().show(answers::add);
+        network.run(network.now + 1_000);
+        assertEquals(List.of(200, 412, 200, 503, 503), answers.stream().map(CallAnswer::status).toList(),
+                "what was taken is confirmed, nothing is refused, nothing is shown");
+    }
+
     @Test
     void anAnswerCountsOnlyFromWhomTheCallWasPassedTo() {
         assertEquals(List.of(), answersFromAnother(CoreMachine::new));
@@ -90,4 +196,17 @@
         assertFalse(earlier.heard.stream().anyMatch(Signal.Agreement.class::isInstance));
         assertTrue(latest.heard.stream().anyMatch(Signal.Agreement.class::isInstance));
     }
+
+    @Test
+    void theCoreMachinesAreThoseThatTheLatestLeaderTold() {
+        Node node = network.nodes.get(0);
+        Caller later = new Caller(Part.CORE, 55);
+        Caller old = new Caller(Part.CORE, 56);
+        node.machine.opened(later);
+        node.machine.opened(old);
+        node.machine.received(later, new Announce(6, 0, HostListVersion.NONE, true, true, List.of("n:1"), 0));
+        node.machine.received(old, new Announce(5, 0, HostListVersion.NONE, true, true, List.of("o:1"), 0));
+        node.machine.opened(later);
+        assertTrue(later.last().cores().contains("n:1") && !later.last().cores().contains("o:1"), later.last().toString());
+    }
 }
--- a/src/test/java/tinworks/control/CoreNetwork.java
+++ b/src/test/java/tinworks/control/CoreNetwork.java
@@ -12,9 +12,11 @@
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.BiConsumer;
 import tinworks.channel.Conversation;
 import tinworks.channel.Links;
 import tinworks.channel.Signal;
+import tinworks.channel.Signal.Announce;
 import tinworks.channel.Signal.Hello;
 import tinworks.channel.Signal.Part;
 import tinworks.raft.HardState;
@@ -42,6 +44,8 @@
     private final PriorityQueue<Event> events = new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparing(Event::order));
     private final Map<Set<Process>, Long> cuts = new HashMap<>();
     long now = 1_000;
+    /** Told of each announcement as it is sent. */
+    BiConsumer<Node, Announce> announced = (node, announcement) -> { };
     private long order;
 
     private record Event(long at, long order, Runnable work) { }
@@ -272,6 +276,9 @@
         @Override
         public void send(Signal signal) {
             if (!closed) {
+                if (signal instanceof Announce s) {
+                    announced.accept((Node) owner, s);
+                }
                 send(() -> {
                     if (far.isOpen()) {
                         far.owner.listener().received(far, signal);
--- a/src/test/java/tinworks/control/Operators.java
+++ b/src/test/java/tinworks/control/Operators.java
@@ -7,6 +7,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import tinworks.channel.Signal.CallAnswer;
@@ -23,9 +25,10 @@
 
     private final CoreNetwork network;
     private final List<Order> orders = new ArrayList<>();
-    private final List<Long> reads = new ArrayList<>();
+    /** The newest version that anybody was told of, by the time from which that was so. */
+    private final TreeMap<Long, Long> told = new TreeMap<>(Map.of(0L, 0L));
     private final double lost;
-    /** The newest version that anybody has been told of. */
+    /** The newest version that operators have heard of. */
     private long known;
     private int open;
     int acknowledged;
@@ -124,27 +127,31 @@
         if (answer.status() == OperatorCalls.OK) {
             order.taken = true;
             assertEquals(order.rev, rev(answer), "confirmed under another's number: " + order);
-            read(order.rev);
+            tell(order.rev);
         } else if (answer.status() != OperatorCalls.UNCLEAR) {
             order.refused = true;
         }
         assertFalse(order.taken && order.refused, "both taken and refused: " + order);
     }
 
-    /** Whoever has been told of a version goes by it from now on. */
-    private void read(long rev) {
-        reads.add(rev);
+    private void tell(long rev) {
+        told.put(network.now, Math.max(rev, newestTold(network.now)));
+    }
+
+    /** The newest version that anybody was told of up to that time. */
+    long newestTold(long at) {
+        return told.floorEntry(at).getValue();
     }
 
     /** Reads what is newest; it is never older than what anybody was told before the call. */
     void show() {
         CoreNetwork.Node node = any();
-        long before = reads.stream().mapToLong(Long::longValue).max().orElse(0);
+        long before = newestTold(network.now);
         node.work(1, () -> node.machine.calls().show(answer -> {
             if (answer.status() != OperatorCalls.UNCLEAR) {
                 long rev = answer.status() == OperatorCalls.OK ? rev(answer) : 0;
                 assertTrue(rev >= before, "shown " + rev + " after " + before);
-                read(rev);
+                tell(rev);
                 known = Math.max(known, rev);
             }
         }));
--- a/src/test/java/tinworks/control/OrdersTest.java
+++ b/src/test/java/tinworks/control/OrdersTest.java
@@ -8,13 +8,15 @@
 import java.util.function.BiFunction;
 import java.util.function.LongSupplier;
 import org.junit.jupiter.api.Test;
+import tinworks.channel.Signal.Announce;
 import tinworks.channel.Signal.CallAnswer;
 import tinworks.config.ConfigurationHistory.Verdict;
 import tinworks.control.CoreNetwork.Node;
+import tinworks.raft.Raft;
 
 /** Orders that race, repeat and lose their answers while machines are cut off, frozen and killed. */
 class OrdersTest {
-    private static final int RUNS = 300;
+    private static final int RUNS = 300, LEASE_MILLIS = 450;
 
     private static List<CallAnswer> replace(Node node, long base, byte[] body) {
         List<CallAnswer> answers = new ArrayList<>();
@@ -71,11 +73,22 @@
         assertEquals(0, leader.machine.calls().waiting());
     }
 
+    /** Who says that it leads is alone in that, and who says that it is fresh is behind by less than a lease. */
+    private static void check(CoreNetwork network, Operators operators, Node node, Announce s) {
+        if (s.leads()) {
+            network.nodes.forEach(n -> assertTrue(n == node || !n.up() || !n.raft().ready() || n.raft().term() < s.term(),
+                    node.hello().node() + " leads beside " + n.hello().node()));
+        }
+        long told = operators.newestTold(network.now - LEASE_MILLIS);
+        assertTrue(!s.fresh() || s.rev() >= told, node.hello().node() + " is fresh with " + s.rev() + " behind " + told);
+    }
+
     /** One run: faults for some seconds, then calm, then everything said is checked. */
     private static Operators play(long seed, CoreNetwork.Maker maker) {
         CoreNetwork network = new CoreNetwork(seed, 3, maker);
         network.ready(3_000);
         Operators operators = new Operators(network, 0.3);
+        network.announced = (node, s) -> check(network, operators, node, s);
         long end = network.now + 6_000;
         while (network.now < end) {
             network.run(network.now + 20 + network.random.nextInt(120));
@@ -172,4 +185,24 @@
             }
         }));
     }
+
+    @Test
+    void sayingThatItIsFreshFromWhatWasReceivedIsCaught() {
+        assertCaught((self, stored, disk, around) -> new CoreMachine(self, stored, disk, around) {
+            @Override
+            boolean fresh() {
+                return agreement().raft().role() == Raft.Role.LEADER || agreement().raft().leader() != 0;
+            }
+        });
+    }
+
+    @Test
+    void sayingThatItLeadsWithoutALeaseIsCaught() {
+        assertCaught((self, stored, disk, around) -> new CoreMachine(self, stored, disk, around) {
+            @Override
+            boolean leads() {
+                return agreement().raft().ready();
+            }
+        });
+    }
 }
--- a/src/test/java/tinworks/edge/EdgeTest.java
+++ b/src/test/java/tinworks/edge/EdgeTest.java
@@ -17,6 +17,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
+import tinworks.channel.HostListVersion;
 import tinworks.config.Configuration.Route;
 import tinworks.config.Configuration.Split;
 import tinworks.config.Configuration.Type;
@@ -113,15 +114,15 @@
     @Test
     void aFreshEdgeIsNotReadyWithWhatAMachineTellsThatHearsNoLeader() {
         Newest newest = new Newest();
-        newest.announced(4, false);
-        newest.holds(4);
+        newest.announced(4, HostListVersion.NONE, false);
+        newest.holds(4, HostListVersion.NONE);
         assertFalse(newest.reached(), "who tells of 4 may be behind");
-        newest.announced(7, true);
-        newest.holds(4);
+        newest.announced(7, HostListVersion.NONE, true);
+        newest.holds(4, HostListVersion.NONE);
         assertFalse(newest.reached());
-        newest.holds(7);
-        newest.announced(9, true);
-        newest.holds(7);
+        newest.holds(7, HostListVersion.NONE);
+        newest.announced(9, HostListVersion.NONE, true);
+        newest.holds(7, HostListVersion.NONE);
         assertEquals(true, newest.reached(), "a later version makes no ready edge unready");
     }
 }
