Bring about repeats at new leaders, late verdicts and reads before a term's first commit

Scripted beside the model: the first copy of an order is in the log, uncommitted, at a new leader while it is sent again to all, beside another order under its number; a verdict that comes after the caller's time; a new leader that can't commit its own entry is asked to show. Showing without a round of heartbeats is caught by the model.

--- a/src/main/java/tinworks/control/OperatorCalls.java
+++ b/src/main/java/tinworks/control/OperatorCalls.java
@@ -197,7 +197,7 @@
         if (agreement.raft().role() == Raft.Role.LEADER) {
             call.atWork = true;
             if (call.read) {
-                agreement.read(may -> done(number, may ? show() : null));
+                confirm(agreement, may -> done(number, may ? show() : null));
             } else {
                 change(number, call, agreement);
             }
@@ -208,6 +208,11 @@
         }
     }
 
+    /** Guards against showing what a later leader has gone beyond: told true once a majority has answered a round since. */
+    void confirm(Agreement agreement, Consumer<Boolean> told) {
+        agreement.read(told);
+    }
+
     private void change(long number, Waiting call, Agreement agreement) {
         ConfigurationHistory history = agreement.history();
         long base = ConfigurationHistory.base(call.command);
--- a/src/test/java/tinworks/control/OrdersTest.java
+++ b/src/test/java/tinworks/control/OrdersTest.java
@@ -1,11 +1,13 @@
 package tinworks.control;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BiFunction;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.junit.jupiter.api.Test;
 import tinworks.channel.Signal.Announce;
@@ -73,6 +75,84 @@
         assertEquals(0, leader.machine.calls().waiting());
     }
 
+    @Test
+    void anOrderWhoseFirstCopyANewLeaderHoldsIsTakenOnce() {
+        for (long seed = 0; seed < 20; seed++) {
+            CoreNetwork network = new CoreNetwork(seed, 3, CoreMachine::new);
+            Node leader = network.ready(3_000);
+            byte[] body = Operators.configuration(3, "a");
+            List<CallAnswer> lost = replace(leader, 0, body);
+            Node next = other(network, leader);
+            while (next.raft().lastIndex() == leader.raft().commit()) {
+                network.run(network.now + 1);
+            }
+            long first = next.raft().lastIndex();
+            leader.kill();
+            assertEquals(0, lost.size());
+            List<List<CallAnswer>> again = new ArrayList<>();
+            for (int i = 0; i < 30; i++) {
+                again.add(replace(network.nodes.get(i % 3), 0, body));
+                again.add(replace(next, 0, Operators.configuration(3, "another's")));
+                network.run(network.now + 200);
+            }
+            network.run(network.now + 1_000);
+            for (List<CallAnswer> answers : again) {
+                answers.forEach(a -> assertTrue(a.status() != 200 || Operators.rev(a) == 3));
+            }
+            Node led = network.ready(3_000);
+            assertTrue(led.raft().commit() > first);
+            assertEquals(3, led.machine.agreement().history().rev());
+            long confirmed = again.stream().filter(a -> !a.isEmpty() && a.get(0).status() == 200).count();
+            long refused = again.stream().filter(a -> !a.isEmpty() && a.get(0).status() == 412).count();
+            assertTrue(confirmed > 0 && refused > 0, confirmed + " confirmed, " + refused + " refused");
+        }
+    }
+
+    @Test
+    void aVerdictThatComesAfterTheCallersTimeIsLeftUnclearAndItsRepeatConfirmed() {
+        CoreNetwork network = new CoreNetwork(3, 3, CoreMachine::new);
+        Node leader = network.ready(3_000);
+        network.nodes.stream().filter(n -> n != leader).forEach(n -> network.cut(n, leader));
+        List<CallAnswer> late = replace(leader, 0, Operators.configuration(3, "a"));
+        network.run(network.now + 300);
+        network.nodes.forEach(n -> n.syncMillis = 3_000);
+        network.heal();
+        network.run(network.now + 200);
+        network.nodes.forEach(n -> n.syncMillis = 4);
+        network.run(network.now + 12_000);
+        assertEquals(503, status(late), "one answer and no second one");
+        assertEquals(3, leader.machine.agreement().history().rev(), "it was taken later");
+        List<CallAnswer> again = replace(other(network, leader), 0, Operators.configuration(3, "a"));
+        network.run(network.now + 400);
+        assertEquals(200, status(again));
+    }
+
+    /** Its own entry can't be committed, so it doesn't know yet what its predecessor acknowledged. */
+    @Test
+    void aNewLeaderShowsNothingBeforeItHasCommittedInItsTerm() {
+        CoreNetwork network = new CoreNetwork(4, 3, CoreMachine::new);
+        Node old = network.ready(3_000);
+        List<CallAnswer> taken = replace(old, 0, Operators.configuration(3, "a"));
+        network.run(network.now + 300);
+        assertEquals(200, status(taken));
+        old.kill();
+        Node next = null;
+        while (next == null) {
+            network.run(network.now + 1);
+            next = network.nodes.stream().filter(n -> n.up() && n.raft().role() == Raft.Role.LEADER).findFirst().orElse(null);
+        }
+        List<CallAnswer> shown = new ArrayList<>();
+        network.cut(next, other(network, next, old));
+        next.machine.calls().show(shown::add);
+        assertFalse(next.raft().ready());
+        network.run(network.now + 300);
+        assertEquals(0, shown.size());
+        network.heal();
+        network.run(network.now + 1_000);
+        assertEquals(200, status(shown));
+        assertEquals(3, Operators.rev(shown.get(0)));
+    }
+
     /** Who says that it leads is alone in that, and who says that it is fresh is behind by less than a lease. */
     private static void check(CoreNetwork network, Operators operators, Node node, Announce s) {
         if (s.leads()) {
@@ -205,4 +285,14 @@
             }
         });
     }
+
+    @Test
+    void showingWithoutARoundOfHeartbeatsIsCaught() {
+        assertCaught(with((machine, clock) -> new OperatorCalls(machine, clock) {
+            @Override
+            void confirm(Agreement agreement, Consumer<Boolean> told) {
+                told.accept(true);
+            }
+        }));
+    }
 }
