Refuse requests with two readings or a changed path, and send no body after a HEAD

Change: Framing says which heads have one reading, for requests and answers alike; a path outside of printable ASCII and a second Host are answered 400; the answer reader knows a HEAD, and a reply to one leaves its body behind.

--- a/src/main/java/tinworks/edge/EdgeStyle.java
+++ b/src/main/java/tinworks/edge/EdgeStyle.java
@@ -69,7 +69,12 @@
 
     @Override
     public void served(Reply reply, Answer answer) {
-        reply.write(answer.head().status(), EndToEnd.of(answer.head().headers()), answer.body().retain(), 0);
+        HttpHeaders headers = EndToEnd.of(answer.head().headers());
+        String length = answer.head().headers().get(HttpHeaderNames.CONTENT_LENGTH);
+        if (length != null) {
+            headers.set(HttpHeaderNames.CONTENT_LENGTH, length); // counts where a HEAD is answered, is made anew elsewhere
+        }
+        reply.write(answer.head().status(), headers, answer.body().retain(), 0);
     }
 
     /** Guards against all who were refused in one moment coming back in another. */
--- a/src/main/java/tinworks/edge/Requests.java
+++ b/src/main/java/tinworks/edge/Requests.java
@@ -52,7 +52,11 @@
             style.refused(reply, NO_ROUTES_PAUSE_NANOS);
             return;
         }
-        Target target = routes.find(request.headers().get(HttpHeaderNames.HOST), request.uri());
+        List<String> domains = request.headers().getAll(HttpHeaderNames.HOST);
+        if (!isUnchangedOnItsWay(request.uri()) || domains.size() > 1) {
+            throw new BadRequest(HttpResponseStatus.BAD_REQUEST, "can't read the path, or more than one Host");
+        }
+        Target target = routes.find(domains.isEmpty() ? null : domains.get(0), request.uri());
         if (target == null) {
             throw new BadRequest(HttpResponseStatus.NOT_FOUND, "no route");
         }
@@ -71,6 +75,16 @@
                 request, reply);
     }
 
+    /** Guards against a path that would reach a host as another: bytes outside of printable ASCII are read and written in two ways. */
+    private static boolean isUnchangedOnItsWay(String target) {
+        for (int i = 0; i < target.length(); i++) {
+            if (target.charAt(i) <= ' ' || target.charAt(i) >= 0x7f) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     private long deadline(FullHttpRequest request, Route route) throws BadRequest {
         String text = request.headers().get(EdgeStyle.DEADLINE);
         if (text == null) {
--- a/src/main/java/tinworks/net/AnswerReader.java
+++ b/src/main/java/tinworks/net/AnswerReader.java
@@ -7,13 +7,13 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.AsciiString;
 import io.netty.util.ReferenceCountUtil;
@@ -28,6 +28,9 @@
         /** Whether a request is out on the connection. */
         boolean waits();
 
+        /** Whether the request that is out is a HEAD, whose answer has no body whatever its head says. */
+        boolean asksForHead();
+
         /** Whose answer begins with this head, which is not an informational one. */
         HostPool.Whose whose(HttpResponse head);
 
@@ -88,12 +91,10 @@
         if (part instanceof HttpResponse response) {
             head = response;
             // Guards against gathering what is said to have gigabytes, and against a switch that nobody asked for.
-            spoilt = !response.protocolVersion().equals(HttpVersion.HTTP_1_1)
-                    && !response.protocolVersion().equals(HttpVersion.HTTP_1_0)
-                    || HttpUtil.getContentLength(response, 0L) > largestBody
+            spoilt = !Framing.hasOneReading(response) || HttpUtil.getContentLength(response, 0L) > largestBody
                     || response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS);
             framed = response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
-                    || HttpUtil.isTransferEncodingChunked(response);
+                    || HttpUtil.isTransferEncodingChunked(response) || decoder.isContentAlwaysEmpty(response);
             if (!spoilt && !informational()) {
                 judge(listener.whose(response));
             }
@@ -202,6 +203,11 @@
             return super.splitHeaderName(line, start, length);
         }
 
+        @Override
+        protected boolean isContentAlwaysEmpty(HttpMessage message) {
+            return super.isContentAlwaysEmpty(message) || listener.asksForHead();
+        }
+
         boolean holdsBytes() {
             return actualReadableBytes() > 0;
         }
--- a/src/main/java/tinworks/net/ClientServer.java
+++ b/src/main/java/tinworks/net/ClientServer.java
@@ -21,6 +21,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -250,15 +251,18 @@
     public final class Reply {
         private final Connection connection;
         private final boolean keepAlive;
+        /** It answers a HEAD: a body would stand where the next answer begins. */
+        private final boolean headAlone;
         private Runnable left = () -> { };
         private Runnable written = () -> { };
         private FullHttpRequest kept;
         private long taken;
         private boolean done;
 
-        private Reply(Connection connection, boolean keepAlive) {
+        private Reply(Connection connection, boolean keepAlive, boolean headAlone) {
             this.connection = connection;
             this.keepAlive = keepAlive;
+            this.headAlone = headAlone;
         }
 
         /** What to do when the client leaves before its answer. */
@@ -305,7 +309,10 @@
             write(status, new DefaultHttpHeaders(), body, pauseNanos);
         }
 
-        /** An answer with headers of its own; they and the body are the reply's from here on. */
+        /**
+         * An answer with headers of its own; they and the body are the reply's from here on. Where a HEAD is answered the
+         * body stays behind, and a {@code Content-Length} among the headers is what a GET would be told.
+         */
         public void write(HttpResponseStatus status, HttpHeaders headers, ByteBuf body, long pauseNanos) {
             if (done) {
                 body.release();
@@ -313,9 +320,14 @@
                 return;
             }
             done = true;
+            if (!headAlone || !headers.contains(HttpHeaderNames.CONTENT_LENGTH)) {
+                headers.setInt(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+            }
+            if (headAlone) {
+                body.clear();
+            }
             DefaultFullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body, headers,
                     EmptyHttpHeaders.INSTANCE);
-            headers.setInt(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
             if (pauseNanos > 0) {
                 headers.set(HttpHeaderNames.RETRY_AFTER, seconds(pauseNanos));
             }
@@ -439,7 +451,8 @@
             boolean readable = request.decoderResult().isSuccess();
             boolean probes = request.uri().equals(bounds.readyPath());
             // Guards against probes that take clients' places: each comes on a connection of its own.
-            Reply reply = new Reply(this, readable && !probes && HttpUtil.isKeepAlive(request));
+            Reply reply = new Reply(this, readable && !probes && HttpUtil.isKeepAlive(request),
+                    request.method().equals(HttpMethod.HEAD));
             reply.taken = arrived.taken;
             open = reply;
             place();
@@ -513,7 +526,7 @@
             if (begun) {
                 deaf = true;
                 channel.config().setAutoRead(false);
-                Reply reply = new Reply(this, false);
+                Reply reply = new Reply(this, false, false);
                 open = reply;
                 reply.plain(HttpResponseStatus.REQUEST_TIMEOUT, "the request did not come in time", 0);
             } else {
--- a/src/main/java/tinworks/net/HostPool.java
+++ b/src/main/java/tinworks/net/HostPool.java
@@ -11,6 +11,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
@@ -316,6 +317,11 @@
             return attempt != null && attempt.writing;
         }
 
+        @Override
+        public boolean asksForHead() {
+            return attempt != null && attempt.asksForHead;
+        }
+
         @Override
         public Whose whose(HttpResponse head) {
             // An attempt that was called off within this very read is over, and its connection closed.
@@ -373,6 +379,7 @@
         private final String id;
         private final Listener listener;
         private final long sentAt;
+        private final boolean asksForHead;
         private FullHttpRequest request;
         private Connection connection;
         private Future<?> timer;
@@ -384,6 +391,7 @@
             this.id = id;
             this.request = request;
             this.sentAt = sentAt;
+            asksForHead = request.method().equals(HttpMethod.HEAD);
             this.listener = listener;
         }
 
--- a/src/main/java/tinworks/net/RequestAssembler.java
+++ b/src/main/java/tinworks/net/RequestAssembler.java
@@ -10,10 +10,12 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.TooLongHttpContentException;
+import java.util.List;
 import java.util.function.BooleanSupplier;
 
 /**
@@ -66,6 +68,15 @@
         return amidst;
     }
 
+    /** Guards against a request whose end another reader would see elsewhere: it comes out as one that can't be read. */
+    @Override
+    protected void decode(ChannelHandlerContext ctx, HttpObject part, List<Object> out) throws Exception {
+        if (part instanceof HttpRequest head && head.decoderResult().isSuccess() && !Framing.hasOneReading(head)) {
+            head.setDecoderResult(DecoderResult.failure(new IllegalArgumentException("its end can't be told")));
+        }
+        super.decode(ctx, part, out);
+    }
+
     @Override
     protected Object newContinueResponse(HttpMessage start, int most, ChannelPipeline pipeline) {
         boolean usual = !isContentLengthInvalid(start, most) && free.getAsBoolean();
--- /dev/null
+++ b/src/test/java/tinworks/edge/EdgeFixture.java
@@ -0,0 +1,210 @@
+package tinworks.edge;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import tinworks.config.Configuration.Limits;
+import tinworks.config.Configuration.Route;
+import tinworks.config.Configuration.Service;
+import tinworks.config.Configuration.Split;
+import tinworks.config.Configuration.Type;
+import tinworks.config.Configuration;
+import tinworks.net.ClientServer;
+import tinworks.net.Forwarding;
+import tinworks.net.GatewayClock;
+import tinworks.net.HostPool;
+import tinworks.net.Transport;
+import tinworks.node.NodeProcess;
+import tinworks.policy.Protocol.Event;
+import tinworks.policy.Protocol.ListKind;
+import tinworks.policy.Protocol.ListReceived;
+import tinworks.policy.Protocol.Readiness;
+import tinworks.policy.Protocol.ServerInfo;
+
+/** The path of a request through an edge, over loopback, without links to the core: routes and hosts are told by the test. */
+final class EdgeFixture implements AutoCloseable, Forwarding.Owner {
+    static final int PATIENCE_MILLIS = 20_000;
+    static final long LONG_MILLIS = 15_000;
+    static final String DOMAIN = "x.example";
+    private static final int CONNECTIONS = 512, LARGEST = 1 << 20;
+    private static final long DIAL_NANOS = TimeUnit.MILLISECONDS.toNanos(400), LONG_NANOS = TimeUnit.MILLISECONDS.toNanos(LONG_MILLIS);
+
+    final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    final EventLoop loop = group.next();
+    final GatewayClock clock = new GatewayClock();
+    final HostPool pool;
+    final ClientServer clients;
+    private final EdgeStyle style;
+    private final Map<String, Forwarding> services = new HashMap<>();
+    private final Requests requests;
+    private final List<Route> routes = new ArrayList<>();
+    private final Set<String> mutating = new HashSet<>();
+
+    EdgeFixture(EdgeStyle style) {
+        this.style = style;
+        pool = new HostPool(loop, Transport.TCP, clock, new HostPool.Bounds(DIAL_NANOS, LONG_NANOS, CONNECTIONS, LARGEST), style);
+        requests = new Requests(clock, new SplittableRandom(1), style, services);
+        clients = new ClientServer(loop, Transport.TCP, clock, new ClientServer.Bounds(CONNECTIONS, LONG_NANOS, LONG_NANOS,
+                Limits.USUAL.hdrBytes(), LARGEST, null), requests);
+        NodeProcess.run(loop, () -> clients.listen(new InetSocketAddress("127.0.0.1", 0)));
+        NodeProcess.call(loop, () -> clients.address().getPort());
+    }
+
+    /** Tells of a host; connections to one that isn't kept are closed after their first answer. */
+    void host(String id, SocketAddress address, boolean kept) {
+        NodeProcess.run(loop, () -> pool.update(List.of(new HostPool.Place(id, address, 0, kept, false)), false));
+    }
+
+    /** A route of a service of its own, whose module knows these hosts; told again, the module is a new one. */
+    void route(String name, Type type, int tries, String... hosts) {
+        Route route = new Route(name, DOMAIN, "/" + name + "/", type, LONG_MILLIS, LONG_MILLIS / 2, 1, List.of(new Split(name, 1)), tries);
+        Configuration one = new Configuration(1, List.of(route), Map.of(name, new Service(name, "/", CONNECTIONS)), Limits.USUAL);
+        List<ServerInfo> servers = new ArrayList<>();
+        for (String host : hosts) {
+            servers.add(new ServerInfo(host, "", "", 0, Readiness.READY, 4, 0));
+        }
+        NodeProcess.run(loop, () -> {
+            Forwarding made = new Forwarding(loop, clock, ServiceSettings.settings(ServiceSettings.classes(one).get(name), 1, ""),
+                    name.hashCode(), pool, style, this);
+            Forwarding old = services.put(name, made);
+            if (old == null) {
+                routes.add(route);
+                if (type == Type.MUTATING) {
+                    mutating.add(ServiceSettings.className(route));
+                }
+                requests.use(new RouteTable(routes));
+                style.mutating(mutating);
+            } else {
+                old.close();
+            }
+            made.tell(new ListReceived(ListKind.WHOLE, servers));
+        });
+    }
+
+    /** Tells all modules. */
+    void tell(Event event) {
+        NodeProcess.run(loop, () -> services.values().forEach(service -> service.tell(event)));
+    }
+
+    Client client() throws IOException {
+        return new Client(clients.address().getPort());
+    }
+
+    @Override
+    public void subscribe() { }
+
+    @Override
+    public void tellAll(byte[] body) { }
+
+    @Override
+    public void log(String line) { }
+
+    @Override
+    public void close() {
+        NodeProcess.run(loop, () -> {
+            services.values().forEach(Forwarding::close);
+            clients.close();
+            pool.close();
+        });
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly(PATIENCE_MILLIS);
+    }
+
+    /** A request with a body, or a GET without one. */
+    static String request(String id, String route, String body, long deadlineMillis, boolean chunked) {
+        String head = (body.isEmpty() ? "GET" : "POST") + " /" + route + "/" + id + "?q=%20" + id + " HTTP/1.1\r\nHost: " + DOMAIN
+                + "\r\nAttempt-Id: " + id + "\r\nDeadline-Ms: " + deadlineMillis + "\r\n";
+        if (body.isEmpty()) {
+            return head + "\r\n";
+        } else if (!chunked) {
+            return head + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+        }
+        int half = body.length() / 2;
+        return head + "Transfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(half) + "\r\n" + body.substring(0, half) + "\r\n"
+                + Integer.toHexString(body.length() - half) + "\r\n" + body.substring(half) + "\r\n0\r\n\r\n";
+    }
+
+    /** A message as it stood on a socket; header names are in lower case. */
+    record Message(String first, Map<String, String> headers, String body) {
+        int status() {
+            return Integer.parseInt(first.split(" ")[1]);
+        }
+
+        /** Reads one; null at the end of the stream, or where it ends within a message. */
+        static Message read(InputStream in, boolean withBody) throws IOException {
+            String first = line(in);
+            if (first == null) {
+                return null;
+            }
+            Map<String, String> headers = new TreeMap<>();
+            for (String line = line(in); line == null || !line.isEmpty(); line = line(in)) {
+                if (line == null) {
+                    return null;
+                }
+                int colon = line.indexOf(':');
+                headers.merge(line.substring(0, colon).toLowerCase(java.util.Locale.ROOT), line.substring(colon + 1).trim(), (a, b) -> a + "," + b);
+            }
+            int length = withBody ? Integer.parseInt(headers.getOrDefault("content-length", "0")) : 0;
+            byte[] body = in.readNBytes(length);
+            return body.length < length ? null : new Message(first, headers, new String(body, StandardCharsets.ISO_8859_1));
+        }
+
+        private static String line(InputStream in) throws IOException {
+            StringBuilder line = new StringBuilder();
+            for (int c = in.read(); c != '\n'; c = in.read()) {
+                if (c < 0) {
+                    return null;
+                }
+                line.append((char) c);
+            }
+            return line.toString().stripTrailing();
+        }
+    }
+
+    /** One connection to the edge. */
+    static final class Client implements AutoCloseable {
+        final Socket socket;
+        private final InputStream in;
+
+        private Client(int port) throws IOException {
+            socket = new Socket("127.0.0.1", port);
+            socket.setTcpNoDelay(true);
+            socket.setSoTimeout(PATIENCE_MILLIS);
+            in = new BufferedInputStream(socket.getInputStream());
+        }
+
+        void write(String text) throws IOException {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        }
+
+        /** The next answer, or null where the edge closed the connection. */
+        Message read() throws IOException {
+            return Message.read(in, true);
+        }
+
+        /** The next answer, to a HEAD. */
+        Message readHead() throws IOException {
+            return Message.read(in, false);
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+}
--- a/src/test/java/tinworks/net/AnswerFuzzTest.java
+++ b/src/test/java/tinworks/net/AnswerFuzzTest.java
@@ -51,6 +51,11 @@
             return answered == 0 && !isSpoilt;
         }
 
+        @Override
+        public boolean asksForHead() {
+            return false;
+        }
+
         @Override
         public HostPool.Whose whose(HttpResponse head) {
             return HostPool.Whose.OWN;
