Break off nothing at a host after SIGTERM, nor where there is no further try

At the end an answer also closed its connection over requests that had been read behind it, and a module made after SIGTERM never heard of the end.

Change: an attempt is called off only when the request may go to another server right now, and never after the word to end; its place is still freed at once. An answer ends its connection only where nothing read waits behind it. EdgeNode tells a module that it makes while ending how much time is left (small change there).

Measured: the four new tests (three in SystemRulesTest, LastAnswersTest) failed before and pass now; ChoiceTest, RulesTest, CrowdTest, PortionTest, ColdBankTest, QuickStartTest, WireTest and GatewayTest pass.

--- a/src/main/java/tinworks/edge/EdgeNode.java
+++ b/src/main/java/tinworks/edge/EdgeNode.java
@@ -88,6 +88,8 @@
     private Map<String, List<RequestClass>> classes = Map.of();
     private boolean listed;
     private boolean ending;
+    /** When what came since the word to end needs its answer at the latest; 0 before. */
+    private long endsAtMillis;
 
     /** An edge that knows its settings alone. */
     public EdgeNode(EventLoop loop, GatewayClock clock, BootSettings settings, long id) {
@@ -146,7 +148,8 @@
         if (!ending) {
             ending = true;
             long within = settings.graceMillis() - END_MARGIN_MILLIS;
-            services.values().forEach(service -> service.tell(new Ending(TimeUnit.MILLISECONDS.toNanos(within))));
+            endsAtMillis = SteadyClock.millis() + within;
+            services.values().forEach(this::tellOfEnd);
             loop.schedule(clients::lastAnswers, Math.min(LAST_ANSWERS_MILLIS, within / 4), TimeUnit.MILLISECONDS);
             loop.schedule(() -> {
                 clients.stopAccepting();
@@ -156,6 +159,10 @@
         return ended;
     }
 
+    private void tellOfEnd(Forwarding service) {
+        service.tell(new Ending(TimeUnit.MILLISECONDS.toNanos(Math.max(0, endsAtMillis - SteadyClock.millis()))));
+    }
+
     private void endWhenIdle() {
         if (clients.holdsAny()) {
             loop.schedule(this::endWhenIdle, END_CHECK_MILLIS, TimeUnit.MILLISECONDS);
@@ -244,6 +251,9 @@
                         random.nextLong(), hosts, style, this);
                 services.put(service, made);
                 made.tell(new ListReceived(ListKind.WHOLE, servers(service)));
+                if (ending) {
+                    tellOfEnd(made);
+                }
             }
         }
         for (Map.Entry<String, Forwarding> entry : List.copyOf(services.entrySet())) {
--- a/src/main/java/tinworks/net/ClientServer.java
+++ b/src/main/java/tinworks/net/ClientServer.java
@@ -158,7 +158,7 @@
         bounds = changed;
     }
 
-    /** From now on each answer ends its connection. */
+    /** From now on each answer ends its connection, but for those behind which more requests have been read. */
     public void lastAnswers() {
         ending = true;
     }
@@ -332,8 +332,8 @@
                 headers.set(HttpHeaderNames.RETRY_AFTER, seconds(pauseNanos));
             }
             // What was sent ahead is still owed its answer.
-            boolean spared = crowded() && connection.pipelined.isEmpty();
-            connection.answer(answer, keepAlive && !ending && !spared, written);
+            boolean last = (ending || crowded()) && connection.pipelined.isEmpty();
+            connection.answer(answer, keepAlive && !last, written);
         }
     }
 
--- a/src/main/java/tinworks/policy/Choice.java
+++ b/src/main/java/tinworks/policy/Choice.java
@@ -620,8 +620,7 @@
     /** Calls off what is still out, once, and forgets the request when nothing is. */
     private void conclude(Request r) {
         for (Attempt a : r.attempts) {
-            if (!r.concluded && !a.ended() && (r.kind.spec.effect() != Effect.SAFE || (r.lost >> a.number() & 1) == 0)
-                    && settings.allowed().cancel() && !r.streaming) {
+            if (!r.concluded && !a.ended() && (r.calledOff >> a.number() & 1) == 0 && settings.allowed().cancel() && !r.streaming) {
                 actions.cancel(r.id, a.number());
             }
         }
@@ -757,8 +756,14 @@
             double outOfAim = (heardUpTo - a.sentAt()) / (slowness * rules.longWork() * a.request().kind.spec.aimNanos());
             boolean atSilent = s.silent && rules.longWork() > 1;
             if (outOfAim > OVERTAKEN_OF_AIM && (a.sentAt() < s.answeredSentAt || atSilent)) {
-                i.remove();
                 lose(a);
+                if (!mayCallOff(a.request())) {
+                    i.remove();
+                } else if (canGoElsewhere(a.request())) {
+                    i.remove();
+                    a.request().calledOff |= 1L << a.number();
+                    actions.cancel(a.request().id, a.number());
+                }
             } else if (outOfAim > PATIENCE_OF_AIM && a.sentAt() >= s.answeredAt) {
                 overdue++;
             }
@@ -772,19 +777,31 @@
     /**
      * Guards against answers that never come, while later ones do: such an attempt would hold a place at its
      * server until its time-out, and two of them all places; equally against work that is stuck in a server.
-     * Where it may run again it is called off, and tried again. It could do harm where work differs so much
-     * that long requests are overtaken as a rule: they would be run twice, within the budget for tries.
+     * Where it may run again it is called off once it can be tried again. It could do harm where work differs so
+     * much that long requests are overtaken as a rule: they would be run twice, within the budget for tries.
      */
     private void lose(Attempt a) {
         Request r = a.request();
-        r.lost |= 1L << a.number();
-        a.server().inFlight--;
-        inFlight--;
-        if (r.kind.spec.effect() == Effect.SAFE && settings.allowed().cancel() && !r.concluded && !r.streaming) {
-            actions.cancel(r.id, a.number());
+        if ((r.lost >> a.number() & 1) == 0) {
+            r.lost |= 1L << a.number();
+            a.server().inFlight--;
+            inFlight--;
         }
     }
 
+    private boolean mayCallOff(Request r) {
+        return r.kind.spec.effect() == Effect.SAFE && settings.allowed().cancel() && !r.concluded && !r.streaming;
+    }
+
+    /**
+     * Guards against breaking off what a server may be at work on only to answer here in its place; near its own end a
+     * gateway breaks off nothing, as then there may be nobody to try again.
+     */
+    private boolean canGoElsewhere(Request r) {
+        return endsAt == Long.MAX_VALUE && now < r.deadline && r.attempts.size() < mostAttempts(r) && extra >= 1
+                && ready.stream().anyMatch(s -> !r.wasAt(s) && healthGate(s) > 0 && roomGate(s, coldGate(s)) > 0);
+    }
+
     /** Whether this gateway has under one request for a server in a tick, and so seldom two out at one. */
     private boolean rare() {
         return warmRate() * TICK_NANOS < SECOND_NANOS;
--- a/src/main/java/tinworks/policy/State.java
+++ b/src/main/java/tinworks/policy/State.java
@@ -91,8 +91,9 @@
         /** A bit for each attempt that ended, and for each that is proved never to have run. */
         long ended;
         long neverRan;
-        /** A bit for each attempt that holds no place any more. */
+        /** A bit for each attempt that holds no place any more, and for each that was called off. */
         long lost;
+        long calledOff;
         int outstanding;
         boolean concluded;
         boolean streaming;
--- /dev/null
+++ b/src/test/java/tinworks/edge/LastAnswersTest.java
@@ -0,0 +1,52 @@
+package tinworks.edge;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import java.net.Socket;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import tinworks.config.Configuration.Type;
+import tinworks.edge.EdgeFixture.Client;
+import tinworks.edge.EdgeFixture.Message;
+import tinworks.net.ScriptedHost;
+import tinworks.node.NodeProcess;
+import tinworks.policy.Protocol.Ending;
+
+/** What an edge that ends does with requests that it has read. */
+@Timeout(value = 60, unit = TimeUnit.SECONDS)
+class LastAnswersTest {
+    private static final String SERVED = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nOrigin-Seal: s\r\nAttempt-Id: ";
+
+    @Test
+    void whatWasReadBehindAnOpenRequestGetsItsAnswerToo() throws Exception {
+        CompletableFuture<Socket> held = new CompletableFuture<>();
+        try (ScriptedHost host = new ScriptedHost((socket, request) -> {
+            String id = request.header("Attempt-Id");
+            if (id.equals("a")) {
+                held.complete(socket);
+            } else {
+                ScriptedHost.write(socket, SERVED + id + "\r\n\r\nfine");
+            }
+        }); EdgeFixture edge = new EdgeFixture(new EdgeStyle(1)); Client client = edge.client()) {
+            edge.host("h", host.address(), true);
+            edge.route("m", Type.MUTATING, 2, "h");
+            client.write(EdgeFixture.request("a", "m", "x", 9_000, false) + EdgeFixture.request("b", "m", "y", 9_000, false)
+                    + EdgeFixture.request("c", "m", "zz", 9_000, true));
+            Socket at = held.get(EdgeFixture.PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
+            edge.tell(new Ending(TimeUnit.SECONDS.toNanos(5)));
+            NodeProcess.run(edge.loop, edge.clients::lastAnswers);
+            NodeProcess.run(edge.loop, edge.clients::stopAccepting);
+            ScriptedHost.write(at, SERVED + "a\r\n\r\nfine");
+            for (String id : new String[] {"a", "b", "c"}) {
+                Message answer = client.read();
+                assertEquals(200, answer.status());
+                assertEquals(id, answer.headers().get("attempt-id"));
+                assertEquals(id.equals("c") ? "close" : null, answer.headers().get("connection"), "the last one says so");
+            }
+            assertNull(client.read());
+        }
+    }
+}
--- a/src/test/java/tinworks/policy/SystemRulesTest.java
+++ b/src/test/java/tinworks/policy/SystemRulesTest.java
@@ -11,7 +11,7 @@
 /** What the decision module does for the system beyond what the earlier protocol asks. */
 class SystemRulesTest {
     private static final long MS = 1_000_000L, SECOND = 1_000 * MS;
-    private static final long TIMEOUT = 1_200 * MS;
+    private static final long TIMEOUT = 1_200 * MS, NEVER = Long.MAX_VALUE;
     private final Sent sent = new Sent();
 
     private static final class Sent implements Actions {
@@ -144,9 +144,17 @@
 
     /** One request of several needs long: how many attempts are called off so long after it was sent. */
     private int calledOffAfter(long waited) {
-        Choice choice = choice(10, Effect.SAFE);
+        return calledOffAfter(choice(10, Effect.SAFE), waited, NEVER);
+    }
+
+    private int calledOffAfter(Choice choice, long waited, long endsAt) {
         choice.on(0, request(0));
+        boolean ending = false;
         for (long now = 0; now < waited; now += 20 * MS) {
+            if (now >= endsAt && !ending) {
+                ending = true;
+                choice.on(now, new Ending(5_500 * MS));
+            }
             if (now % (400 * MS) == 0) {
                 int before = sent.servers.size();
                 String id = "f" + now;
@@ -216,6 +224,36 @@
         assertEquals(List.of(), sent.lines);
     }
 
+    @Test
+    void afterTheWordToEndNothingIsCalledOffThatAHostMayWorkOn() {
+        for (long endsAt : List.of(0L, 100 * MS, 200 * MS, 400 * MS)) {
+            Choice choice = choice(10, Effect.SAFE);
+            assertEquals(0, calledOffAfter(choice, 1_180 * MS, endsAt), "told to end at " + endsAt);
+            assertEquals(0, sent.refused, "nor is there an answer of its own before the deadline");
+        }
+    }
+
+    @Test
+    void whatHasNoTryLeftIsNotCalledOff() {
+        Choice choice = choice(10, Effect.SAFE);
+        RequestClass once = new RequestClass("r", Effect.SAFE, Group.ALL, 0, 300 * MS, TIMEOUT, 1, 0.5, false, 1, TIMEOUT);
+        choice.on(0, new Reconfigured(List.of(once), 10));
+        assertEquals(0, calledOffAfter(choice, 1_180 * MS, NEVER), "it would be answered here while its host is at work");
+    }
+
+    /** With a single server there is no other to go to. */
+    @Test
+    void whatCanGoNowhereElseIsNotCalledOff() {
+        Choice choice = choice(64, Effect.SAFE);
+        choice.on(0, new ListReceived(ListKind.WHOLE, List.of(new ServerInfo("i-0", "z", "", 0, Readiness.READY, 3, 0))));
+        choice.on(0, request(0));
+        for (long now = 0; now < 1_100 * MS; now += 20 * MS) {
+            choice.on(now, new TimerFired(2));
+        }
+        assertEquals(1, sent.servers.size());
+        assertEquals(0, sent.cancelled);
+    }
+
     @Test
     void longWorkIsLeftToEndAndWhatNeverEndsIsCalledOff() {
         assertEquals(0, calledOffAfter(400 * MS), "late, but it may still be at work");
