Walk through every ending of an attempt at each byte, and mend what it shows

The walk: 36 ways for an attempt to end, each at each byte of the host's answer or of the request that it read, idem and mutating, on a connection's first use and on a later one, with a request sent ahead behind it, others between and clients that leave; production ClientServer, Requests, Forwarding, HostPool and EdgeStyle over loopback. It checks MIXED, TWICE, REFUSED, UNASKED, what each kind is told, and whether the connection lives.

Faults that it found, and their mends: - The beginning of an answer that was broken off and came late, with the own answer behind it, passed for one head: a host's 500 went to the client as a 200 with a seal (MIXED), and a stray 503 with Not-Run proved that a request had not run that had (TWICE). A head that holds a status line, or names two requests, is no answer now. - Not-Run beside any status was taken as proof (TWICE with a 200): only 400, 429 and 503. - Surplus bytes that ended exactly at the end of a line of a head weren't noticed, and the connection was used again; equally a client's request that stopped there was never timed out (408). Both decoders now know that they are amidst a head.

Seven mutants of EdgeStyle, one without Want-Host and one without the age of rested connections are caught. EdgeStyle is open to subclasses of its package for them.

--- a/src/main/java/tinworks/edge/EdgeStyle.java
+++ b/src/main/java/tinworks/edge/EdgeStyle.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.AsciiString;
+import java.util.List;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
@@ -24,12 +25,14 @@
 import tinworks.policy.Protocol.Outcome;
 
 /** How requests and answers look in the system's protocol. */
-final class EdgeStyle implements Forwarding.Style, HostPool.Dialect {
+class EdgeStyle implements Forwarding.Style, HostPool.Dialect {
     static final AsciiString ID = AsciiString.cached("Attempt-Id"), DEADLINE = AsciiString.cached("Deadline-Ms");
     private static final AsciiString WANT = AsciiString.cached("Want-Host"), SEAL = AsciiString.cached("Origin-Seal"),
             NOT_RUN = AsciiString.cached("Not-Run");
     /** Statuses that promise that the request has not run. */
     private static final Set<Integer> PROMISES = Set.of(408, 421, 429, 503);
+    /** Those with which a host may say so: {@code Not-Run} beside any other proves nothing. */
+    private static final Set<Integer> TURNED_AWAY = Set.of(400, 429, 503);
     /**
      * Hosts forget connections that rest, without a word, and what is sent on one then may have run as far as
      * anyone here can tell. A request that must not run twice goes on one that has hardly rested, or on a new one.
@@ -98,8 +101,8 @@
     /** Guards against believing an answer, or the proof in it that nothing ran, that is some other request's. */
     @Override
     public Whose whose(String request, HttpHeaders headers) {
-        String id = headers.get(ID);
-        return id == null ? Whose.NOBODYS : id.equals(request) ? Whose.OWN : Whose.ANOTHERS;
+        List<String> ids = headers.getAll(ID);
+        return ids.size() != 1 ? Whose.NOBODYS : ids.get(0).equals(request) ? Whose.OWN : Whose.ANOTHERS;
     }
 
     /** Guards against a success that isn't the host's own whole answer; {@link #whose} has judged its id. */
@@ -107,10 +110,13 @@
     public Outcome outcome(String request, HttpResponse head, boolean framed) {
         int status = head.status().code();
         HttpHeaders headers = head.headers();
-        if (headers.contains(NOT_RUN) || status == HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
-            return status == HttpResponseStatus.MISDIRECTED_REQUEST.code() ? Outcome.CONNECT_FAILED : Outcome.FULL;
+        boolean notRun = headers.contains(NOT_RUN);
+        if (status == HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
+            return Outcome.CONNECT_FAILED;
+        } else if (notRun && TURNED_AWAY.contains(status)) {
+            return Outcome.FULL;
         }
-        boolean success = status >= 200 && status < 300;
+        boolean success = status >= 200 && status < 300 && !notRun;
         boolean whole = framed && headers.contains(SEAL) && !headers.contains(HttpHeaderNames.CONTENT_ENCODING);
         return success && whole ? Outcome.SERVED : Outcome.ERROR;
     }
--- a/src/main/java/tinworks/net/AnswerReader.java
+++ b/src/main/java/tinworks/net/AnswerReader.java
@@ -1,5 +1,6 @@
 package tinworks.net;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.CompositeByteBuf;
 import io.netty.channel.ChannelHandlerContext;
@@ -17,6 +18,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.AsciiString;
 import io.netty.util.ReferenceCountUtil;
+import java.util.List;
 
 /**
  * Collects a host's answer whole and within bounds, and tells of it once all that came with it has been looked
@@ -91,7 +93,7 @@
         if (part instanceof HttpResponse response) {
             head = response;
             // Guards against gathering what is said to have gigabytes, and against a switch that nobody asked for.
-            spoilt = !Framing.hasOneReading(response) || HttpUtil.getContentLength(response, 0L) > largestBody
+            spoilt = !Framing.hasOneReading(response) || Framing.holdsAnother(response) || HttpUtil.getContentLength(response, 0L) > largestBody
                     || response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS);
             framed = response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
                     || HttpUtil.isTransferEncodingChunked(response) || decoder.isContentAlwaysEmpty(response);
@@ -179,10 +181,26 @@
 
     /** Netty's decoder, made strict where it is lenient with hosts. */
     private final class Decoder extends HttpResponseDecoder {
+        /** A part of a head has been read, and its end has not. */
+        private boolean amidstHead;
+
         Decoder() {
             super(new HttpDecoderConfig());
         }
 
+        @Override
+        protected HttpMessage createMessage(String[] firstLine) {
+            amidstHead = true;
+            return super.createMessage(firstLine);
+        }
+
+        @Override
+        protected void decode(ChannelHandlerContext ctx, ByteBuf bytes, List<Object> out) throws Exception {
+            int before = out.size();
+            super.decode(ctx, bytes, out);
+            amidstHead &= out.size() == before;
+        }
+
         /** Guards against bytes that nobody asked for: they would be taken for the start of the next answer. */
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
@@ -208,8 +226,9 @@
             return super.isContentAlwaysEmpty(message) || listener.asksForHead();
         }
 
+        /** Whether a part of an answer has come, and its end has not. */
         boolean holdsBytes() {
-            return actualReadableBytes() > 0;
+            return actualReadableBytes() > 0 || amidstHead;
         }
     }
 }
--- a/src/main/java/tinworks/net/ClientServer.java
+++ b/src/main/java/tinworks/net/ClientServer.java
@@ -21,6 +21,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
@@ -348,13 +349,30 @@
     private record Arrived(FullHttpRequest request, long at, long taken) { }
 
     private static final class Decoder extends HttpRequestDecoder {
+        /** A part of a head has been read, and its end has not. */
+        private boolean amidstHead;
+
         Decoder(int headBytes) {
             super(new HttpDecoderConfig().setMaxHeaderSize(headBytes)
                     .setMaxInitialLineLength(Math.max(LONGEST_LINE, headBytes / 2)));
         }
 
+        @Override
+        protected HttpMessage createMessage(String[] firstLine) throws Exception {
+            amidstHead = true;
+            return super.createMessage(firstLine);
+        }
+
+        @Override
+        protected void decode(ChannelHandlerContext ctx, ByteBuf bytes, List<Object> out) throws Exception {
+            int before = out.size();
+            super.decode(ctx, bytes, out);
+            amidstHead &= out.size() == before;
+        }
+
+        /** Whether a part of a head has come, and its end has not. */
         boolean holdsBytes() {
-            return actualReadableBytes() > 0;
+            return actualReadableBytes() > 0 || amidstHead;
         }
     }
 
--- /dev/null
+++ b/src/test/java/tinworks/edge/AtMostOnceTest.java
@@ -0,0 +1,167 @@
+package tinworks.edge;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import tinworks.config.Configuration.Type;
+import tinworks.edge.AtMostOnceWalk.Report;
+import tinworks.edge.EdgeFixture.Client;
+import tinworks.edge.EndingHost.Ending;
+import tinworks.net.ClientServer.Reply;
+import tinworks.net.HostPool.Answer;
+import tinworks.net.HostPool.Whose;
+import tinworks.policy.Protocol.Outcome;
+
+/** The table of docs/design/at-most-once.md, and that each guard it names is needed. */
+@Timeout(value = 240, unit = TimeUnit.SECONDS)
+class AtMostOnceTest {
+    private static final int SOME = 9;
+    private static final long LONGER_THAN_RESTED_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
+    @Test
+    void eachEndingAtEachByte() throws Exception {
+        Report report = AtMostOnceWalk.walk(new EdgeStyle(1), AtMostOnceWalk.cases(Boolean.getBoolean("tinworks.walk.all"), one -> true));
+        System.out.println("at most once: " + report.played() + " cases, " + report.again() + " played again, " + report.byEnding());
+        assertEquals(List.of(), report.faults().subList(0, Math.min(20, report.faults().size())), () -> report.faults().size() + " faults");
+    }
+
+    /** A style without one of its guards, and the endings that show it. */
+    private record Mutant(String name, EdgeStyle style, Set<Ending> shownBy) {
+        @Override
+        public String toString() {
+            return name;
+        }
+    }
+
+    static Stream<Mutant> mutants() {
+        return Stream.of(new Mutant("any answer is the request's own", new EdgeStyle(1) {
+            @Override
+            public Whose whose(String request, HttpHeaders headers) {
+                return Whose.OWN;
+            }
+        }, EnumSet.of(Ending.STRAY, Ending.STRAY_PROMISE_ALONE, Ending.STRAY_MISDIRECTED_ALONE)),
+        new Mutant("an answer that names no request is its own", new EdgeStyle(1) {
+            @Override
+            public Whose whose(String request, HttpHeaders headers) {
+                Whose whose = super.whose(request, headers);
+                return whose == Whose.NOBODYS ? Whose.OWN : whose;
+            }
+        }, EnumSet.of(Ending.NOT_RUN_NOBODYS)),
+        new Mutant("a 429 or 503 proves that nothing ran", new EdgeStyle(1) {
+            @Override
+            public Outcome outcome(String request, HttpResponse head, boolean framed) {
+                int status = head.status().code();
+                return status == 429 || status == 503 ? Outcome.FULL : super.outcome(request, head, framed);
+            }
+        }, EnumSet.of(Ending.BUSY, Ending.TOO_MANY)),
+        new Mutant("Not-Run proves it beside any status", new EdgeStyle(1) {
+            @Override
+            public Outcome outcome(String request, HttpResponse head, boolean framed) {
+                return head.headers().contains("Not-Run") ? Outcome.FULL : super.outcome(request, head, framed);
+            }
+        }, EnumSet.of(Ending.NOT_RUN_200)),
+        new Mutant("a success needs no seal", new EdgeStyle(1) {
+            @Override
+            public Outcome outcome(String request, HttpResponse head, boolean framed) {
+                return head.status().code() == 200 && framed ? Outcome.SERVED : super.outcome(request, head, framed);
+            }
+        }, EnumSet.of(Ending.UNSEALED, Ending.ENCODED)),
+        new Mutant("a host's own 503, 429 and 408 are passed on", new EdgeStyle(1) {
+            @Override
+            public void failed(Reply reply, Answer last) {
+                if (last == null) {
+                    super.failed(reply, null);
+                } else {
+                    reply.write(last.head().status(), new DefaultHttpHeaders(), last.body().retain(), 0);
+                }
+            }
+        }, EnumSet.of(Ending.BUSY, Ending.TOO_MANY, Ending.TOO_LATE)),
+        new Mutant("what failed and may have run is refused", new EdgeStyle(1) {
+            @Override
+            public void failed(Reply reply, Answer last) {
+                refused(reply, 0);
+            }
+        }, EnumSet.of(Ending.RESET, Ending.CLOSE, Ending.SILENCE, Ending.REQUEST_CUT)));
+    }
+
+    @ParameterizedTest
+    @MethodSource("mutants")
+    void withoutThisGuardTheWalkFails(Mutant mutant) throws Exception {
+        Report report = AtMostOnceWalk.walk(mutant.style, AtMostOnceWalk.cases(true,
+                one -> mutant.shownBy.contains(one.ending()) && one.position() % SOME == 0));
+        assertFalse(report.faults().isEmpty(), "not caught in " + report.played() + " cases");
+        Set<Ending> caught = EnumSet.noneOf(Ending.class);
+        mutant.shownBy.stream().filter(ending -> report.faults().stream().anyMatch(fault -> fault.contains("ending=" + ending + ",")))
+                .forEach(caught::add);
+        assertEquals(mutant.shownBy, caught, () -> "of " + report.faults());
+    }
+
+    /** What an address says of a host that is gone: another one is there now; the runs there, and the client's answer. */
+    private static String atAnotherHostsAddress(EdgeStyle style) throws Exception {
+        Map<String, String> asked = new ConcurrentHashMap<>();
+        asked.put("a", "POST /m/a?q=%20a HTTP/1.1|body");
+        try (EndingHost now = new EndingHost("now", asked, EndingHost.faults()); EdgeFixture edge = new EdgeFixture(style); Client client = edge.client()) {
+            edge.host("gone", now.address(), true);
+            edge.route("m", Type.MUTATING, 2, "gone");
+            client.write(EdgeFixture.request("a", "m", "body", 2_000, false));
+            return client.read().status() + ", ran " + now.runs.getOrDefault("a", 0);
+        }
+    }
+
+    @Test
+    void aRequestIsRunByNoOtherHostAtTheAddress() throws Exception {
+        assertEquals("503, ran 0", atAnotherHostsAddress(new EdgeStyle(1)));
+        assertEquals("200, ran 1", atAnotherHostsAddress(new EdgeStyle(1) {
+            @Override
+            public FullHttpRequest forHost(FullHttpRequest request, String host, long timeoutNanos) {
+                FullHttpRequest sent = super.forHost(request, host, timeoutNanos);
+                sent.headers().remove("Want-Host");
+                return sent;
+            }
+        }), "without Want-Host it is");
+    }
+
+    /** The host forgets connections that rest without a word: the answer to what is asked once its connection has rested. */
+    private static int afterARest(EdgeStyle style, Type type) throws Exception {
+        Map<String, String> asked = new ConcurrentHashMap<>();
+        try (EndingHost host = new EndingHost("h", asked, EndingHost.faults()); EdgeFixture edge = new EdgeFixture(style); Client client = edge.client()) {
+            host.forgets = true;
+            edge.host("h", host.address(), true);
+            edge.route("m", type, 2, "h");
+            client.write(EdgeFixture.request("a", "m", "body", 5_000, false));
+            assertEquals(200, client.read().status());
+            for (long end = System.nanoTime() + LONGER_THAN_RESTED_NANOS; System.nanoTime() < end;) {
+                LockSupport.parkNanos(end - System.nanoTime());
+            }
+            client.write(EdgeFixture.request("b", "m", "body", 5_000, false));
+            return client.read().status();
+        }
+    }
+
+    @Test
+    void whatMayNotRunTwiceGoesOnNoConnectionThatRested() throws Exception {
+        assertEquals(200, afterARest(new EdgeStyle(1), Type.MUTATING));
+        assertEquals(502, afterARest(new EdgeStyle(1) {
+            @Override
+            public long restedNanos(String requestClass) {
+                return Long.MAX_VALUE;
+            }
+        }, Type.MUTATING), "without the guard it meets a reset, and nobody knows whether it ran");
+    }
+}
--- a/src/test/java/tinworks/edge/EdgeFixture.java
+++ b/src/test/java/tinworks/edge/EdgeFixture.java
@@ -42,7 +42,7 @@
     static final int PATIENCE_MILLIS = 20_000;
     static final long LONG_MILLIS = 15_000;
     static final String DOMAIN = "x.example";
-    private static final int CONNECTIONS = 512, LARGEST = 1 << 20;
+    private static final int CONNECTIONS = 2_048, LARGEST = 1 << 20;
     private static final long DIAL_NANOS = TimeUnit.MILLISECONDS.toNanos(400), LONG_NANOS = TimeUnit.MILLISECONDS.toNanos(LONG_MILLIS);
 
     final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -60,7 +60,7 @@
         this.style = style;
         pool = new HostPool(loop, Transport.TCP, clock, new HostPool.Bounds(DIAL_NANOS, LONG_NANOS, CONNECTIONS, LARGEST), style);
         requests = new Requests(clock, new SplittableRandom(1), style, services);
-        clients = new ClientServer(loop, Transport.TCP, clock, new ClientServer.Bounds(CONNECTIONS, LONG_NANOS, LONG_NANOS,
+        clients = new ClientServer(loop, Transport.TCP, clock, new ClientServer.Bounds(CONNECTIONS, LONG_NANOS, 0,
                 Limits.USUAL.hdrBytes(), LARGEST, null), requests);
         NodeProcess.run(loop, () -> clients.listen(new InetSocketAddress("127.0.0.1", 0)));
         NodeProcess.call(loop, () -> clients.address().getPort());
@@ -71,6 +71,15 @@
         NodeProcess.run(loop, () -> pool.update(List.of(new HostPool.Place(id, address, 0, kept, false)), false));
     }
 
+    /** Tells of hosts, as {@link #host}. */
+    void hosts(boolean kept, EndingHost... hosts) {
+        List<HostPool.Place> places = new ArrayList<>();
+        for (EndingHost host : hosts) {
+            places.add(new HostPool.Place(host.id(), host.address(), 0, kept, false));
+        }
+        NodeProcess.run(loop, () -> pool.update(places, false));
+    }
+
     /** A route of a service of its own, whose module knows these hosts; told again, the module is a new one. */
     void route(String name, Type type, int tries, String... hosts) {
         Route route = new Route(name, DOMAIN, "/" + name + "/", type, LONG_MILLIS, LONG_MILLIS / 2, 1, List.of(new Split(name, 1)), tries);
--- a/src/test/java/tinworks/net/ArrivalTest.java
+++ b/src/test/java/tinworks/net/ArrivalTest.java
@@ -85,6 +85,18 @@
         }
     }
 
+    /** What has been read of its head ends with a line, and so nothing is left over that waits for more. */
+    @Test
+    void aRequestThatStopsAtTheEndOfALineIsGivenUp() throws Exception {
+        try (ScriptedHost host = new ScriptedHost(SERVES); GatewayFixture f = GatewayFixture.knowing(host)) {
+            Client client = f.client();
+            assertEquals("fine", client.ask(status("r", LONG_MILLIS)).body());
+            client.write("GET /status/7 HTTP/1.1\r\nHost: x\r\n");
+            assertTrue(client.read().firstLine().contains(" 408 "));
+            assertNull(client.read());
+        }
+    }
+
     /** What can't be taken behind an open request must not be answered before it. */
     @ParameterizedTest
     @ValueSource(strings = {
