Replace a voter that is about to end while all are there, and wait for the hand-over

CoreMachine.retire also passed over a hand-over that was refused since nobody had everything yet.

Change: a voter that retires and has a spare machine beside it asks the leader to be replaced (Signal.Leave, kind 14); VoterPlan exchanges it for a learner that has caught up, at once.

Three machines without a spare end as fast as before.

--- a/src/main/java/tinworks/channel/Signal.java
+++ b/src/main/java/tinworks/channel/Signal.java
@@ -27,6 +27,9 @@
     /** A core machine that isn't a voter asks to be sent the log. */
     record Join(Member member) implements Signal { }
 
+    /** A voter that is about to end asks the leader to let another vote in its place. */
+    record Leave(long id) implements Signal { }
+
     /**
      * What a core machine has: newer versions may be pulled from it.
      *
--- a/src/main/java/tinworks/channel/SignalCodec.java
+++ b/src/main/java/tinworks/channel/SignalCodec.java
@@ -14,6 +14,7 @@
 import tinworks.channel.Signal.Hosts;
 import tinworks.channel.Signal.HostsChanged;
 import tinworks.channel.Signal.Join;
+import tinworks.channel.Signal.Leave;
 import tinworks.channel.Signal.Part;
 import tinworks.channel.Signal.Ping;
 import tinworks.channel.Signal.PullConfiguration;
@@ -46,7 +47,7 @@
 
     private static final byte HELLO = 1, PING = 2, AGREEMENT = 3, JOIN = 4, ANNOUNCE = 5, PULL_CONFIGURATION = 6,
             CONFIGURATION = 7, PULL_HOSTS = 8, HOSTS = 9, CALL = 10, CALL_ANSWER = 11, HOSTS_CHANGED = 12,
-            CONFIGURATION_CHANGED = 13;
+            CONFIGURATION_CHANGED = 13, LEAVE = 14;
     private static final byte VOTE_REQUEST = 1, VOTE_REPLY = 2, APPEND = 3, APPEND_REPLY = 4, INSTALL = 5, HAND_OVER = 6,
             INSTALL_REPLY = 7;
     private static final Entry.Kind[] KINDS = Entry.Kind.values();
@@ -67,6 +68,8 @@
             writeMessage(out, s.message());
         } else if (signal instanceof Join s) {
             out.one(JOIN).eight(s.member().id()).text(s.member().address());
+        } else if (signal instanceof Leave s) {
+            out.one(LEAVE).eight(s.id());
         } else if (signal instanceof Announce s) {
             writeAnnounce(out, s);
         } else if (signal instanceof PullConfiguration s) {
@@ -120,6 +123,7 @@
             case PING -> new Ping();
             case AGREEMENT -> new Agreement(in.eight(), in.eight(), readMessage(in));
             case JOIN -> new Join(new Member(in.eight(), in.text()));
+            case LEAVE -> new Leave(in.eight());
             case ANNOUNCE -> readAnnounce(in);
             case PULL_CONFIGURATION -> new PullConfiguration(in.eight());
             case CONFIGURATION -> new ConfigurationBody(in.eight(), in.bytes());
--- a/src/main/java/tinworks/control/Core.java
+++ b/src/main/java/tinworks/control/Core.java
@@ -25,7 +25,7 @@
 /** The process of a core machine: its disk, its start and its end. */
 public final class Core {
     private static final Logger LOG = LoggerFactory.getLogger(Core.class);
-    private static final long HAND_OVER_MILLIS = 150, CLOSE_MILLIS = 2_000;
+    private static final long RETIRE_MILLIS = 1_500, RETIRE_AGAIN_MILLIS = 50, CLOSE_MILLIS = 2_000;
 
     private Core() { }
 
@@ -103,8 +103,10 @@
     }
 
     private static void end(NodeProcess process, CoreNode node) throws InterruptedException {
-        NodeProcess.run(process.loop(), node::retire);
-        TimeUnit.MILLISECONDS.sleep(HAND_OVER_MILLIS);
+        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(RETIRE_MILLIS);
+        while (!NodeProcess.call(process.loop(), node::retire) && System.nanoTime() < until) {
+            TimeUnit.MILLISECONDS.sleep(RETIRE_AGAIN_MILLIS);
+        }
         NodeProcess.run(process.loop(), node::close);
         node.awaitClosed(CLOSE_MILLIS);
     }
--- a/src/main/java/tinworks/control/CoreMachine.java
+++ b/src/main/java/tinworks/control/CoreMachine.java
@@ -22,6 +22,7 @@
 import tinworks.channel.Signal.Hosts;
 import tinworks.channel.Signal.HostsChanged;
 import tinworks.channel.Signal.Join;
+import tinworks.channel.Signal.Leave;
 import tinworks.channel.Signal.Part;
 import tinworks.channel.Signal.PullConfiguration;
 import tinworks.channel.Signal.PullHosts;
@@ -68,7 +69,7 @@
     /** Heartbeats are cheap; an election outlasts a slow disk's syncs and a process's first, uncompiled work. */
     private static final Timing TIMING = new Timing(120, 500);
     static final long TICK_MILLIS = 50;
-    private static final long ANNOUNCE_MILLIS = 1_000, JOIN_MILLIS = 500, LEARNER_MILLIS = 3_000,
+    private static final long ANNOUNCE_MILLIS = 1_000, JOIN_MILLIS = 500, LEARNER_MILLIS = 3_000, LEAVE_MILLIS = 3_000,
             PULL_AGAIN_MILLIS = 400, PLAN_MILLIS = 250, LOST_MILLIS = 3_000;
 
     private final Identity self;
@@ -80,6 +81,8 @@
     private final OperatorCalls calls;
     private final Set<Conversation> conversations = new LinkedHashSet<>();
     private final Map<Long, Long> joins = new HashMap<>();
+    /** When each that is about to end said so. */
+    private final Map<Long, Long> leaves = new HashMap<>();
     private final Set<String> announced = new HashSet<>();
     /** The term of the leader that told of {@link #announced}. */
     private long announcedTerm;
@@ -113,11 +116,23 @@
         calls = handled.apply(this, around::millis);
     }
 
-    /** Hands the lead over and no longer has the list fetched. */
-    void retire() {
-        raft.handOver();
-        agreement.pump();
+    /**
+     * Gets ready to end: hands the lead over, and where there is another machine that can vote asks to be replaced, while all
+     * are there. True once nothing is left to do; else to be asked again until the caller's time is over.
+     */
+    boolean retire() {
         around.fetchList(false);
+        if (raft.role() == Raft.Role.LEADER) {
+            raft.handOver();
+            agreement.pump();
+            return raft.members().size() == 1;
+        }
+        boolean spared = announced.size() > raft.members().size();
+        Conversation leader = leader();
+        if (spared && raft.isVoter(id) && leader != null) {
+            leader.send(new Leave(id));
+        }
+        return !spared || !raft.isVoter(id);
     }
 
     /** Ends all conversations. */
@@ -217,8 +232,10 @@
     private void planVoters(long now) {
         if (raft.role() != Raft.Role.LEADER) {
             joins.clear();
+            leaves.clear();
             return;
         }
+        leaves.values().removeIf(at -> now - at > LEAVE_MILLIS);
         List<VoterPlan.Seen> seen = new ArrayList<>();
         for (Progress p : raft.followers()) {
             boolean learner = !raft.isVoter(p.member().id());
@@ -226,7 +243,7 @@
                 raft.removeLearner(p.member().id());
                 continue;
             }
-            seen.add(new VoterPlan.Seen(p.member(), p.caughtUp(), now - p.heardAt()));
+            seen.add(new VoterPlan.Seen(p.member(), p.caughtUp(), now - p.heardAt(), leaves.containsKey(p.member().id())));
         }
         if (raft.mayChangeMembers()) {
             List<Member> before = raft.members();
@@ -324,6 +341,10 @@
                 raft.addLearner(s.member());
                 agreement.pump();
             }
+        } else if (signal instanceof Leave s) {
+            if (raft.role() == Raft.Role.LEADER && leaves.put(s.id(), around.millis()) == null) {
+                planVoters(around.millis());
+            }
         } else if (signal instanceof PullConfiguration s) {
             configurations.follow(agreement.history());
             Signal newer = configurations.since(s.held());
--- a/src/main/java/tinworks/control/CoreNode.java
+++ b/src/main/java/tinworks/control/CoreNode.java
@@ -74,9 +74,9 @@
         poller.moveTo(changed.provider());
     }
 
-    /** Hands the lead over and no longer fetches the list; on the event loop. */
-    public void retire() {
-        machine.retire();
+    /** Gets ready to end, and tells whether nothing is left to do; on the event loop. */
+    public boolean retire() {
+        return machine.retire();
     }
 
     /** Ends; on the event loop. */
--- a/src/main/java/tinworks/control/VoterPlan.java
+++ b/src/main/java/tinworks/control/VoterPlan.java
@@ -17,8 +17,8 @@
  * with a dead third as without one, and the dead one may yet come back.
  */
 final class VoterPlan {
-    /** One that gets the log. {@code silentMillis} is how long it has said nothing. */
-    record Seen(Member member, boolean caughtUp, long silentMillis) { }
+    /** One that gets the log. {@code silentMillis} is how long it has said nothing; {@code leaves} that it is about to end. */
+    record Seen(Member member, boolean caughtUp, long silentMillis, boolean leaves) { }
 
     /** A restart takes less; a voter that is gone for longer is replaced where another can take its place. */
     static final long GONE_MILLIS = 2_500;
@@ -43,7 +43,7 @@
     Optional<List<Member>> next(long now, long self, List<Member> voters, List<Seen> others) {
         letGoAt.values().removeIf(at -> now - at >= REST_MILLIS);
         List<Seen> learners = others.stream().filter(o -> !voters.contains(o.member()) && o.silentMillis() < ALIVE_MILLIS).toList();
-        List<Member> ready = new ArrayList<>(learners.stream().filter(Seen::caughtUp).map(Seen::member).toList());
+        List<Member> ready = new ArrayList<>(learners.stream().filter(l -> l.caughtUp() && !l.leaves()).map(Seen::member).toList());
         List<Member> next = new ArrayList<>(voters);
         for (Member voter : voters) {
             // The machine has come back without its disk: what voted under this id is no more.
@@ -55,7 +55,10 @@
         }
         for (Seen other : others) {
             Optional<Member> rested = ready.stream().filter(m -> !letGoAt.containsKey(m.id())).findFirst();
-            if (next.contains(other.member()) && other.silentMillis() > GONE_MILLIS && rested.isPresent()) {
+            if (next.contains(other.member()) && other.leaves() && !ready.isEmpty()) {
+                // While all are there: once it has ended, one more loss might leave no majority.
+                exchange(next, other.member(), rested.orElse(ready.get(0)), ready);
+            } else if (next.contains(other.member()) && other.silentMillis() > GONE_MILLIS && rested.isPresent()) {
                 exchange(next, other.member(), rested.get(), ready);
             }
         }
@@ -65,7 +68,7 @@
         if (next.equals(voters) || !isQuorum(self, voters, others) || !isQuorum(self, next, others)) {
             return Optional.empty();
         }
-        others.stream().filter(o -> voters.contains(o.member()) && !next.contains(o.member()))
+        others.stream().filter(o -> voters.contains(o.member()) && !next.contains(o.member()) && !o.leaves())
                 .forEach(o -> letGoAt.put(o.member().id(), now));
         return Optional.of(next);
     }
--- a/src/test/java/tinworks/channel/SignalCodecTest.java
+++ b/src/test/java/tinworks/channel/SignalCodecTest.java
@@ -25,7 +25,7 @@
                     List.of(new HostList.Host("i-1", "svc", "10.0.0.1:80", "z", 3, true, 900)))),
             new Signal.HostsChanged(new HostChange(new HostListVersion(1, 2), new HostListVersion(2, 1),
                     List.of(new HostList.Host("i-1", "svc", "10.0.0.1:80", "z", 3, true, 900)), List.of("i-2"))),
-            new Signal.Call(3, false, new byte[] {5}), new Signal.CallAnswer(3, 412, new byte[] {6}),
+            new Signal.Leave(7), new Signal.Call(3, false, new byte[] {5}), new Signal.CallAnswer(3, 412, new byte[] {6}),
             agreement(new Message.VoteRequest(4, true, 5, 6, false)), agreement(new Message.VoteReply(4, false, true)),
             agreement(new Message.Append(4, 1, 2, 3, 4, List.of(new Entry(2, 4, Entry.Kind.COMMAND, new byte[] {8})), 7, 9)),
             agreement(new Message.AppendReply(4, true, 5, 6, 7)), agreement(new Message.HandOver(4)),
--- a/src/test/java/tinworks/control/VoterPlanTest.java
+++ b/src/test/java/tinworks/control/VoterPlanTest.java
@@ -21,15 +21,27 @@
     }
 
     private static Seen alive(Member member) {
-        return new Seen(member, true, 100);
+        return new Seen(member, true, 100, false);
     }
 
     private static Seen behind(Member member) {
-        return new Seen(member, false, 100);
+        return new Seen(member, false, 100, false);
     }
 
     private static Seen silent(Member member) {
-        return new Seen(member, true, VoterPlan.GONE_MILLIS + 1);
+        return new Seen(member, true, VoterPlan.GONE_MILLIS + 1, false);
+    }
+
+    private static Seen leaving(Member member) {
+        return new Seen(member, true, 100, true);
+    }
+
+    @Test
+    void aVoterThatIsAboutToEndChangesPlacesWhileAllAreThere() {
+        assertEquals(Optional.of(List.of(A, B, D)), next(List.of(A, B, C), alive(B), leaving(C), alive(D)));
+        assertEquals(Optional.empty(), next(List.of(A, B, C), alive(B), leaving(C), behind(D)));
+        assertEquals(Optional.empty(), next(List.of(A, B, C), alive(B), leaving(C)));
+        assertEquals(Optional.empty(), next(List.of(A, B, C), alive(B), silent(C), leaving(D)), "no voter that is about to end");
     }
 
     @Test
@@ -53,7 +65,7 @@
 
     @Test
     void aMachineThatCameBackEmptyReplacesItsEarlierLifeOnceItHasTheLog() {
-        Seen before = new Seen(C, true, 500);
+        Seen before = new Seen(C, true, 500, false);
         assertEquals(Optional.empty(), next(List.of(A, B, C), alive(B), before, behind(C2)), "three stay three");
         assertEquals(Optional.of(List.of(A, B, C2)), next(List.of(A, B, C), alive(B), before, alive(C2)));
         assertEquals(Optional.of(List.of(A, B, D)), next(List.of(A, B, C), alive(B), before, behind(C2), alive(D)), "the fourth has it");
@@ -76,7 +88,7 @@
             for (Member member : List.of(B, C, D)) {
                 int turn = List.of(comeAndGo).indexOf(member);
                 long phase = (at + 2_500L * Math.max(turn, 0)) % 5_000;
-                seen.add(new Seen(member, true, turn < 0 ? 50 : phase <= 2_600 ? phase : 50));
+                seen.add(new Seen(member, true, turn < 0 ? 50 : phase <= 2_600 ? phase : 50, false));
             }
             Optional<List<Member>> next = plan.next(now + at, A.id(), voters, seen);
             assertTrue(next.isEmpty() || next.get().size() == 3);
