--- a/src/test/java/tinworks/raft/LeaseTest.java
+++ b/src/test/java/tinworks/raft/LeaseTest.java
@@ -171,6 +171,9 @@
         assertEquals(1_000 + LEASE, raft.leaseUntil(), "an answer to the round before tells nothing new");
         raft.receive(1_120, 2, new AppendReply(4, true, raft.lastIndex(), round));
         assertEquals(1_070 + LEASE, raft.leaseUntil());
+        raft.tick(1_170);
+        raft.receive(1_180, 2, new Message.InstallReply(4, 1, 0, 1, roundTo(2, raft)));
+        assertEquals(1_170 + LEASE, raft.leaseUntil(), "a voter that takes a snapshot has heard the leader too");
         assertTrue(raft.holdsLease() && raft.fresh());
     }
 
