Take inTouch out of the agreement, which nothing asks any more

Cause and change: its callers go by the leader's lease now (fresh, holdsLease). LeaseTest's line on it, which showed that it said otherwise at a leader that has committed nothing, asserts there that neither a lease nor fresh is told. Measured: RaftTest, LeaseTest, MembershipTest, CoreMachineTest and VoterPlanTest pass.

--- a/src/main/java/tinworks/raft/Raft.java
+++ b/src/main/java/tinworks/raft/Raft.java
@@ -340,11 +340,6 @@
         return voters.all();
     }
 
-    /** Whether a leader has been heard lately, or this member leads. */
-    public boolean inTouch() {
-        return role == Role.LEADER || leader != 0 && now - heardLeaderAt < 2 * timing.electionMillis();
-    }
-
     /**
      * Until when, on this member's clock, no other can lead, in steady milliseconds; 0 where that isn't known. A lease
      * runs from the sending of the latest round that a majority answered: each of these voters heard the leader after
--- a/src/test/java/tinworks/raft/LeaseTest.java
+++ b/src/test/java/tinworks/raft/LeaseTest.java
@@ -180,7 +180,7 @@
     void aLeaseRunsFromTheSendingOfTheRoundThatWasAnswered() {
         Raft raft = elected();
         assertEquals(0, raft.leaseUntil(), "nothing of its term is committed");
-        assertTrue(raft.inTouch(), "what was asked for before says otherwise");
+        assertFalse(raft.holdsLease() || raft.fresh());
         raft.receive(1_020, 2, new AppendReply(4, true, raft.lastIndex(), 1));
         assertEquals(1_000 + LEASE, raft.leaseUntil());
         raft.tick(1_070);
