Leave a store alone that another process has open

Cause: MVStore tells of a locked file in an exception of its own without an IOException, so a second process on the same folder set a good store aside as damaged, under the first one's hands, and began empty. Found by starting a core machine twice.

Change: a locked file ends the start in an error.

--- a/src/main/java/tinworks/store/CoreStore.java
+++ b/src/main/java/tinworks/store/CoreStore.java
@@ -12,6 +12,7 @@
 import java.util.regex.Pattern;
 import java.util.zip.CRC32C;
 import org.h2.mvstore.Cursor;
+import org.h2.mvstore.DataUtils;
 import org.h2.mvstore.MVMap;
 import org.h2.mvstore.MVStore;
 import org.h2.mvstore.MVStoreException;
@@ -243,6 +244,9 @@
             if (cause instanceof IOException io && !(cause instanceof EOFException)) {
                 disk = io;
             }
+            if (cause instanceof MVStoreException locked && locked.getErrorCode() == DataUtils.ERROR_FILE_LOCKED) {
+                disk = new IOException("another process has it open", e);
+            }
         }
         if (disk != null) {
             throw new IOException("the store can't be opened: " + disk.getMessage(), e);
--- a/src/test/java/tinworks/store/CoreStoreTest.java
+++ b/src/test/java/tinworks/store/CoreStoreTest.java
@@ -121,4 +121,15 @@
         Path file = Files.write(folder.resolve("file"), new byte[1]);
         assertThrows(IOException.class, () -> CoreStore.open(file));
     }
+
+    @Test
+    void aStoreThatIsOpenElsewhereIsNotADamagedOne() throws Exception {
+        CoreStore store = CoreStore.open(folder);
+        store.found(7, HardState.NONE, Snapshot.NONE);
+        assertThrows(IOException.class, () -> CoreStore.open(folder));
+        store.close();
+        CoreStore again = CoreStore.open(folder);
+        assertEquals(7, again.identity());
+        again.close();
+    }
 }
