Show that no request at a host is given up in the first half of the grace

Cause: the new LOST rule had no test. Change: EdgeEndTest runs a whole EdgeNode over loopback through its SIGTERM with hosts at work on eight requests, idem and mutating, taken before and after it, at their first host and after a refusal at another, while others are served on and overtake them; nobody is told anything before 2.95 s, each is at one host's work once, and each gets that host's answer. AtMostOnceTest also plays a refused and a silent connect, and a request cut while it is written.

--- a/src/test/java/tinworks/edge/AtMostOnceTest.java
+++ b/src/test/java/tinworks/edge/AtMostOnceTest.java
@@ -7,6 +7,12 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.util.ArrayList;
 import java.util.EnumSet;
 import java.util.List;
 import java.util.Map;
@@ -18,6 +24,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import tinworks.config.Configuration.Type;
 import tinworks.edge.AtMostOnceWalk.Report;
@@ -112,6 +119,66 @@
         assertEquals(mutant.shownBy, caught, () -> "of " + report.faults());
     }
 
+    /** A host where no whole request can arrive: it refuses connections, leaves them unanswered, or resets amidst a long body. */
+    private static ServerSocket unreachable(String how, List<Socket> filling) throws IOException {
+        ServerSocket listener = new ServerSocket();
+        listener.setReceiveBufferSize(4_096);
+        listener.bind(new InetSocketAddress("127.0.0.1", 0), 1);
+        if (how.equals("refuses")) {
+            listener.close();
+        } else if (how.equals("is silent")) {
+            try {
+                for (int i = 0; i < 64; i++) {
+                    Socket socket = new Socket();
+                    filling.add(socket);
+                    socket.connect(listener.getLocalSocketAddress(), 200);
+                }
+            } catch (SocketTimeoutException e) {
+                return listener; // no more fit into its queue
+            }
+            throw new IOException("the queue of new connections never fills");
+        } else {
+            Thread reader = new Thread(() -> {
+                while (!listener.isClosed()) {
+                    try (Socket socket = listener.accept()) {
+                        socket.setSoLinger(true, 0);
+                        socket.getInputStream().readNBytes(10_000);
+                    } catch (IOException e) {
+                        // closed by the test, or reset
+                    }
+                }
+            });
+            reader.setDaemon(true);
+            reader.start();
+        }
+        return listener;
+    }
+
+    @ParameterizedTest
+    @CsvSource({"refuses,MUTATING", "refuses,IDEM", "is silent,MUTATING", "is silent,IDEM", "resets amidst,MUTATING"})
+    void whatNeverArrivedWholeMayGoElsewhereAndIsRefusedWhereItCant(String how, Type type) throws Exception {
+        String body = how.equals("resets amidst") ? "0123456789abcdef".repeat(12 << 16) : type == Type.IDEM ? "" : "body";
+        Map<String, String> asked = new ConcurrentHashMap<>();
+        List<Socket> filling = new ArrayList<>();
+        try (ServerSocket bad = unreachable(how, filling); EndingHost good = new EndingHost("good", asked, EndingHost.faults());
+                EdgeFixture edge = new EdgeFixture(new EdgeStyle(1)); Client client = edge.client()) {
+            edge.host("bad", new InetSocketAddress("127.0.0.1", bad.getLocalPort()), true);
+            edge.host("good", good.address(), true);
+            edge.route("alone", type, 2, "bad");
+            client.write(EdgeFixture.request("alone", "alone", body, 9_000, false));
+            assertEquals(503, client.read().status(), "a promise, for either kind");
+            for (int i = 0; i < 6; i++) {
+                edge.route("both", type, 2, "bad", "good"); // a new module, which draws one of both
+                client.write(EdgeFixture.request("both-" + i, "both", body, 9_000, false));
+                assertEquals(200, client.read().status());
+                assertEquals(1, good.runs.get("both-" + i));
+            }
+        }
+        for (Socket socket : filling) {
+            socket.close();
+        }
+    }
+
     /** What an address says of a host that is gone: another one is there now; the runs there, and the client's answer. */
     private static String atAnotherHostsAddress(EdgeStyle style) throws Exception {
         Map<String, String> asked = new ConcurrentHashMap<>();
--- /dev/null
+++ b/src/test/java/tinworks/edge/EdgeEndTest.java
@@ -0,0 +1,165 @@
+package tinworks.edge;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import tinworks.channel.ConfigurationCodec;
+import tinworks.channel.HostList.Host;
+import tinworks.channel.HostList;
+import tinworks.channel.HostListVersion;
+import tinworks.channel.Packed;
+import tinworks.channel.Signal.ConfigurationBody;
+import tinworks.channel.Signal.Hosts;
+import tinworks.config.Configuration.Limits;
+import tinworks.config.Configuration.Route;
+import tinworks.config.Configuration.Service;
+import tinworks.config.Configuration.Split;
+import tinworks.config.Configuration.Type;
+import tinworks.config.Configuration;
+import tinworks.demo.FreePorts;
+import tinworks.edge.EdgeFixture.Client;
+import tinworks.edge.EdgeFixture.Message;
+import tinworks.net.GatewayClock;
+import tinworks.net.ScriptedHost;
+import tinworks.node.BootSettings;
+import tinworks.node.NodeProcess;
+
+/** A whole edge after its SIGTERM, with hosts at work on requests of both kinds. */
+@Timeout(value = 60, unit = TimeUnit.SECONDS)
+class EdgeEndTest {
+    private static final long GRACE_MILLIS = 6_000, FIRST_HALF_NANOS = TimeUnit.MILLISECONDS.toNanos(GRACE_MILLIS / 2);
+    private static final String SERVED = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nOrigin-Seal: s\r\nAttempt-Id: ";
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    /** Requests at work by their ids, and how often each came. */
+    private final Map<String, Socket> atWork = new ConcurrentHashMap<>();
+    private final Map<String, Integer> came = new ConcurrentHashMap<>();
+
+    @AfterEach
+    void stop() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly(5_000);
+    }
+
+    private static Route route(String name, Type type) {
+        return new Route(name, EdgeFixture.DOMAIN, "/" + name + "/", type, 20_000, 150, 1, List.of(new Split("s", 1)), 2);
+    }
+
+    private static void await(String what, BooleanSupplier holds) throws InterruptedException {
+        for (long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(20); !holds.getAsBoolean();) {
+            assertTrue(System.nanoTime() < end, "not in time: " + what);
+            TimeUnit.MILLISECONDS.sleep(5);
+        }
+    }
+
+    /** Serves, but keeps those called held at work, and turns those called turned away the first time. */
+    private void host(Socket socket, ScriptedHost.Message request) throws java.io.IOException {
+        String id = request.header("Attempt-Id");
+        int times = came.merge(id, 1, Integer::sum);
+        if (id.startsWith("turned") && times == 1) {
+            ScriptedHost.write(socket, "HTTP/1.1 503 Full\r\nContent-Length: 0\r\nNot-Run: 1\r\nAttempt-Id: " + id + "\r\n\r\n");
+        } else if (id.startsWith("held") || id.startsWith("turned")) {
+            atWork.put(id, socket);
+        } else {
+            ScriptedHost.write(socket, SERVED + id + "\r\n\r\nfine");
+        }
+    }
+
+    private static boolean serves(int port, String id) {
+        try (Client client = new Client(port)) {
+            client.write(EdgeFixture.request(id, "i", "", 2_000, false));
+            Message answer = client.read();
+            return answer != null && answer.status() == 200;
+        } catch (java.io.IOException e) {
+            return false;
+        }
+    }
+
+    @Test
+    void noRequestThatAHostWorksOnIsGivenUpInTheFirstHalfOfTheGrace() throws Exception {
+        List<Integer> ports = FreePorts.at("127.0.0.1", 4);
+        int http = ports.get(0);
+        BootSettings settings = new BootSettings("e", "z", new InetSocketAddress("127.0.0.1", http),
+                new InetSocketAddress("127.0.0.1", ports.get(1)), null, new InetSocketAddress("127.0.0.1", ports.get(2)), List.of(), false,
+                1_000, null, 1, GRACE_MILLIS, new InetSocketAddress("127.0.0.1", ports.get(3)));
+        Configuration configuration = new Configuration(1, List.of(route("i", Type.IDEM), route("m", Type.MUTATING)),
+                Map.of("s", new Service("s", "/", 100)), Limits.USUAL);
+        try (ScriptedHost host = new ScriptedHost(this::host)) {
+            EdgeNode edge = NodeProcess.call(loop, () -> new EdgeNode(loop, new GatewayClock(), settings, 7));
+            for (ChannelFuture bound : NodeProcess.call(loop, edge::start)) {
+                bound.syncUninterruptibly();
+            }
+            List<Host> hosts = new ArrayList<>();
+            for (int i = 0; i < 24; i++) {
+                hosts.add(new Host("i-" + i, "s", "127.0.0.1:" + host.address().getPort(), "z", 3, false, 0));
+            }
+            NodeProcess.run(loop, () -> {
+                edge.received(null, new Hosts(new HostList(new HostListVersion(1, 1), hosts)));
+                edge.received(null, new ConfigurationBody(1, Packed.pack(ConfigurationCodec.write(configuration))));
+            });
+            await("the edge serves", () -> serves(http, "first" + System.nanoTime()));
+
+            Map<String, Client> waiting = new LinkedHashMap<>();
+            for (String id : List.of("held-i-before", "held-m-before", "turned-i-before", "turned-m-before")) {
+                ask(waiting, http, id);
+            }
+            await("hosts are at work", () -> atWork.size() == 4);
+            long began = System.nanoTime();
+            CompletableFuture<Void> ended = NodeProcess.call(loop, edge::end);
+            for (String id : List.of("held-i-after", "held-m-after", "turned-i-after", "turned-m-after")) {
+                ask(waiting, http, id);
+            }
+            await("hosts are at work on these too", () -> atWork.size() == 8);
+            // Others are served on and overtake them, until nobody is taken in any more.
+            int served = 0;
+            for (int i = 0; System.nanoTime() - began < FIRST_HALF_NANOS * 8 / 10; i++) {
+                served += serves(http, "other-" + i) ? 1 : 0;
+                TimeUnit.MILLISECONDS.sleep(10);
+            }
+            assertTrue(served > 10, "served on: " + served);
+            for (Map.Entry<String, Client> one : waiting.entrySet()) {
+                long left = TimeUnit.NANOSECONDS.toMillis(began + FIRST_HALF_NANOS - System.nanoTime());
+                one.getValue().socket.setSoTimeout((int) Math.max(1, left - 50));
+                assertThrows(SocketTimeoutException.class, one.getValue()::read, () -> one.getKey() + " was told something");
+            }
+            for (Map.Entry<String, Client> one : waiting.entrySet()) {
+                String id = one.getKey();
+                assertEquals(id.startsWith("turned") ? 2 : 1, came.get(id), "at one host's work: " + id);
+                ScriptedHost.write(atWork.get(id), SERVED + id + "\r\n\r\nfine");
+                one.getValue().socket.setSoTimeout(EdgeFixture.PATIENCE_MILLIS);
+                Message answer = one.getValue().read();
+                assertEquals(200, answer.status(), id);
+                assertEquals(id, answer.headers().get("attempt-id"));
+                assertEquals("close", answer.headers().get("connection"));
+            }
+            ended.get(5, TimeUnit.SECONDS);
+            for (Client client : waiting.values()) {
+                client.close();
+            }
+        }
+    }
+
+    private static void ask(Map<String, Client> waiting, int port, String id) throws java.io.IOException {
+        Client client = new Client(port);
+        client.write(EdgeFixture.request(id, id.contains("-m-") ? "m" : "i", id.contains("-m-") ? "body" : "", 15_000, false));
+        waiting.put(id, client);
+    }
+}
--- a/src/test/java/tinworks/edge/EdgeFixture.java
+++ b/src/test/java/tinworks/edge/EdgeFixture.java
@@ -42,7 +42,7 @@
     static final int PATIENCE_MILLIS = 20_000;
     static final long LONG_MILLIS = 15_000;
     static final String DOMAIN = "x.example";
-    private static final int CONNECTIONS = 2_048, LARGEST = 1 << 20;
+    private static final int CONNECTIONS = 2_048, LARGEST = 16 << 20;
     private static final long DIAL_NANOS = TimeUnit.MILLISECONDS.toNanos(400), LONG_NANOS = TimeUnit.MILLISECONDS.toNanos(LONG_MILLIS);
 
     final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -190,7 +190,7 @@
         final Socket socket;
         private final InputStream in;
 
-        private Client(int port) throws IOException {
+        Client(int port) throws IOException {
             socket = new Socket("127.0.0.1", port);
             socket.setTcpNoDelay(true);
             socket.setSoTimeout(PATIENCE_MILLIS);
