--- a/src/test/java/tinworks/edge/EdgeEndTest.java
+++ b/src/test/java/tinworks/edge/EdgeEndTest.java
@@ -22,13 +22,9 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import tinworks.channel.ConfigurationCodec;
 import tinworks.channel.HostList.Host;
 import tinworks.channel.HostList;
 import tinworks.channel.HostListVersion;
-import tinworks.channel.Packed;
-import tinworks.channel.Signal.ConfigurationBody;
-import tinworks.channel.Signal.Hosts;
 import tinworks.config.Configuration.Limits;
 import tinworks.config.Configuration.Route;
 import tinworks.config.Configuration.Service;
@@ -112,8 +108,8 @@
                 hosts.add(new Host("i-" + i, "s", "127.0.0.1:" + host.address().getPort(), "z", 3, false, 0));
             }
             NodeProcess.run(loop, () -> {
-                edge.received(null, new Hosts(new HostList(new HostListVersion(1, 1), hosts)));
-                edge.received(null, new ConfigurationBody(1, Packed.pack(ConfigurationCodec.write(configuration))));
+                edge.listed(new HostList(new HostListVersion(1, 1), hosts));
+                edge.read(1, () -> configuration);
             });
             await("the edge serves", () -> serves(http, "first" + System.nanoTime()));
 
