--- a/src/test/java/tinworks/demo/LargestBodiesTest.java
+++ b/src/test/java/tinworks/demo/LargestBodiesTest.java
@@ -19,6 +19,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import tinworks.json.Json;
 
 /** Real core machines on the heap of the deployment, and operators who send the longest bodies all at once. */
 class LargestBodiesTest {
@@ -79,6 +80,13 @@
             assertTrue(operator.replace(1, body, 0, 60_000) > 0, "sent again it is taken, or was already");
             assertTrue(operator.replace(2, longest(3), 1, 60_000) > 0, "and so is the next one");
             assertEquals(0, machines.restarts());
+            machines.kill("core-2");
+            long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
+            while (machines.restarts() == 0 || !Json.read(operator.status(2).orElse("{}")).field("rev").text().equals("3")) {
+                assertTrue(System.nanoTime() < until, "started anew it has not read its store, or not caught up");
+                TimeUnit.MILLISECONDS.sleep(20);
+            }
+            assertEquals(1, machines.restarts());
         }
     }
 }
