--- a/src/main/java/tinworks/net/RequestAssembler.java
+++ b/src/main/java/tinworks/net/RequestAssembler.java
@@ -91,7 +91,9 @@
             return true;
         }
         giveUp();
-        long wanted = HttpUtil.isTransferEncodingChunked(start) ? largestBody : Math.max(0, HttpUtil.getContentLength(start, 0L));
+        // A head that can't be read may name any length; its request is refused without a body.
+        long wanted = start.decoderResult().isFailure() ? 0
+                : HttpUtil.isTransferEncodingChunked(start) ? largestBody : Math.max(0, HttpUtil.getContentLength(start, 0L));
         if (!bodies.take(wanted)) {
             return true;
         }
--- a/src/main/java/tinworks/raft/Raft.java
+++ b/src/main/java/tinworks/raft/Raft.java
@@ -592,6 +592,7 @@
         reads.clear();
         rounds.clear();
         leavesAt = 0;
+        gathering = null;
         syncProgress();
         progress.values().forEach(p -> p.heardAt = now);
         firstOfTerm = log.lastIndex() + 1;
--- a/src/test/java/tinworks/net/BodiesTest.java
+++ b/src/test/java/tinworks/net/BodiesTest.java
@@ -119,6 +119,17 @@
         awaitTaken(0);
     }
 
+    @Test
+    void aLengthThatIsNoneIsABadRequestAndTakesNoRoom() throws Exception {
+        start(bodies);
+        for (String length : List.of("five", "-5", "99999999999999999999", "5, 6", "")) {
+            try (Socket socket = begin("/a", "Content-Length: " + length)) {
+                assertTrue(answer(socket).startsWith("HTTP/1.1 400 "), length);
+            }
+        }
+        awaitTaken(0);
+    }
+
     @Test
     void withoutABudgetAllAreTaken() throws Exception {
         assertTrue(third(new ByteBudget(Long.MAX_VALUE)).startsWith("HTTP/1.1 200 "));
