--- a/src/main/java/tinworks/cli/DemoCommand.java
+++ b/src/main/java/tinworks/cli/DemoCommand.java
@@ -20,7 +20,7 @@
             "acknowledged, or the member that is killed in the middle had not caught up within 5 s."})
 final class DemoCommand implements Callable<Integer> {
     private static final int MOST_MACHINES = 50, MOST_HOSTS = 300, MOST_PER_SECOND = 2_000, MOST_SECONDS = 3_600,
-            MOST_CHANGES = 100_000, MOST_ROUTES = 50_000;
+            MOST_CHANGES = 800_000, MOST_ROUTES = 50_000;
 
     @Spec
     private CommandSpec spec;
--- a/src/main/java/tinworks/demo/Changes.java
+++ b/src/main/java/tinworks/demo/Changes.java
@@ -38,7 +38,10 @@
     /** How long a member may take from its start until it has what is acknowledged. */
     private static final long CATCH_UP_MILLIS = 5_000;
     private static final long START_MILLIS = 15_000, CHANGE_MILLIS = 20_000, LOOK_MILLIS = 50;
-    private static final int FIRST_CORE = 11, SERVICES = 40, LINES = 10;
+    private static final int FIRST_CORE = 11, SERVICES = 40, LINES = 10, TIMEOUT = 2_500, MOST_LONGER = 7_000;
+    /** The first version's number; all have as many digits. */
+    private static final long FIRST = 100_000;
+    private static final String REV = "{\"rev\":";
 
     private final Plan plan;
     private final PrintWriter out;
@@ -49,7 +52,7 @@
     private final Machines machines;
     private final Operator operator;
     private final List<Integer> ports;
-    private final List<String> routes = new ArrayList<>();
+    private final int[] timeouts;
     private volatile long acknowledged;
     private volatile long largestDisk;
     private volatile long largestMemory;
@@ -65,31 +68,41 @@
         machines = new Machines(folder, plan.javaOptions());
         ports = FreePorts.at("127.0.0." + FIRST_CORE, 2);
         operator = new Operator(Stream.iterate(0, i -> i < plan.cores(), i -> i + 1).map(i -> ip(i) + ":" + ports.get(0)).toList());
-        for (int i = 0; i < plan.routes(); i++) {
-            routes.add(route(i, 2_500));
-        }
+        timeouts = new int[plan.routes()];
     }
 
     private static String ip(int core) {
         return "127.0.0." + (FIRST_CORE + core);
     }
 
-    private static String route(int number, long timeout) {
-        return "{\"name\":\"r-" + Integer.toString(number * 7_919, 36) + "\",\"domain\":\"jepu" + number % 97
-                + ".example\",\"prefix\":\"/lepu" + Integer.toString(number * 104_729, 36) + "/\",\"type\":\"idem\",\"timeoutMs\":" + timeout
-                + ",\"targetMs\":600,\"prio\":2,\"svc\":\"huvo" + number % SERVICES + "\",\"tries\":2}";
-    }
-
-    /** Each version changes one route of the one before. */
-    private byte[] configuration(long rev) {
-        int changed = (int) (rev % routes.size());
-        routes.set(changed, route(changed, 2_500 + rev));
-        StringBuilder text = new StringBuilder(200 * routes.size()).append("{\"rev\":").append(rev).append(",\"routes\":[");
-        text.append(String.join(",", routes)).append("],\"svcs\":[");
+    /** The first version, and the offset in it of each route's time-out. */
+    private byte[] first() {
+        StringBuilder text = new StringBuilder(200 * plan.routes()).append(REV).append(FIRST).append(",\"routes\":[");
+        for (int i = 0; i < plan.routes(); i++) {
+            text.append(i == 0 ? "" : ",").append("{\"name\":\"r-").append(Integer.toString(i * 7_919, 36)).append("\",\"domain\":\"jepu")
+                    .append(i % 97).append(".example\",\"prefix\":\"/lepu").append(Integer.toString(i * 104_729, 36))
+                    .append("/\",\"type\":\"idem\",\"timeoutMs\":");
+            timeouts[i] = text.length();
+            text.append(TIMEOUT).append(",\"targetMs\":600,\"prio\":2,\"svc\":\"huvo").append(i % SERVICES).append("\",\"tries\":2}");
+        }
+        text.append("],\"svcs\":[");
         for (int i = 0; i < SERVICES; i++) {
             text.append(i == 0 ? "" : ",").append("{\"name\":\"huvo").append(i).append("\",\"check\":\"/healthz\",\"maxconn\":110}");
         }
-        return text.append("],\"limits\":{\"idleMs\":15000}}").toString().getBytes(StandardCharsets.UTF_8);
+        return text.append("],\"limits\":{\"idleMs\":15000}}").toString().getBytes(StandardCharsets.US_ASCII);
+    }
+
+    /** The next version, which changes one route; all numbers in it have as many digits as before. */
+    private byte[] next(byte[] last, long rev) {
+        byte[] next = last.clone();
+        put(next, REV.length(), rev);
+        put(next, timeouts[(int) (rev % timeouts.length)], TIMEOUT + 1 + rev % MOST_LONGER);
+        return next;
+    }
+
+    private static void put(byte[] text, int at, long number) {
+        byte[] digits = Long.toString(number).getBytes(StandardCharsets.US_ASCII);
+        System.arraycopy(digits, 0, text, at, digits.length);
     }
 
     /** Plays the plan; true where all was acknowledged and shown as it was sent, and the member was back in time. */
@@ -98,12 +111,12 @@
         for (int i = 0; i < plan.cores(); i++) {
             machines.start(name(i), "core", settings(i, true), settings(i, false));
         }
-        byte[] last = configuration(1);
+        byte[] last = first();
         if (operator.replace(0, last, 0, START_MILLIS) == 0) {
             out.println("no core machine took the first configuration; logs are under " + folder);
             return false;
         }
-        acknowledged = 1;
+        acknowledged = FIRST;
         out.printf(Locale.ROOT, "%d core machines, %d routes, %d bytes of a configuration%n", plan.cores(), plan.routes(), last.length);
         Thread watch = new Thread(this::watch, "watch");
         watch.setDaemon(true);
@@ -140,7 +153,7 @@
             if (change == plan.changes() / 2) {
                 killFollower();
             }
-            byte[] next = configuration(acknowledged + 1);
+            byte[] next = next(last, acknowledged + 1);
             long sentAt = System.nanoTime();
             int took = operator.replace(acknowledged, next, change % plan.cores(), CHANGE_MILLIS);
             if (took == 0) {
@@ -168,7 +181,7 @@
         String name = name(victim);
         long old = machines.pid(name);
         machines.kill(name);
-        out.println("killed " + name + " after " + acknowledged + " versions");
+        out.println("killed " + name + " after " + (acknowledged - FIRST) + " changes");
         int number = victim;
         Thread look = new Thread(() -> awaitCaughtUp(number, old), "caught up");
         look.setDaemon(true);
@@ -188,6 +201,7 @@
                 String rev = Json.read(operator.status(core).orElse("{}")).field("rev").text();
                 if (!rev.isEmpty() && Long.parseLong(rev) >= wanted) {
                     caughtUpMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - started);
+                    out.printf(Locale.ROOT, "%s had caught up %d ms after its start%n", name(core), caughtUpMillis);
                     return;
                 }
                 wanted = now;
@@ -232,14 +246,16 @@
             shown &= operator.show(i).filter(body -> body.equals(new String(last, StandardCharsets.UTF_8))).isPresent();
         }
         int restarts = machines.restarts();
-        out.printf(Locale.ROOT, "acknowledged: %d of %d; shown as sent at every machine: %s%n", acknowledged - 1, plan.changes(), shown ? "yes" : "no");
+        out.printf(Locale.ROOT, "acknowledged: %d of %d; shown as sent at every machine: %s%n", acknowledged - FIRST, plan.changes(), shown ? "yes" : "no");
         out.printf(Locale.ROOT, "largest disk: %.1f MB; most memory of a process: %.1f MB; restarts: %d%n", largestDisk / 1e6,
                 largestMemory / 1e3, restarts);
-        out.printf(Locale.ROOT, "the member that was killed had caught up %d ms after its start%n", caughtUpMillis);
+        if (caughtUpMillis < 0) {
+            out.println("the member that was killed never caught up");
+        }
         out.println(ProcessCosts.heading());
         out.println(machines.costs("core").line("core"));
         out.flush();
-        return shown && restarts == 1 && acknowledged == plan.changes() + 1 && caughtUpMillis >= 0 && caughtUpMillis <= CATCH_UP_MILLIS;
+        return shown && restarts == 1 && acknowledged == FIRST + plan.changes() && caughtUpMillis >= 0 && caughtUpMillis <= CATCH_UP_MILLIS;
     }
 
     @Override
