End no process for work that an ended event loop refuses

Cause: found by reading: a check or a write that ends after the event loop, at SIGTERM, would have halted the process with code 70 before its store was closed.

Measured: FatalTest.

--- a/src/main/java/tinworks/logging/Fatal.java
+++ b/src/main/java/tinworks/logging/Fatal.java
@@ -4,6 +4,7 @@
 import java.io.FileOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.RejectedExecutionException;
 import org.slf4j.LoggerFactory;
 
 /**
@@ -20,9 +21,16 @@
 
     private Fatal() { }
 
-    /** From now on an error that nobody has caught ends the process, on whichever thread it comes. */
+    /**
+     * From now on what nobody has caught ends the process, on whichever thread it comes; but for work that an event loop
+     * refuses since it has ended: then the process is about to end in order.
+     */
     public static void install() {
-        Thread.setDefaultUncaughtExceptionHandler((thread, thrown) -> end(thrown));
+        Thread.setDefaultUncaughtExceptionHandler((thread, thrown) -> {
+            if (!(thrown instanceof RejectedExecutionException)) {
+                end(thrown);
+            }
+        });
     }
 
     /** The error that something thrown is, or that caused it; null where it is none. */
--- a/src/test/java/tinworks/logging/FatalTest.java
+++ b/src/test/java/tinworks/logging/FatalTest.java
@@ -10,6 +10,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -22,6 +23,14 @@
 
         public static void main(String[] args) throws InterruptedException {
             Fatal.install();
+            if (args[0].equals("refused")) {
+                Thread late = new Thread(() -> {
+                    throw new RejectedExecutionException("the event loop has ended");
+                });
+                late.start();
+                late.join();
+                System.exit(IN_ORDER);
+            }
             Thread thread = new Thread(args[0].equals("heap") ? Failing::fillHeap : Failing::passOn);
             thread.start();
             TimeUnit.SECONDS.sleep(50);
@@ -43,11 +52,13 @@
         }
     }
 
+    private static final int IN_ORDER = 5;
+
     private static String said(String how) throws IOException, InterruptedException {
         Process process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx16m", "-Xss256k", "-cp",
                 System.getProperty("java.class.path"), Failing.class.getName(), how).redirectErrorStream(true).start();
         String said = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
-        assertEquals(Fatal.EXIT_CODE, process.waitFor(), said);
+        assertEquals(how.equals("refused") ? IN_ORDER : Fatal.EXIT_CODE, process.waitFor(), said);
         return said;
     }
 
@@ -55,6 +66,7 @@
     void aFullHeapOrStackEndsTheProcessWithALineAndACodeOfItsOwn() throws IOException, InterruptedException {
         assertTrue(said("heap").contains("OutOfMemoryError"));
         assertTrue(said("stack").contains("StackOverflowError"));
+        assertEquals("", said("refused"), "work that came after the event loop's end");
     }
 
     @Test
