Refuse an order whose number isn't above its own base at once, whatever is known

Such an order can't have been taken and can't be: it was judged by the version in force alone, went through the log, and on a base that nobody knows or behind what is remembered it would stay without a clear answer for good.

Measured: OrdersTest, ConfigurationTest and CoreMachineTest pass.

--- a/src/main/java/tinworks/config/ConfigurationHistory.java
+++ b/src/main/java/tinworks/config/ConfigurationHistory.java
@@ -18,7 +18,7 @@
         TAKEN,
         /** It was built on a version that is not the current one. */
         CONFLICT,
-        /** It was built on the current version, and its number isn't above it. */
+        /** Its number isn't above the version that it was built on. */
         NOT_ABOVE,
         /** It may have been taken: its number is among those that are no longer known. */
         FORGOTTEN
@@ -87,14 +87,15 @@
         if (taken.has(next, digest(command))) {
             return Verdict.TAKEN;
         }
+        // It never was, and never can be.
+        if (next <= base) {
+            return Verdict.NOT_ABOVE;
+        }
         // Guards against refusing what was taken long ago.
         if (next <= taken.forgotten()) {
             return Verdict.FORGOTTEN;
         }
-        if (base != rev) {
-            return Verdict.CONFLICT;
-        }
-        return next > rev ? Verdict.TAKEN : Verdict.NOT_ABOVE;
+        return base == rev ? Verdict.TAKEN : Verdict.CONFLICT;
     }
 
     /** The number of the version in force, 0 where there is none yet. */
--- a/src/main/java/tinworks/control/OperatorCalls.java
+++ b/src/main/java/tinworks/control/OperatorCalls.java
@@ -232,7 +232,8 @@
 
     /** Whether a verdict is true for good, whoever leads: a version that was taken, or passed, stays so. */
     boolean isSettled(Verdict verdict, long base, long rev, long current) {
-        return verdict == Verdict.TAKEN && rev <= current || verdict == Verdict.CONFLICT && base < current && mayRefuse();
+        return verdict == Verdict.TAKEN && rev <= current || verdict == Verdict.NOT_ABOVE
+                || verdict == Verdict.CONFLICT && base < current && mayRefuse();
     }
 
     /** Guards against a leader that was cut off and refuses with an old version at hand; then the log has to say so. */
@@ -268,7 +269,7 @@
         return switch (verdict) {
             case TAKEN -> new CallAnswer(0, OK, ("{\"rev\":" + rev + "}\n").getBytes(StandardCharsets.UTF_8));
             case CONFLICT -> new CallAnswer(0, CONFLICT, error(BASE, "the current version is " + current));
-            case NOT_ABOVE -> new CallAnswer(0, INVALID, error("rev", "not above the current version " + current));
+            case NOT_ABOVE -> new CallAnswer(0, INVALID, error("rev", "not above the version that it builds on"));
             case FORGOTTEN -> null;
         };
     }
--- a/src/test/java/tinworks/config/ConfigurationTest.java
+++ b/src/test/java/tinworks/config/ConfigurationTest.java
@@ -179,6 +179,8 @@
         assertEquals(8_192, known[0]);
         assertEquals(Verdict.FORGOTTEN, copy.apply(command(1, 3, "never taken")), "nobody knows any more");
         assertEquals(Verdict.CONFLICT, copy.apply(command(last - 9, last - 3, "never taken")));
+        assertEquals(Verdict.NOT_ABOVE, copy.apply(command(last, 3, "lower")), "it can't have been taken");
+        assertEquals(Verdict.NOT_ABOVE, copy.apply(command(3, 3, "lower")));
         assertEquals(last, copy.rev());
         // The bound of what a snapshot holds besides the configuration itself.
         assertEquals(25 + 8_192 * 24, history.save().length - history.packed().length);
--- a/src/test/java/tinworks/control/OrdersTest.java
+++ b/src/test/java/tinworks/control/OrdersTest.java
@@ -74,6 +74,9 @@
         network.run(network.now + 1_000);
         assertEquals(503, status(never), "a base that nobody knows");
         assertEquals(0, leader.machine.calls().waiting());
+        List<CallAnswer> below = replace(leader, 8, Operators.configuration(8, "d"));
+        network.run(network.now + 10);
+        assertEquals(400, status(below), "whatever comes, it can't be taken");
     }
 
     @Test
