Tell on the status page whether the leader's lease vouches for a core machine

A core machine that was cut off still said LEADER for up to a second, and its version without a word of its age. The page has fresh beside role; WholeSystemTest waits for it and for readyz over HTTP.

--- a/src/main/java/tinworks/control/OperatorServer.java
+++ b/src/main/java/tinworks/control/OperatorServer.java
@@ -166,7 +166,7 @@
     private String status() {
         Raft raft = machine.agreement().raft();
         StringBuilder json = new StringBuilder(256).append("{\"node\":\"").append(OperatorCalls.escaped(name))
-                .append("\",\"role\":\"").append(raft.role()).append("\",\"term\":").append(raft.term())
+                .append("\",\"role\":\"").append(raft.role()).append("\",\"fresh\":").append(machine.fresh()).append(",\"term\":").append(raft.term())
                 .append(",\"commit\":").append(raft.commit()).append(",\"rev\":").append(machine.agreement().history().rev())
                 .append(",\"hosts\":").append(machine.hosts().hosts().size()).append(",\"edges\":").append(machine.edges())
                 .append(",\"voters\":[");
--- a/src/test/java/tinworks/system/WholeSystemTest.java
+++ b/src/test/java/tinworks/system/WholeSystemTest.java
@@ -177,6 +177,10 @@
         assertTrue(is(replace(1, 1, configuration(3, "/p/")), 412), "built on a version that is not current");
         assertTrue(is(replace(2, 0, configuration(2, "/p/")), 200), "the same call again, elsewhere");
 
+        await("the lease vouches for what a core machine tells", () ->
+                call(ip(1), ctl, "GET /-/status HTTP/1.1\r\nHost: c", "").contains("\"fresh\":true")
+                        && is(call(ip(1), ctl, "GET /-/readyz HTTP/1.1\r\nHost: c", ""), 200));
+
         int leader = -1;
         for (int i = 0; i < 3; i++) {
             if (call(ip(i), ctl, "GET /-/status HTTP/1.1\r\nHost: c", "").contains("\"role\":\"LEADER\"")) {
