--- a/src/main/java/tinworks/control/CoreMachine.java
+++ b/src/main/java/tinworks/control/CoreMachine.java
@@ -276,14 +276,10 @@
         takeFetched();
     }
 
-    /**
-     * Guards against a list from before a later leader's under a version above it: a list gets its version only while nobody
-     * else can lead, so of two versions the higher one was fetched later.
-     */
     private void takeFetched() {
         if (!raft.ready()) {
             fetched = null;
-        } else if (fetched != null && leads()) {
+        } else if (fetched != null && mayNumber()) {
             HostListVersion old = hosts().version();
             if (old.term() != raft.term() || !hosts().sameAs(fetched)) {
                 hosts.advance(new HostList(new HostListVersion(raft.term(), old.term() == raft.term() ? old.count() + 1 : 1), fetched));
@@ -293,6 +289,14 @@
         }
     }
 
+    /**
+     * Guards against a list from before a later leader's under a version above it: a list gets its version only while nobody
+     * else can lead, so of two versions the higher one was fetched later.
+     */
+    boolean mayNumber() {
+        return leads();
+    }
+
     /** Tells those who dialled what there is: at once when it is new, else once a second. */
     private void announce() {
         announceAt = around.millis() + ANNOUNCE_MILLIS;
--- a/src/test/java/tinworks/control/CoreNetwork.java
+++ b/src/test/java/tinworks/control/CoreNetwork.java
@@ -48,6 +48,8 @@
     private final PriorityQueue<Event> events = new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparing(Event::order));
     private final Map<Set<Process>, Long> cuts = new HashMap<>();
     long now = 1_000;
+    /** Whether leaders fetch a list of hosts. */
+    boolean listed;
     /** Told of each announcement as it is sent. */
     BiConsumer<Node, Announce> announced = (node, announcement) -> { };
     private long order;
@@ -311,6 +313,8 @@
         private Stored synced;
         private long diskFreeAt;
         CoreMachine machine;
+        private boolean fetching;
+        private long fetches;
         /** How long each write takes at most. */
         int syncMillis = 4;
 
@@ -324,6 +328,7 @@
         }
 
         void start() {
+            fetching = false;
             machine = maker.make(new CoreMachine.Identity(member.id(), member.address(), 1), synced, this, this);
             tick();
         }
@@ -390,7 +395,28 @@
 
         @Override
         public void fetchList(boolean wanted) {
-            // Lists are told by the tests.
+            if (wanted != fetching) {
+                fetching = wanted;
+                fetches++;
+                if (fetching && listed) {
+                    fetch(fetches);
+                }
+            }
+        }
+
+        /** As the poller does; the one host on the list bears the time at which it was asked for. */
+        private void fetch(long mine) {
+            long asked = now;
+            work(2 + random.nextInt(60), () -> {
+                if (fetching && fetches == mine) {
+                    machine.listed(List.of(new HostList.Host("i-" + asked, "s", "10.0.0.1:80", "z", 3, false, 0)));
+                    work(1_000, () -> {
+                        if (fetches == mine) {
+                            fetch(mine);
+                        }
+                    });
+                }
+            });
         }
 
         @Override
--- a/src/test/java/tinworks/control/OrdersTest.java
+++ b/src/test/java/tinworks/control/OrdersTest.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.junit.jupiter.api.Test;
+import tinworks.channel.HostList;
 import tinworks.channel.Signal.Announce;
 import tinworks.channel.Signal.CallAnswer;
 import tinworks.config.ConfigurationHistory.Verdict;
@@ -167,11 +168,20 @@
         assertTrue(!s.fresh() || s.rev() >= told, node.hello().node() + " is fresh with " + s.rev() + " behind " + told);
     }
 
-    /** An edge that starts now goes into service only with what was the newest less than a lease ago, but for the way to it. */
+    /**
+     * An edge that starts now goes into service only with what was the newest less than a lease ago, but for the way to it, and
+     * of two lists takes the one that was fetched later.
+     */
     private static CoreNetwork.Edge edge(CoreNetwork network, Operators operators) {
         CoreNetwork.Edge[] edge = {null};
         boolean[] served = {false};
+        long[] fetched = {0};
         edge[0] = network.new Edge(() -> {
+            for (HostList.Host host : edge[0].core.list().hosts()) {
+                long asked = Long.parseLong(host.id().substring(2));
+                assertTrue(asked >= fetched[0], "a list of " + asked + " after one of " + fetched[0]);
+                fetched[0] = asked;
+            }
             if (edge[0].core.upToDate() && !served[0]) {
                 served[0] = true;
                 long told = operators.newestTold(network.now - LEASE_MILLIS - WAY_MILLIS);
@@ -184,6 +194,7 @@
     /** One run: faults for some seconds, then calm, then everything said is checked. */
     private static Operators play(long seed, CoreNetwork.Maker maker) {
         CoreNetwork network = new CoreNetwork(seed, 3, maker);
+        network.listed = true;
         network.ready(3_000);
         Operators operators = new Operators(network, 0.3);
         network.announced = (node, s) -> check(network, operators, node, s);
@@ -207,7 +218,8 @@
         network.run(network.now + 6_000);
         ConfigurationHistory newest = network.ready(3_000).machine.agreement().history();
         operators.check(newest);
-        edges.forEach(edge -> assertTrue(edge.core.rev() == newest.rev() && edge.core.upToDate(), edge.core.rev() + " at an edge, not " + newest.rev()));
+        edges.forEach(edge -> assertTrue(edge.core.rev() == newest.rev() && edge.core.upToDate()
+                && !edge.core.list().hosts().isEmpty(), edge.core.rev() + " at an edge, not " + newest.rev()));
         return operators;
     }
 
@@ -310,6 +322,16 @@
         });
     }
 
+    @Test
+    void numberingAListWithoutALeaseIsCaught() {
+        assertCaught((self, stored, disk, around) -> new CoreMachine(self, stored, disk, around) {
+            @Override
+            boolean mayNumber() {
+                return true;
+            }
+        });
+    }
+
     @Test
     void showingWithoutARoundOfHeartbeatsIsCaught() {
         assertCaught(with((machine, clock) -> new OperatorCalls(machine, clock) {
