Put real edges beside the hollow ones

Cause: what a process pays for reading a whole configuration and the list was measured by no run at the target's size.

Measured: HollowTest, with one real edge.

--- a/src/main/java/tinworks/cli/HollowCommand.java
+++ b/src/main/java/tinworks/cli/HollowCommand.java
@@ -16,13 +16,15 @@
                 + "hosts, on them: what they cost at rest, at changes and after restarts.",
         footer = {"", "Exit code 1 where an edge did not come to hold all that it should."})
 final class HollowCommand implements Callable<Integer> {
-    private static final int MOST_EDGES = 6_000, MOST_CORES = 9, MOST_ROUTES = 20_000, MOST_HOSTS = 60_000, MOST_SECONDS = 3_600,
+    private static final int MOST_EDGES = 6_000, MOST_REAL = 50, MOST_CORES = 9, MOST_ROUTES = 20_000, MOST_HOSTS = 60_000, MOST_SECONDS = 3_600,
             MOST_CHANGES = 1_000;
 
     @Spec
     private CommandSpec spec;
-    @Option(names = "--edges", paramLabel = "N", defaultValue = "300", description = "edges (${DEFAULT-VALUE})")
+    @Option(names = "--edges", paramLabel = "N", defaultValue = "300", description = "hollow edges (${DEFAULT-VALUE})")
     private int edges;
+    @Option(names = "--real", paramLabel = "N", defaultValue = "0", description = "processes of edges beside them (${DEFAULT-VALUE})")
+    private int realEdges;
     @Option(names = "--cores", paramLabel = "N", defaultValue = "3", description = "core machines (${DEFAULT-VALUE})")
     private int cores;
     @Option(names = "--routes", paramLabel = "N", defaultValue = "1240", description = "routes in force (${DEFAULT-VALUE})")
@@ -38,18 +40,19 @@
     @Option(names = "--restarts", description = "kills one core machine in the end, and then all")
     private boolean restarts;
     @Option(names = "--java-option", paramLabel = "OPTION",
-            description = "an option of each core machine's process, in place of the usual ones; {node} is its machine's name")
+            description = "an option of each process of the system, in place of the usual ones; {node} is its machine's name")
     private List<String> javaOptions = new ArrayList<>(List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx48m"));
 
     @Override
     public Integer call() throws IOException, InterruptedException {
         Arguments.within(spec, "--edges", edges, 1, MOST_EDGES);
+        Arguments.within(spec, "--real", realEdges, 0, MOST_REAL);
         Arguments.within(spec, "--cores", cores, 3, MOST_CORES);
         Arguments.within(spec, "--routes", routes, 2, MOST_ROUTES);
         Arguments.within(spec, "--hosts", hosts, 1, MOST_HOSTS);
         Arguments.within(spec, "--for", seconds, 1, MOST_SECONDS);
         Arguments.within(spec, "--changes", changes, 0, MOST_CHANGES);
-        Hollow hollow = new Hollow(new Hollow.Plan(cores, edges, routes, hosts, seconds, changes, restarts, javaOptions),
+        Hollow hollow = new Hollow(new Hollow.Plan(cores, edges, realEdges, routes, hosts, seconds, changes, restarts, javaOptions),
                 spec.commandLine().getOut());
         Thread atCtrlC = new Thread(() -> close(hollow), "end of the play");
         Runtime.getRuntime().addShutdownHook(atCtrlC);
--- a/src/main/java/tinworks/demo/Hollow.java
+++ b/src/main/java/tinworks/demo/Hollow.java
@@ -39,18 +39,19 @@
      * What is played.
      *
      * @param cores core machines, 3 or more
-     * @param edges edges, each linked with every core machine
+     * @param edges hollow edges, each linked with every core machine
+     * @param realEdges processes of edges beside them, without clients
      * @param routes routes in force, 2 or more
      * @param hosts hosts on the platform's list, 1 or more
      * @param seconds how long it rests, and how long one host a second is replaced
      * @param changes how many times one host and one route are changed
      * @param restarts whether one core machine is killed in the end, and then all
-     * @param javaOptions options of each core machine's process
+     * @param javaOptions options of each process of the system
      */
-    public record Plan(int cores, int edges, int routes, int hosts, int seconds, int changes, boolean restarts,
+    public record Plan(int cores, int edges, int realEdges, int routes, int hosts, int seconds, int changes, boolean restarts,
                        List<String> javaOptions) { }
 
-    private static final int SLOTS = 4, ROUTES_OF_A_SERVICE = 5, DESCRIPTORS = 20_000, ZONES = 10;
+    private static final int FIRST_EDGE = 101, SLOTS = 4, ROUTES_OF_A_SERVICE = 5, DESCRIPTORS = 20_000, ZONES = 10;
     private static final long START_MILLIS = 20_000, LONGEST_MILLIS = 40_000, LOOK_MILLIS = 5, CALM_MILLIS = 1_500,
             SECOND_NANOS = TimeUnit.SECONDS.toNanos(1);
     private static final String MEMORY_ERROR = "OutOfMemoryError";
@@ -65,6 +66,8 @@
     private final Deployment deployment;
     private final Operator operator;
     private final HollowEdges edges;
+    private final int http;
+    private final int readyz;
     private long rev;
     private int nextHost;
     private boolean closed;
@@ -80,7 +83,9 @@
         this.out = out;
         folder = Files.createTempDirectory("tinworks-hollow");
         machines = new Machines(folder, plan.javaOptions());
-        List<Integer> ports = FreePorts.at(Deployment.FIRST_CORE_IP, 2);
+        List<Integer> ports = FreePorts.at(Deployment.FIRST_CORE_IP, 4);
+        http = ports.get(2);
+        readyz = ports.get(3);
         NodeProcess.call(loop, () -> platform.listen(new InetSocketAddress("127.0.0.1", 0))).syncUninterruptibly();
         deployment = new Deployment(plan.cores(), ports.get(0), ports.get(1), DESCRIPTORS, platform.address());
         operator = new Operator(deployment.operated());
@@ -93,6 +98,10 @@
         for (int i = 0; i < plan.cores(); i++) {
             deployment.startCore(machines, i);
         }
+        for (int i = 0; i < plan.realEdges(); i++) {
+            deployment.start(machines, "edge-" + i, "edge", edgeIp(i),
+                    "\"http\":\"" + edgeIp(i) + ":" + http + "\",\"readyz\":\"" + edgeIp(i) + ":" + readyz + "\"", "null", i);
+        }
         if (!configure()) {
             out.println("no core machine took the configuration; its logs say: " + memoryErrors());
             return false;
@@ -100,12 +109,13 @@
         out.printf(Locale.ROOT, "%d core machines, %d edges, %d routes (%d bytes of JSON), %d hosts%n", plan.cores(), plan.edges(),
                 plan.routes(), configuration(rev).length(), plan.hosts());
         out.println("part                    seconds   links  announced/s  bytes/s  answers  kB each   p50 ms   p99 ms   max ms"
-                + "  have it  core ms/s          core MB      own ms/s");
+                + "  have it  ms/s               MB              own ms/s");
         boolean whole = linked();
         TimeUnit.MILLISECONDS.sleep(CALM_MILLIS);
         begin();
         TimeUnit.SECONDS.sleep(plan.seconds());
         row("at rest", List.of(), 0);
+        whole &= ready();
         for (int i = 0; i < plan.changes(); i++) {
             whole &= oneHost();
         }
@@ -115,9 +125,9 @@
         }
         if (plan.restarts()) {
             whole &= restart("one core restarts", List.of(leader()));
-            whole &= restart("all cores restart", names());
+            whole &= restart("all cores restart", cores());
         }
-        out.println("restarts of core machines: " + machines.restarts() + ", lines of their logs with an " + MEMORY_ERROR + ": "
+        out.println("restarts of processes: " + machines.restarts() + ", lines of their logs with an " + MEMORY_ERROR + ": "
                 + memoryErrors());
         out.flush();
         return whole;
@@ -143,6 +153,22 @@
         return one.event() == Event.LISTED && one.list().hosts().size() == plan.hosts();
     }
 
+    private static String edgeIp(int i) {
+        return "127.0.0." + (FIRST_EDGE + i);
+    }
+
+    /** Whether all real edges call themselves ready. */
+    private boolean ready() throws InterruptedException {
+        int ready = 0;
+        for (int i = 0; i < plan.realEdges(); i++) {
+            ready += operator.isReady(edgeIp(i) + ":" + readyz) ? 1 : 0;
+        }
+        if (plan.realEdges() > 0) {
+            out.println("real edges that are ready: " + ready + " of " + plan.realEdges());
+        }
+        return ready == plan.realEdges();
+    }
+
     private boolean oneHost() throws InterruptedException {
         String id = id(nextHost);
         begin();
@@ -213,10 +239,15 @@
         return names().stream().map(name -> ProcessUse.of(machines.pid(name))).toList();
     }
 
-    private List<String> names() {
+    private List<String> cores() {
         return IntStream.range(0, plan.cores()).mapToObj(i -> "core-" + i).toList();
     }
 
+    /** The core machines and, behind them, the real edges. */
+    private List<String> names() {
+        return Stream.concat(cores().stream(), IntStream.range(0, plan.realEdges()).mapToObj(i -> "edge-" + i)).toList();
+    }
+
     /** Waits until that holds of all that was seen since the part began, or for too long; returns all of it. */
     private List<Seen> await(Predicate<List<Seen>> done) throws InterruptedException {
         return await(List.of(), done);
--- a/src/test/java/tinworks/demo/HollowTest.java
+++ b/src/test/java/tinworks/demo/HollowTest.java
@@ -18,7 +18,7 @@
     @Timeout(value = 120, unit = TimeUnit.SECONDS)
     void everyEdgeComesToHoldWhatChangesAndOutlivesRestarts() throws IOException, InterruptedException {
         StringWriter said = new StringWriter();
-        try (Hollow hollow = new Hollow(new Hollow.Plan(CORES, EDGES, 10, 60, 1, 1, true,
+        try (Hollow hollow = new Hollow(new Hollow.Plan(CORES, EDGES, 1, 10, 60, 1, 1, true,
                 List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m")), new PrintWriter(said, true))) {
             assertTrue(hollow.play(), said.toString());
         }
@@ -26,9 +26,10 @@
                 "one host a second", "one route changed", "one core restarts", "all cores restart", "  the new leader's list")) {
             assertTrue(said.toString().contains(System.lineSeparator() + part), part + " in " + said);
         }
+        assertTrue(said.toString().contains("real edges that are ready: 1 of 1"), said.toString());
         assertEquals(List.of(String.valueOf(CORES * EDGES)), said.toString().lines().filter(line -> line.startsWith("at rest"))
                 .map(line -> line.strip().split(" +")[3]).toList(), "links at rest");
-        assertTrue(said.toString().contains("restarts of core machines: " + (CORES + 1) + ", "), said.toString());
+        assertTrue(said.toString().contains("restarts of processes: " + (CORES + 1) + ", "), said.toString());
     }
 
     @Test
