--- a/src/main/java/tinworks/demo/Hollow.java
+++ b/src/main/java/tinworks/demo/Hollow.java
@@ -109,7 +109,7 @@
         out.printf(Locale.ROOT, "%d core machines, %d edges, %d routes (%d bytes of JSON), %d hosts%n", plan.cores(), plan.edges(),
                 plan.routes(), configuration(rev).length(), plan.hosts());
         out.println("part                    seconds   links  announced/s  bytes/s  answers  kB each   p50 ms   p99 ms   max ms"
-                + "  have it  ms/s               MB              own ms/s");
+                + "  have it  busy ms            MB              own ms");
         boolean whole = linked();
         TimeUnit.MILLISECONDS.sleep(CALM_MILLIS);
         begin();
@@ -279,14 +279,14 @@
         ProcessUse own = ProcessUse.of(ProcessHandle.current().pid());
         double perEdge = plan.edges() * seconds;
         double[] sorted = millis.stream().mapToDouble(Double::doubleValue).sorted().toArray();
-        out.printf(Locale.ROOT, "%-22s %8.2f %7d %12.2f %8.0f %8d %8.2f %8s %8s %8s %8s  %-18s %-15s %5.0f%n", part, seconds, edges.open(),
+        out.printf(Locale.ROOT, "%-22s %8.2f %7d %12.2f %8.0f %8d %8.2f %8s %8s %8s %8s  %-18s %-15s %6d%n", part, seconds, edges.open(),
                 heard.announcements() / perEdge, heard.bytes() / perEdge, heard.answers(),
                 heard.answers() == 0 ? 0 : heard.bytes() / 1e3 / heard.answers(), at(sorted, 0.5), at(sorted, 0.99), at(sorted, 1),
                 wanted == 0 ? "" : millis.size() + "/" + wanted,
-                IntStream.range(0, used.size()).mapToObj(i -> String.format(Locale.ROOT, "%.0f",
-                        used.get(i).processorMillisSince(usedBefore.get(i)) / seconds)).collect(Collectors.joining(" ")),
+                IntStream.range(0, used.size()).mapToObj(i -> Long.toString(
+                        used.get(i).processorMillisSince(usedBefore.get(i)))).collect(Collectors.joining(" ")),
                 used.stream().map(one -> Long.toString(one.residentKb() / 1_000)).collect(Collectors.joining(" ")),
-                own.processorMillisSince(ownBefore) / seconds);
+                own.processorMillisSince(ownBefore));
         out.flush();
     }
 
