--- a/src/main/java/tinworks/demo/Hollow.java
+++ b/src/main/java/tinworks/demo/Hollow.java
@@ -205,10 +205,10 @@
             out.println("a change of one route was not acknowledged within " + START_MILLIS + " ms");
             return false;
         }
-        beganAt = System.nanoTime();
+        row("one route acknowledged", List.of((System.nanoTime() - beganAt) / 1e6), 1);
         Predicate<Seen> held = one -> one.event() == Event.CONFIGURED && one.rev() >= rev;
         List<Double> times = since(await(all -> all.stream().filter(held).count() >= plan.edges()), held);
-        row("one route changed", times, plan.edges());
+        row("  one route changed", times, plan.edges());
         return times.size() == plan.edges();
     }
 
--- a/src/test/java/tinworks/demo/HollowTest.java
+++ b/src/test/java/tinworks/demo/HollowTest.java
@@ -23,7 +23,7 @@
             assertTrue(hollow.play(), said.toString());
         }
         for (String part : List.of("all dial", "  whole configuration", "  whole list", "at rest", "one host replaced",
-                "one host a second", "one route changed", "one core restarts", "all cores restart", "  the new leader's list")) {
+                "one host a second", "one route acknowledged", "  one route changed", "one core restarts", "all cores restart", "  the new leader's list")) {
             assertTrue(said.toString().contains(System.lineSeparator() + part), part + " in " + said);
         }
         assertTrue(said.toString().contains("real edges that are ready: 1 of 1"), said.toString());
