--- a/src/main/java/tinworks/demo/Changes.java
+++ b/src/main/java/tinworks/demo/Changes.java
@@ -9,7 +9,6 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
@@ -39,7 +38,7 @@
     /** How long a member may take from its start until it has what is acknowledged. */
     private static final long CATCH_UP_MILLIS = 5_000;
     private static final long START_MILLIS = 15_000, CHANGE_MILLIS = 20_000, LOOK_MILLIS = 50;
-    private static final int FIRST_CORE = 11, SERVICES = 40, LINES = 10, TIMEOUT = 2_500, MOST_LONGER = 7_000;
+    private static final int DESCRIPTORS = 4_096, SERVICES = 40, LINES = 10, TIMEOUT = 2_500, MOST_LONGER = 7_000;
     /** The first version's number; all have as many digits. */
     private static final long FIRST = 100_000;
     private static final String REV = "{\"rev\":";
@@ -52,7 +51,7 @@
     private final StandInPlatform<StandInHost> platform = new StandInPlatform<>(loop, 0, 50);
     private final Machines machines;
     private final Operator operator;
-    private final List<Integer> ports;
+    private final Deployment deployment;
     private final int[] timeouts;
     private volatile long acknowledged;
     private volatile long largestDisk;
@@ -61,21 +60,19 @@
     private volatile boolean ended;
     private boolean closed;
 
-    /** Nothing is started yet but the folder for disks and logs, which goes with the demo. */
+    /** Nothing is started yet but the platform and the folder for disks and logs, which goes with the demo. */
     public Changes(Plan plan, PrintWriter out) throws IOException {
         this.plan = plan;
         this.out = out;
         folder = Files.createTempDirectory("tinworks-changes");
         machines = new Machines(folder, plan.javaOptions());
-        ports = FreePorts.at("127.0.0." + FIRST_CORE, 2);
-        operator = new Operator(Stream.iterate(0, i -> i < plan.cores(), i -> i + 1).map(i -> ip(i) + ":" + ports.get(0)).toList());
+        List<Integer> ports = FreePorts.at(Deployment.FIRST_CORE_IP, 2);
+        NodeProcess.call(loop, () -> platform.listen(new InetSocketAddress("127.0.0.1", 0))).syncUninterruptibly();
+        deployment = new Deployment(plan.cores(), ports.get(0), ports.get(1), DESCRIPTORS, platform.address());
+        operator = new Operator(deployment.operated());
         timeouts = new int[plan.routes()];
     }
 
-    private static String ip(int core) {
-        return "127.0.0." + (FIRST_CORE + core);
-    }
-
     /** The first version, and the offset in it of each route's time-out. */
     private byte[] first() {
         StringBuilder text = new StringBuilder(200 * plan.routes()).append(REV).append(FIRST).append(",\"routes\":[");
@@ -108,9 +105,8 @@
 
     /** Plays the plan; true where all was acknowledged and shown as it was sent, and the member was back in time. */
     public boolean play() throws IOException, InterruptedException {
-        NodeProcess.call(loop, () -> platform.listen(new InetSocketAddress("127.0.0.1", 0))).syncUninterruptibly();
         for (int i = 0; i < plan.cores(); i++) {
-            machines.start(name(i), "core", settings(i, true), settings(i, false));
+            deployment.startCore(machines, i);
         }
         byte[] last = first();
         if (operator.replace(0, last, 0, START_MILLIS) == 0) {
@@ -132,18 +128,6 @@
         return "core-" + core;
     }
 
-    private String settings(int core, boolean bootstrap) {
-        List<String> seeds = new ArrayList<>();
-        for (int i = 0; i < Math.min(3, plan.cores()); i++) {
-            seeds.add("\"" + ip(i) + ":" + ports.get(0) + "\"");
-        }
-        return "{\"node\":\"" + name(core) + "\",\"az\":\"zone-" + core % 2 + "\",\"ip\":\"" + ip(core) + "\",\"listen\":{\"ctl\":\"" + ip(core)
-                + ":" + ports.get(0) + "\"},\"portRange\":[" + ports.get(1) + "," + ports.get(1) + "],\"seeds\":[" + String.join(",", seeds)
-                + "],\"bootstrap\":" + bootstrap + ",\"limits\":{\"nofile\":4096},\"datadir\":\"" + machines.disk(name(core))
-                + "\",\"survive\":{\"nodes\":1},\"bounds\":{\"graceS\":6},\"provider\":{\"addr\":\"127.0.0.1:"
-                + platform.address().getPort() + "\"}}";
-    }
-
     /** Sends all changes, and kills a member in the middle; returns the last configuration that was acknowledged. */
     private byte[] send(byte[] first) throws IOException, InterruptedException {
         byte[] last = first;
