--- a/src/main/java/tinworks/channel/TcpLinks.java
+++ b/src/main/java/tinworks/channel/TcpLinks.java
@@ -27,8 +27,9 @@
  * that grows and is drawn by chance, for as long as it is wanted. Can also take connections. All on one event loop.
  */
 public final class TcpLinks implements Links {
-    private static final int DIAL_MILLIS = 1_000, BACKLOG = 128;
-    private static final long FIRST_PAUSE_MILLIS = 100, LONGEST_PAUSE_MILLIS = 400;
+    static final int DIAL_MILLIS = 1_000;
+    private static final int BACKLOG = 128;
+    static final long FIRST_PAUSE_MILLIS = 100, LONGEST_PAUSE_MILLIS = 400;
 
     private final EventLoop loop;
     private final Hello own;
--- a/src/main/java/tinworks/control/Core.java
+++ b/src/main/java/tinworks/control/Core.java
@@ -75,22 +75,32 @@
      * was set aside may have voted under such an id, so it takes none again, whatever its settings say.
      */
     static long identity(CoreStore store, BootSettings settings) throws IOException, CoreStore.Damaged {
+        String address = settings.innerAddress();
+        return identity(store, address, settings.bootstrap(), settings.seeds(), newId(address));
+    }
+
+    /** The same by its parts; {@code newId} is for one who is somebody new. */
+    static long identity(CoreStore store, String address, boolean bootstrap, List<String> seeds, long newId)
+            throws IOException, CoreStore.Damaged {
         long known = store.identity();
         if (known != 0) {
             return known;
         }
-        boolean first = settings.bootstrap() && settings.seeds().contains(settings.innerAddress()) && store.untouched();
-        long id = first ? firstId(settings.innerAddress()) : newId(settings.innerAddress());
-        List<Member> voters = settings.seeds().stream().map(seed -> new Member(firstId(seed), seed)).toList();
+        boolean first = bootstrap && seeds.contains(address) && store.untouched();
+        long id = first ? firstId(address) : newId;
         try {
-            store.found(id, HardState.NONE, first ? new Snapshot(0, 0, voters, new byte[0]) : Snapshot.NONE);
+            store.found(id, HardState.NONE, first ? firstVoters(seeds) : Snapshot.NONE);
         } catch (IllegalStateException | MVStoreException e) {
             throw new IOException(e.getMessage(), e);
         }
         return id;
     }
 
-    private static long firstId(String address) {
+    static Snapshot firstVoters(List<String> seeds) {
+        return new Snapshot(0, 0, seeds.stream().map(seed -> new Member(firstId(seed), seed)).toList(), new byte[0]);
+    }
+
+    static long firstId(String address) {
         CRC32C sum = new CRC32C();
         sum.update(address.getBytes(StandardCharsets.UTF_8));
         return sum.getValue() + 1;
--- /dev/null
+++ b/src/test/java/tinworks/control/SimulatedCore.java
@@ -0,0 +1,373 @@
+package tinworks.control;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import tinworks.channel.Conversation;
+import tinworks.channel.HostList;
+import tinworks.channel.Links;
+import tinworks.channel.Signal;
+import tinworks.channel.Signal.CallAnswer;
+import tinworks.channel.Signal.Hello;
+import tinworks.channel.Signal.Part;
+import tinworks.channel.SimulatedNetwork;
+import tinworks.raft.HardState;
+import tinworks.raft.Output;
+import tinworks.raft.Raft;
+import tinworks.raft.Stored;
+import tinworks.simulation.Machine;
+import tinworks.simulation.World;
+
+/** A core machine of the simulation: the production {@link CoreMachine} with a simulated clock, network and disk. */
+final class SimulatedCore implements CoreMachine.Environment {
+    private static final long RETRY_MICROS = 200_000, HAND_OVER_MILLIS = 150, POLL_MILLIS = 1_000;
+
+    /** What a simulated core machine needs of the day round it. */
+    interface Around {
+        /** The platform's list at present. */
+        List<HostList.Host> platform();
+
+        /** A core machine has said this on a call of the operator. */
+        void answered(SimulatedCore core, CallAnswer answer);
+
+        /** Something may have changed at this machine. */
+        void worked(SimulatedCore core);
+    }
+
+    final Machine machine;
+    final String name;
+    private final World world;
+    private final SimulatedNetwork network;
+    private final Map<String, Machine> machines;
+    private final SimulatedStore store;
+    private final SplittableRandom random;
+    private final Around around;
+    private final Flaw flaw;
+    private final int losses;
+    private final long syncMicros;
+    private final Set<Consumer<CallAnswer>> open = new LinkedHashSet<>();
+    private CoreMachine core;
+    private Links links;
+    private Writer writer;
+    private List<String> seeds = List.of();
+    private long knownId;
+    private long stalledUntil;
+    private boolean full;
+    private boolean fetching;
+    private long fetches;
+    /** Removed for good. */
+    boolean gone;
+    /** When it stops counting as lost, in the world's milliseconds. */
+    long lostUntil;
+    /** The version that the checker last saw in force here, in this life. */
+    long seenRev;
+
+    SimulatedCore(World world, SimulatedNetwork network, Map<String, Machine> machines, String name, String address, int losses,
+                  long syncMicros, boolean onFiles, Flaw flaw, Around around) {
+        this.world = world;
+        this.network = network;
+        this.machines = machines;
+        this.name = name;
+        this.losses = losses;
+        this.syncMicros = syncMicros;
+        this.flaw = flaw;
+        this.around = around;
+        random = world.random().split();
+        machine = new Machine(world, address, () -> around.worked(this));
+        machines.put(address, machine);
+        long seed = random.nextLong();
+        store = onFiles ? new SimulatedStore.Files(seed, flaw != Flaw.FOLDER_NOT_SYNCED) : new SimulatedStore.Memory(seed);
+    }
+
+    // ---- its lives
+
+    void start(boolean bootstrap, List<String> itsSeeds) {
+        machine.start();
+        seeds = itsSeeds;
+        seenRev = 0;
+        fetching = false;
+        // Above all ids of a first start.
+        long newId = flaw == Flaw.IDENTITY_KEPT && knownId != 0 ? knownId : (random.nextLong() | 1L << 62) & Long.MAX_VALUE;
+        SimulatedStore.Found found = store.open(machine.address(), bootstrap, seeds, newId);
+        knownId = found.id();
+        Stored stored = found.stored();
+        if (flaw == Flaw.VOTE_FORGOTTEN) {
+            stored = new Stored(new HardState(stored.hard().term(), 0), stored.snapshot(), stored.entries());
+        }
+        writer = new Writer(machine.life());
+        core = new CoreMachine(new CoreMachine.Identity(found.id(), machine.address(), losses), stored, writer, this);
+        Hello own = new Hello(Part.CORE, found.id(), machine.address(), name, "z");
+        Conversation.Listener listener = flaw == Flaw.ALWAYS_FRESH ? new SaysFresh(core) : core;
+        links = network.links(machine, machines, own, listener);
+        network.listen(machine, own, listener);
+        tick();
+    }
+
+    private void tick() {
+        machine.schedule(CoreMachine.TICK_MILLIS, this::tick);
+        core.tick();
+    }
+
+    void kill() {
+        if (machine.running()) {
+            store.killed(writer.midway());
+            machine.kill();
+            network.killed(machine);
+            hangUp();
+        }
+    }
+
+    void powerOff() {
+        if (machine.powered()) {
+            store.powerLost(machine.running() ? writer.midway() : null);
+            machine.powerOff();
+            network.dark(machine);
+            // Callers hear nothing.
+            open.clear();
+        }
+    }
+
+    /** The disk is lost; the machine is off. */
+    void wipe() {
+        powerOff();
+        store.wipe();
+    }
+
+    /** SIGTERM, and then the end as {@link Core} does it. */
+    void end() {
+        long life = machine.life();
+        machine.arrive(life, () -> {
+            core.retire();
+            machine.schedule(HAND_OVER_MILLIS, () -> {
+                core.close();
+                machine.schedule(0, this::kill);
+            });
+        });
+    }
+
+    private void hangUp() {
+        List<Consumer<CallAnswer>> callers = List.copyOf(open);
+        open.clear();
+        callers.forEach(caller -> caller.accept(null));
+    }
+
+    /** The disk takes its time with everything until then, in the world's milliseconds. */
+    void stallDisk(long untilMillis) {
+        stalledUntil = untilMillis * 1_000;
+    }
+
+    void fillDisk(boolean nowFull) {
+        full = nowFull;
+        store.full(nowFull);
+    }
+
+    boolean diskInTrouble() {
+        return full || stalledUntil > world.micros();
+    }
+
+    void resettle(List<String> newSeeds) {
+        seeds = newSeeds;
+    }
+
+    // ---- what is seen of it
+
+    boolean running() {
+        return machine.running() && core != null;
+    }
+
+    CoreMachine core() {
+        return core;
+    }
+
+    boolean leads() {
+        return running() && core.agreement().raft().role() == Raft.Role.LEADER;
+    }
+
+    // ---- the operator's calls, on the machine's own thread
+
+    /** Told null where the connection breaks. */
+    void replace(long base, byte[] body, Consumer<CallAnswer> told) {
+        take(told, answer -> {
+            core.calls().replace(List.of(Long.toString(base)), body, answer);
+            if (flaw == Flaw.EARLY_VERDICT && leads() && core.agreement().history().rev() == base && open.contains(told)) {
+                String text = new String(body, StandardCharsets.UTF_8);
+                long rev = Order.revOf(text);
+                answer.accept(new CallAnswer(0, OperatorCalls.OK, ("{\"rev\":" + rev + "}\n").getBytes(StandardCharsets.UTF_8)));
+            }
+        });
+    }
+
+    void show(Consumer<CallAnswer> told) {
+        take(told, answer -> core.calls().show(answer));
+    }
+
+    private void take(Consumer<CallAnswer> told, Consumer<Consumer<CallAnswer>> work) {
+        open.add(told);
+        work.accept(answer -> {
+            if (open.remove(told)) {
+                told.accept(answer);
+                around.answered(this, answer);
+            }
+        });
+    }
+
+    // ---- CoreMachine.Environment
+
+    @Override
+    public long millis() {
+        return machine.millis();
+    }
+
+    @Override
+    public Links links() {
+        return links;
+    }
+
+    @Override
+    public List<String> seeds() {
+        return seeds;
+    }
+
+    @Override
+    public void fetchList(boolean wanted) {
+        if (wanted && !fetching) {
+            fetch(++fetches);
+        }
+        fetching = wanted;
+    }
+
+    private void fetch(long run) {
+        long took = 3_000 + random.nextInt(10_000);
+        long life = machine.life();
+        List<HostList.Host> list = around.platform();
+        world.later(took, () -> machine.arrive(life, () -> {
+            if (fetching && run == fetches) {
+                core.listed(list);
+                machine.schedule(POLL_MILLIS, () -> {
+                    if (fetching && run == fetches) {
+                        fetch(run);
+                    }
+                });
+            }
+        }));
+    }
+
+    @Override
+    public void log(String line) {
+        if (Boolean.getBoolean("tinworks.simulation.log")) {
+            System.out.println(world.millis() + " " + name + ": " + line);
+        }
+    }
+
+    /** Writes one output after the other, as {@link DiskThread} does. */
+    private final class Writer implements Disk {
+        private final long life;
+        private final ArrayDeque<Write> writes = new ArrayDeque<>();
+        private boolean busy;
+
+        private record Write(Output output, Runnable done) { }
+
+        Writer(long life) {
+            this.life = life;
+        }
+
+        @Override
+        public void write(Output output, Runnable done) {
+            if (flaw == Flaw.SYNC_SKIPPED) {
+                // Said to be on the disk at once, and there a good while later.
+                world.later(0, () -> machine.arrive(life, done));
+                writes.add(new Write(output, () -> { }));
+            } else {
+                writes.add(new Write(output, done));
+            }
+            next();
+        }
+
+        private void next() {
+            if (!busy && !writes.isEmpty()) {
+                busy = true;
+                long takes = syncMicros / 2 + random.nextLong(syncMicros) + (flaw == Flaw.SYNC_SKIPPED ? 300_000 : 0);
+                sync(takes + Math.max(0, stalledUntil - world.micros()));
+            }
+        }
+
+        private void sync(long micros) {
+            world.later(micros, () -> {
+                if (machine.life() != life || !machine.running()) {
+                    return;
+                }
+                Write write = writes.peek();
+                if (store.write(write.output)) {
+                    writes.poll();
+                    machine.arrive(life, () -> {
+                        write.done.run();
+                        busy = false;
+                        next();
+                    });
+                } else {
+                    sync(RETRY_MICROS);
+                }
+            });
+        }
+
+        Output midway() {
+            return busy && !writes.isEmpty() && !full ? writes.peek().output : null;
+        }
+    }
+
+    /** What a machine says that takes itself for up to date whatever happens. */
+    private record SaysFresh(CoreMachine core) implements Conversation.Listener {
+        @Override
+        public void opened(Conversation conversation) {
+            core.opened(new Fresh(conversation));
+        }
+
+        @Override
+        public void received(Conversation conversation, Signal signal) {
+            core.received(new Fresh(conversation), signal);
+        }
+
+        @Override
+        public void closed(Conversation conversation) {
+            core.closed(new Fresh(conversation));
+        }
+
+        @Override
+        public void log(String line) {
+            core.log(line);
+        }
+    }
+
+    private record Fresh(Conversation inner) implements Conversation {
+        @Override
+        public Hello peer() {
+            return inner.peer();
+        }
+
+        @Override
+        public boolean dialled() {
+            return inner.dialled();
+        }
+
+        @Override
+        public boolean isOpen() {
+            return inner.isOpen();
+        }
+
+        @Override
+        public void send(Signal signal) {
+            inner.send(signal instanceof Signal.Announce a
+                    ? new Signal.Announce(a.rev(), a.hosts(), true, a.leads(), a.cores(), a.edges()) : signal);
+        }
+
+        @Override
+        public void close(String why) {
+            inner.close(why);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/tinworks/control/SimulatedEdge.java
@@ -0,0 +1,122 @@
+package tinworks.control;
+
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.Callable;
+import java.util.function.Function;
+import tinworks.channel.HostList;
+import tinworks.channel.Links;
+import tinworks.channel.Signal.Hello;
+import tinworks.channel.Signal.Part;
+import tinworks.channel.SimulatedNetwork;
+import tinworks.config.Configuration;
+import tinworks.edge.CoreFollower;
+import tinworks.simulation.Machine;
+import tinworks.simulation.World;
+
+/** An edge of the simulation, as far as it follows the core: the production {@link CoreFollower}, ready as EdgeNode says. */
+final class SimulatedEdge implements CoreFollower.Owner {
+    private static final long TICK_MILLIS = 250, PLAIN_START_MILLIS = 3_000;
+
+    final Machine machine;
+    final String name;
+    private final World world;
+    private final SimulatedNetwork network;
+    private final Map<String, Machine> machines;
+    private final Function<CoreFollower.Owner, CoreFollower> maker;
+    private final SplittableRandom random;
+    private CoreFollower follower;
+    private Links links;
+    private List<String> seeds;
+    private long startedAt;
+    /** The world's milliseconds of its last trouble's end. */
+    long troubledAt;
+    boolean cut;
+
+    SimulatedEdge(World world, SimulatedNetwork network, Map<String, Machine> machines, String name,
+                  Function<CoreFollower.Owner, CoreFollower> maker, Runnable observer) {
+        this.world = world;
+        this.network = network;
+        this.machines = machines;
+        this.name = name;
+        this.maker = maker;
+        random = world.random().split();
+        machine = new Machine(world, name, observer);
+    }
+
+    void start(List<String> itsSeeds) {
+        seeds = itsSeeds;
+        machine.start();
+        troubledAt = world.millis();
+        startedAt = millis();
+        follower = maker.apply(this);
+        links = network.links(machine, machines, new Hello(Part.EDGE, random.nextLong() & Long.MAX_VALUE, "", name, "z"), follower);
+        tick();
+    }
+
+    void kill() {
+        machine.kill();
+        network.killed(machine);
+    }
+
+    private void tick() {
+        machine.schedule(TICK_MILLIS, this::tick);
+        links.want(follower.wanted(seeds));
+    }
+
+    /** As EdgeNode has it. */
+    boolean ready() {
+        boolean waited = millis() - startedAt > PLAIN_START_MILLIS;
+        return follower.configuration() != null && !follower.list().hosts().isEmpty() && (follower.upToDate() || waited);
+    }
+
+    long rev() {
+        return follower.rev();
+    }
+
+    /** Which order it serves by, -1 for none. */
+    int order() {
+        return follower.configuration() == null ? -1
+                : Integer.parseInt(follower.configuration().routes().stream().map(Configuration.Route::name)
+                        .filter(n -> n.startsWith("o")).findFirst().orElseThrow().substring(1));
+    }
+
+    HostList list() {
+        return follower.list();
+    }
+
+    // ---- CoreFollower.Owner
+
+    @Override
+    public long millis() {
+        return machine.millis();
+    }
+
+    @Override
+    public void read(long rev, Callable<Configuration> version) {
+        long life = machine.life();
+        world.later(1_000 + random.nextInt(20_000), () -> machine.arrive(life, () -> {
+            try {
+                follower.use(version.call());
+            } catch (Exception e) {
+                throw new HistoryCheck.Broken("an edge can't read the version " + rev + ": " + e);
+            }
+        }));
+    }
+
+    @Override
+    public void listed(HostList list) {
+        // Read from the follower when it is checked.
+    }
+
+    @Override
+    public void counted(int edges) {
+        // Only quotas go by it.
+    }
+
+    @Override
+    public void log(String line) {
+        // Nobody reads it.
+    }
+}
--- /dev/null
+++ b/src/test/java/tinworks/control/SimulatedStore.java
@@ -0,0 +1,207 @@
+package tinworks.control;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.h2.mvstore.MVStoreException;
+import tinworks.raft.Entry;
+import tinworks.raft.HardState;
+import tinworks.raft.Output;
+import tinworks.raft.Snapshot;
+import tinworks.raft.Stored;
+import tinworks.store.CoreStore;
+import tinworks.store.Folder;
+import tinworks.store.SimulatedDisk;
+
+/** The disk of a simulated core machine, and what a start of the process finds on it. */
+interface SimulatedStore {
+    /** Who the machine is, and what it has agreed to. */
+    record Found(long id, Stored stored) { }
+
+    /** What {@link Core} does first; {@code newId} is for a machine whose disk is empty. */
+    Found open(String address, boolean bootstrap, List<String> seeds, long newId);
+
+    /** Writes and syncs; false where the disk takes nothing now. */
+    boolean write(Output output);
+
+    /** The process is gone; a write that it was at, or null, is done to some part. */
+    void killed(Output midway);
+
+    /** Power is gone; of a write that was going on, or null, some part may be there. */
+    void powerLost(Output midway);
+
+    /** The machine comes back with an empty disk. */
+    void wipe();
+
+    /** From now on the disk takes nothing, or takes all again. */
+    void full(boolean full);
+
+    /** A fast one: whole outputs in memory, where what is synced is kept and the write that was going on is or isn't. */
+    final class Memory implements SimulatedStore {
+        private final SplittableRandom random;
+        private long id;
+        private Stored stored = Stored.NOTHING;
+        private boolean full;
+
+        Memory(long seed) {
+            random = new SplittableRandom(seed);
+        }
+
+        @Override
+        public Found open(String address, boolean bootstrap, List<String> seeds, long newId) {
+            if (id == 0) {
+                boolean first = bootstrap && seeds.contains(address);
+                id = first ? Core.firstId(address) : newId;
+                stored = new Stored(HardState.NONE, first ? Core.firstVoters(seeds) : Snapshot.NONE, List.of());
+            }
+            return new Found(id, stored);
+        }
+
+        @Override
+        public boolean write(Output output) {
+            if (!full) {
+                stored = written(stored, output);
+            }
+            return !full;
+        }
+
+        @Override
+        public void killed(Output midway) {
+            if (midway != null && !full && random.nextBoolean()) {
+                stored = written(stored, midway);
+            }
+        }
+
+        @Override
+        public void powerLost(Output midway) {
+            killed(midway);
+        }
+
+        @Override
+        public void wipe() {
+            id = 0;
+            stored = Stored.NOTHING;
+        }
+
+        @Override
+        public void full(boolean nowFull) {
+            full = nowFull;
+        }
+
+        private static Stored written(Stored before, Output output) {
+            HardState hard = output.hard() != null ? output.hard() : before.hard();
+            Snapshot snapshot = output.snapshot() != null ? output.snapshot() : before.snapshot();
+            List<Entry> entries = new ArrayList<>(before.entries());
+            entries.removeIf(e -> e.index() <= snapshot.index() || output.cutFrom() > 0 && e.index() >= output.cutFrom());
+            entries.addAll(output.entries());
+            return new Stored(hard, snapshot, entries);
+        }
+    }
+
+    /** The production store on a simulated disk. */
+    final class Files implements SimulatedStore {
+        private static final int MOST_OPERATIONS = 12;
+
+        private final SplittableRandom random;
+        private final SimulatedDisk disk;
+        private final boolean folderSyncs;
+        private CoreStore store;
+
+        /** Without the folder's syncs it is broken on purpose. */
+        Files(long seed, boolean folderSyncs) {
+            random = new SplittableRandom(seed);
+            disk = new SimulatedDisk(seed);
+            this.folderSyncs = folderSyncs;
+        }
+
+        @Override
+        public Found open(String address, boolean bootstrap, List<String> seeds, long newId) {
+            try {
+                store = Core.open(folderSyncs ? disk.folder() : new Unsynced(disk.folder()));
+                long id = Core.identity(store, address, bootstrap, seeds, newId);
+                return new Found(id, store.load());
+            } catch (IOException | CoreStore.Damaged e) {
+                throw new IllegalStateException("the store at " + address + " can't be opened", e);
+            }
+        }
+
+        @Override
+        public boolean write(Output output) {
+            try {
+                store.write(output);
+                return true;
+            } catch (MVStoreException | IllegalStateException e) {
+                reopen();
+                return false;
+            }
+        }
+
+        private void reopen() {
+            try {
+                store.reopen();
+            } catch (CoreStore.Damaged e) {
+                // Tried again with the next write, as the production thread does.
+            }
+        }
+
+        @Override
+        public void killed(Output midway) {
+            part(midway);
+            disk.crash();
+        }
+
+        @Override
+        public void powerLost(Output midway) {
+            part(midway);
+            disk.powerLoss();
+        }
+
+        private void part(Output midway) {
+            if (midway != null) {
+                disk.stopAfter(random.nextInt(MOST_OPERATIONS));
+                try {
+                    store.write(midway);
+                } catch (MVStoreException | IllegalStateException e) {
+                    // The process or the power is gone in the middle of it.
+                }
+            }
+        }
+
+        @Override
+        public void wipe() {
+            disk.wipe();
+        }
+
+        @Override
+        public void full(boolean full) {
+            disk.full(full);
+        }
+
+        /** A folder whose syncs do nothing. */
+        private record Unsynced(Folder folder) implements Folder {
+            @Override
+            public void make() throws IOException {
+                folder.make();
+            }
+
+            @Override
+            public String path(String file) {
+                return folder.path(file);
+            }
+
+            @Override
+            public boolean exists(String file) throws IOException {
+                return folder.exists(file);
+            }
+
+            @Override
+            public void move(String file, String to) throws IOException {
+                folder.move(file, to);
+            }
+
+            @Override
+            public void sync() { }
+        }
+    }
+}
