Let a core machine that is out of touch find its way to the leader

A new machine whose seeds don't lead never learned where the leader is: only a leader's announcement tells of core machines, and only a leader minds a Join. A machine that was voted out while it was dark went on taking itself for a voter, asked for ever and was no spare: the closing fault then took the majority.

Change: CoreMachine takes the core machines that any fresh machine announces while it isn't fresh itself, and joins whenever Raft.isLeftOut, whether or not its own log says that it votes.

--- a/src/main/java/tinworks/control/CoreMachine.java
+++ b/src/main/java/tinworks/control/CoreMachine.java
@@ -202,7 +202,8 @@
         }
         around.fetchList(raft.ready());
         takeFetched();
-        if (!raft.isVoter(id) && now >= joinAt) {
+        // One that was voted out while it was away doesn't know it, and nobody sends it the log.
+        if (raft.isLeftOut() && now >= joinAt) {
             joinAt = now + JOIN_MILLIS;
             Signal join = new Join(new Member(id, self.address()));
             around.links().open().forEach(c -> c.send(join));
@@ -386,6 +387,9 @@
             announcedTerm = s.term();
             announced.clear();
             announced.addAll(s.cores());
+        } else if (s.fresh() && !fresh()) {
+            // The way to the leader leads through those who hear it.
+            announced.addAll(s.cores());
         }
         long now = around.millis();
         if (s.hosts().compareTo(hosts().version()) > 0 && now - pulledAt > PULL_AGAIN_MILLIS) {
--- a/src/test/java/tinworks/control/SimulatedDay.java
+++ b/src/test/java/tinworks/control/SimulatedDay.java
@@ -183,7 +183,9 @@
     }
 
     private void list() {
-        listings.add(cores.values().stream().filter(c -> c.running() && !c.gone).toList());
+        List<SimulatedCore> up = cores.values().stream().filter(c -> c.running() && !c.gone).toList();
+        // A list without anyone tells nobody anything: the last one stays.
+        listings.add(up.isEmpty() ? listings.peekLast() : up);
         if (listings.size() > LAG / LISTING) {
             listings.poll();
         }
--- a/src/test/java/tinworks/control/SimulatedEdge.java
+++ b/src/test/java/tinworks/control/SimulatedEdge.java
@@ -84,6 +84,11 @@
                         .filter(n -> n.startsWith("o")).findFirst().orElseThrow().substring(1));
     }
 
+    /** The core machines that it is linked with. */
+    List<String> links() {
+        return links.open().stream().map(c -> c.peer().node()).toList();
+    }
+
     HostList list() {
         return follower.list();
     }
--- a/src/test/java/tinworks/simulation/Machine.java
+++ b/src/test/java/tinworks/simulation/Machine.java
@@ -24,6 +24,7 @@
     private long life;
     private long workMicros;
     private long busyUntil;
+    private int pending;
 
     private record Held(long life, Runnable work) { }
 
@@ -73,6 +74,7 @@
         frozen = false;
         workMicros = 0;
         busyUntil = 0;
+        pending = 0;
         life++;
     }
 
@@ -134,9 +136,13 @@
         }
         if (frozen) {
             queue.add(new Held(itsLife, work));
-        } else if (workMicros > 0 || busyUntil > world.micros()) {
+        } else if (workMicros > 0 || pending > 0) {
+            pending++;
             busyUntil = Math.max(busyUntil, world.micros()) + workMicros;
-            world.later(busyUntil - world.micros(), () -> finish(itsLife, work, queue));
+            world.later(busyUntil - world.micros(), () -> {
+                pending -= itsLife == life ? 1 : 0;
+                finish(itsLife, work, queue);
+            });
         } else {
             finish(itsLife, work, queue);
         }
