--- a/src/test/java/tinworks/control/SimulatedStore.java
+++ b/src/test/java/tinworks/control/SimulatedStore.java
@@ -191,8 +191,13 @@
             }
 
             @Override
-            public boolean exists(String file) throws IOException {
-                return folder.exists(file);
+            public List<String> files() throws IOException {
+                return folder.files();
+            }
+
+            @Override
+            public void remove(String file) throws IOException {
+                folder.remove(file);
             }
 
             @Override
