--- a/src/test/java/tinworks/channel/SimulatedNetwork.java
+++ b/src/test/java/tinworks/channel/SimulatedNetwork.java
@@ -413,10 +413,10 @@
                     Connection connection = new Connection(machine, far);
                     End accepted = new End(far, false, there.own, there.listener, connection, () -> { });
                     End dialling = new End(machine, true, own, listener, connection, this::again);
-                    far.arrive(there.life, accepted::begin);
                     long back = delay();
                     // What the far side says comes behind its consent.
                     connection.back.lastDue = world.micros() + back;
+                    far.arrive(there.life, accepted::begin);
                     world.later(back, () -> machine.arrive(life, () -> connected(dial, dialling)));
                 });
             }
--- a/src/test/java/tinworks/control/SimulatedCore.java
+++ b/src/test/java/tinworks/control/SimulatedCore.java
@@ -1,5 +1,6 @@
 package tinworks.control;
 
+import java.lang.reflect.RecordComponent;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.LinkedHashSet;
@@ -365,8 +366,23 @@
 
         @Override
         public void send(Signal signal) {
-            inner.send(signal instanceof Signal.Announce a
-                    ? new Signal.Announce(a.rev(), a.hosts(), true, a.leads(), a.cores(), a.edges()) : signal);
+            inner.send(signal instanceof Signal.Announce a ? fresh(a) : signal);
+        }
+
+        /** The same, whatever else it says, but fresh. */
+        private static Signal.Announce fresh(Signal.Announce said) {
+            RecordComponent[] parts = Signal.Announce.class.getRecordComponents();
+            Class<?>[] types = new Class<?>[parts.length];
+            Object[] values = new Object[parts.length];
+            try {
+                for (int i = 0; i < parts.length; i++) {
+                    types[i] = parts[i].getType();
+                    values[i] = parts[i].getName().equals("fresh") ? Boolean.TRUE : parts[i].getAccessor().invoke(said);
+                }
+                return Signal.Announce.class.getConstructor(types).newInstance(values);
+            } catch (ReflectiveOperationException e) {
+                throw new IllegalStateException(e);
+            }
         }
 
         @Override
