--- a/src/test/java/tinworks/control/SimulatedStore.java
+++ b/src/test/java/tinworks/control/SimulatedStore.java
@@ -1,6 +1,8 @@
 package tinworks.control;
 
 import java.io.IOException;
+import java.lang.reflect.InvocationTargetException;
+import java.lang.reflect.Proxy;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
@@ -118,7 +120,7 @@
         @Override
         public Found open(String address, boolean bootstrap, List<String> seeds, long newId) {
             try {
-                store = Core.open(folderSyncs ? disk.folder() : new Unsynced(disk.folder()));
+                store = Core.open(folderSyncs ? disk.folder() : unsynced(disk.folder()));
                 long id = Core.identity(store, address, bootstrap, seeds, newId);
                 return new Found(id, store.load());
             } catch (IOException | CoreStore.Damaged e) {
@@ -178,35 +180,16 @@
             disk.full(full);
         }
 
-        /** A folder whose syncs do nothing. */
-        private record Unsynced(Folder folder) implements Folder {
-            @Override
-            public void make() throws IOException {
-                folder.make();
-            }
-
-            @Override
-            public String path(String file) {
-                return folder.path(file);
-            }
-
-            @Override
-            public List<String> files() throws IOException {
-                return folder.files();
-            }
-
-            @Override
-            public void remove(String file) throws IOException {
-                folder.remove(file);
-            }
-
-            @Override
-            public void move(String file, String to) throws IOException {
-                folder.move(file, to);
-            }
-
-            @Override
-            public void sync() { }
+        /** The folder, but its syncs do nothing. */
+        private static Folder unsynced(Folder folder) {
+            return (Folder) Proxy.newProxyInstance(Folder.class.getClassLoader(), new Class<?>[] {Folder.class},
+                    (proxy, method, arguments) -> {
+                        try {
+                            return method.getName().equals("sync") ? null : method.invoke(folder, arguments);
+                        } catch (InvocationTargetException e) {
+                            throw e.getCause();
+                        }
+                    });
         }
     }
 }
