Fence by term the core machines that a machine out of touch is told of

Cause: a machine that isn't fresh took core machines from any announcement that says fresh, an old leader's late one too (CoreMachineTest.theCoreMachinesAreThoseThatTheLatestLeaderTold).

Change: CoreMachine.heard takes them from no earlier term than the latest leader's that it heard.

--- a/src/main/java/tinworks/control/CoreMachine.java
+++ b/src/main/java/tinworks/control/CoreMachine.java
@@ -383,7 +383,7 @@
             announcedTerm = s.term();
             announced.clear();
             announced.addAll(s.cores());
-        } else if (s.fresh() && !fresh()) {
+        } else if (s.fresh() && !fresh() && s.term() >= announcedTerm) {
             // The way to the leader leads through those who hear it.
             announced.addAll(s.cores());
         }
