--- a/src/test/java/tinworks/edge/UnaskedTest.java
+++ b/src/test/java/tinworks/edge/UnaskedTest.java
@@ -98,6 +98,18 @@
         }
     }
 
+    /** What can't be read behind an open request must not take its answer away. */
+    @Test
+    void anUnreadableLengthBehindAnOpenRequestIsAnsweredInItsTurn() throws Exception {
+        try (Client client = edge.client()) {
+            client.write(EdgeFixture.request("a", "m", "some body", 9_000, false) + HEAD.replace("Attempt-Id: a", "Attempt-Id: b")
+                    + "Content-Length: 0x0\r\n\r\n");
+            assertEquals("a", client.read().headers().get("attempt-id"));
+            assertEquals(400, client.read().status());
+            assertNull(client.read());
+        }
+    }
+
     /** Its end is plain, but not what is asked: what follows it is another request, and served. */
     @ParameterizedTest
     @ValueSource(strings = {
