Read a torn footer as MVStore does, so that it is no damage

Cause: a footer that was torn over what an earlier torn write had left counted as one, while MVStore passed it over: a whole store was found damaged after two losses of power.

Change: a footer is its text and nothing but blanks or zeroes, as for MVStore. DamageTest tears the last footer at each of its bytes, over zeroes, blanks, letters and digits.

--- a/src/main/java/tinworks/store/OrderedFile.java
+++ b/src/main/java/tinworks/store/OrderedFile.java
@@ -22,8 +22,9 @@
     /** What stands before a file's path. */
     static final String SCHEME = "ordered";
     private static final int FOOTER = 128, BLOCK = 4096, HEADER = 2 * BLOCK, RADIX = 16;
-    private static final Pattern FOOTER_TEXT =
-            Pattern.compile("(chunk:[0-9a-f]{1,8},len:[0-9a-f]{1,8},version:([0-9a-f]{1,15})),fletcher:([0-9a-f]{1,8})[^0-9a-f]");
+    /** As MVStore reads it, which passes over what is no more than blank at the end: of a torn footer that is whole enough. */
+    private static final Pattern FOOTER_TEXT = Pattern.compile(
+            "(chunk:[0-9a-f]{1,8},len:[0-9a-f]{1,8},version:([0-9a-f]{1,15})),fletcher:([0-9a-f]{1,8})[\\x00-\\x20]*");
 
     static {
         FilePath.register(new OrderedFile());
@@ -47,7 +48,7 @@
                     count = file.read(footer, end - FOOTER + footer.position());
                 }
                 Matcher matcher = FOOTER_TEXT.matcher(new String(footer.array(), StandardCharsets.ISO_8859_1));
-                if (matcher.lookingAt() && DataUtils.getFletcher32(footer.array(), 0, matcher.end(1))
+                if (matcher.matches() && DataUtils.getFletcher32(footer.array(), 0, matcher.end(1))
                         == Integer.parseUnsignedInt(matcher.group(3), RADIX)) {
                     return Long.parseUnsignedLong(matcher.group(2), RADIX);
                 }
--- a/src/test/java/tinworks/store/DamageTest.java
+++ b/src/test/java/tinworks/store/DamageTest.java
@@ -26,7 +26,7 @@
 /** A file whose bytes were changed or lost on the disk is found out, or read as it was. */
 class DamageTest {
     private static final String FILE = "state.mv";
-    private static final int WRITES = 16, ROUNDS = 3_000, SECTOR = 512, HEADER = 8_192;
+    private static final int WRITES = 16, ROUNDS = 3_000, SECTOR = 512, HEADER = 8_192, FOOTER = 128;
     private static final MVMap.Builder<Long, byte[]> LOG = new MVMap.Builder<Long, byte[]>().keyType(LongDataType.INSTANCE)
             .valueType(ByteArrayDataType.INSTANCE);
     private static final MVMap.Builder<String, byte[]> META = new MVMap.Builder<String, byte[]>()
@@ -107,6 +107,20 @@
         }
     }
 
+    /** What a footer is torn into, over zeroes or over what an earlier torn write left, is no damage. */
+    @Test
+    void aTornFooterIsReadAsTheStateBeforeOrAfter() throws Exception {
+        byte[] whole = written();
+        for (int kept = 0; kept < FOOTER; kept++) {
+            for (byte rest : new byte[] {0, ' ', 'x', '7'}) {
+                byte[] bytes = whole.clone();
+                Arrays.fill(bytes, bytes.length - FOOTER + kept, bytes.length, rest);
+                int state = read(bytes, kept + " bytes and " + rest);
+                assertTrue(state >= WRITES - 1, kept + " bytes and " + rest + ": " + state);
+            }
+        }
+    }
+
     /** Whatever the time of day does, as nothing but the file's header is ever written twice. */
     @Test
     void nothingThatWasSyncedIsEverWrittenOver() throws Exception {
