Cut off what a torn write left before a core's file is used

Cause: part of a torn chunk's footer stayed in the file; after a second loss of power it stood behind the head of the next chunk, which MVStore and the check of the last footer then took for whole.

Change: once the file is locked, what follows the last whole chunk is cut off, and the cut is synced, before anything is read.

CrashTest, CoreStoreTest, DamageTest and CoreTest passed.

--- a/src/main/java/tinworks/store/OrderedFile.java
+++ b/src/main/java/tinworks/store/OrderedFile.java
@@ -35,26 +35,33 @@
         return SCHEME + ":" + path;
     }
 
+    /** Where a chunk ends, and its version; 0 both where there is none. */
+    private record Footer(long end, long version) { }
+
     /**
      * The version of the last chunk that was ever whole, by its footer, 0 where there is none. As a file is only added to,
      * this is the newest one; where MVStore opens an older one, the newest has been damaged since.
      */
     static long newestVersion(String path) throws IOException {
         try (FileChannel file = FilePath.get(path).open("r")) {
-            ByteBuffer footer = ByteBuffer.allocate(FOOTER);
-            for (long end = file.size() / BLOCK * BLOCK; end > HEADER; end -= BLOCK) {
-                footer.clear();
-                for (int count = 0; footer.hasRemaining() && count >= 0;) {
-                    count = file.read(footer, end - FOOTER + footer.position());
-                }
-                Matcher matcher = FOOTER_TEXT.matcher(new String(footer.array(), StandardCharsets.ISO_8859_1));
-                if (matcher.matches() && DataUtils.getFletcher32(footer.array(), 0, matcher.end(1))
-                        == Integer.parseUnsignedInt(matcher.group(3), RADIX)) {
-                    return Long.parseUnsignedLong(matcher.group(2), RADIX);
-                }
+            return lastFooter(file).version;
+        }
+    }
+
+    private static Footer lastFooter(FileChannel file) throws IOException {
+        ByteBuffer footer = ByteBuffer.allocate(FOOTER);
+        for (long end = file.size() / BLOCK * BLOCK; end > HEADER; end -= BLOCK) {
+            footer.clear();
+            for (int count = 0; footer.hasRemaining() && count >= 0;) {
+                count = file.read(footer, end - FOOTER + footer.position());
+            }
+            Matcher matcher = FOOTER_TEXT.matcher(new String(footer.array(), StandardCharsets.ISO_8859_1));
+            if (matcher.matches() && DataUtils.getFletcher32(footer.array(), 0, matcher.end(1))
+                    == Integer.parseUnsignedInt(matcher.group(3), RADIX)) {
+                return new Footer(end, Long.parseUnsignedLong(matcher.group(2), RADIX));
             }
-            return 0;
         }
+        return new Footer(0, 0);
     }
 
     @Override
@@ -140,7 +147,14 @@
 
         @Override
         public FileLock tryLock(long position, long size, boolean shared) throws IOException {
-            return file.tryLock(position, size, shared);
+            FileLock lock = file.tryLock(position, size, shared);
+            long end = lock == null ? 0 : lastFooter(file).end;
+            if (end > 0 && end < file.size()) {
+                // What a torn write left may hold part of a footer, which must not come to stand behind another chunk's head.
+                file.truncate(end);
+                file.force(true);
+            }
+            return lock;
         }
 
         @Override
