Let two tests wait for what they stand on, on a busy machine

Cause: at a load of 45 on 16 processors GatewayTest took the first watch before the gateway had opened it, and EdgeEndTest found every further try refused, since those come out of a part of the requests and hardly any had come.

Change: the tests wait for the watch, and serve other requests between the tries; what they check stays.

--- a/src/test/java/tinworks/edge/EdgeEndTest.java
+++ b/src/test/java/tinworks/edge/EdgeEndTest.java
@@ -164,6 +164,10 @@
             }
             assertEquals(503, client.read().status(), "no host is at work on it");
             client.close();
+            // Further tries come out of a part of the requests.
+            for (int i = 0; i < 10; i++) {
+                serves(port, "between-" + id + "-" + i);
+            }
         }
         throw new AssertionError("no host ever worked on " + name);
     }
--- a/src/test/java/tinworks/net/GatewayTest.java
+++ b/src/test/java/tinworks/net/GatewayTest.java
@@ -203,8 +203,8 @@
         CompletableFuture<Socket> held = new CompletableFuture<>();
         ScriptedHost discovery = new ScriptedHost((socket, request) -> {
             GatewayFixture.startWatch(socket);
-            line(socket, list(1, false, List.of()));
             watches.add(socket);
+            line(socket, list(1, false, List.of()));
         });
         try (ScriptedHost draining = new ScriptedHost((socket, request) -> held.complete(socket));
                 ScriptedHost other = new ScriptedHost(SERVES);
@@ -213,6 +213,7 @@
             Client first = f.client();
             first.write(submit("r1", LONG_MILLIS, "x"));
             Socket socket = held.get(PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
+            await("the gateway watches", () -> !watches.isEmpty());
             line(watches.get(0), list(2, false, List.of(entry("s", draining, "draining", 0),
                     entry("o", other, "up", 0), entry("p", other, "up", 0))));
             for (int i = 0; other.requests.isEmpty(); i++) {
@@ -235,8 +236,8 @@
         List<Socket> watches = new CopyOnWriteArrayList<>();
         ScriptedHost discovery = new ScriptedHost((socket, request) -> {
             GatewayFixture.startWatch(socket);
-            line(socket, list(1, false, List.of()));
             watches.add(socket);
+            line(socket, list(1, false, List.of()));
         });
         try (ScriptedHost host = new ScriptedHost(SILENT);
                 GatewayFixture f = new GatewayFixture(list(1, true, List.of(entry("s", host, "up", 0))), discovery,
@@ -245,6 +246,7 @@
             client.write(submit("r", LONG_MILLIS, "x"));
             await("the attempt", () -> host.requests.size() == 1);
             long later = System.currentTimeMillis() + 1000;
+            await("the gateway watches", () -> !watches.isEmpty());
             line(watches.get(0), list(2, false, List.of(entry("s", host, "up", later))));
             assertTrue(client.read().firstLine().contains(" 502 "));
         }
