--- a/src/main/java/tinworks/control/Core.java
+++ b/src/main/java/tinworks/control/Core.java
@@ -25,7 +25,7 @@
 /** The process of a core machine: its disk, its start and its end. */
 public final class Core {
     private static final Logger LOG = LoggerFactory.getLogger(Core.class);
-    private static final long RETIRE_MILLIS = 1_500, RETIRE_AGAIN_MILLIS = 50, CLOSE_MILLIS = 2_000;
+    static final long RETIRE_MILLIS = 1_500, RETIRE_AGAIN_MILLIS = 50, CLOSE_MILLIS = 2_000;
 
     private Core() { }
 
--- /dev/null
+++ b/src/test/java/tinworks/control/Quietly.java
@@ -0,0 +1,20 @@
+package tinworks.control;
+
+import org.junit.jupiter.api.extension.AfterAllCallback;
+import org.junit.jupiter.api.extension.BeforeAllCallback;
+import org.junit.jupiter.api.extension.ExtensionContext;
+import org.slf4j.event.Level;
+import tinworks.logging.JsonLog;
+
+/** Keeps the lines of a thousand days out of the log; errors are told. */
+final class Quietly implements BeforeAllCallback, AfterAllCallback {
+    @Override
+    public void beforeAll(ExtensionContext context) {
+        JsonLog.install("", Level.ERROR);
+    }
+
+    @Override
+    public void afterAll(ExtensionContext context) {
+        JsonLog.install("", Level.INFO);
+    }
+}
--- /dev/null
+++ b/src/test/java/tinworks/control/ScriptedDaysTest.java
@@ -0,0 +1,111 @@
+package tinworks.control;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.extension.ExtendWith;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import tinworks.control.SimulatedDay.Closing;
+import tinworks.control.SimulatedDay.Settings;
+
+/** Days that bring about what operators have met with systems of this kind, and those that simulated days have found. */
+@ExtendWith(Quietly.class)
+class ScriptedDaysTest {
+    private static final long OFTEN = 300, VERY_OFTEN = 40;
+
+    private static void play(int machines, long pause, String script, Closing closing) {
+        for (long seed = 1; seed <= 3; seed++) {
+            SimulatedDay.play(Settings.scripted(seed, machines, seed == 3, pause, script, closing));
+        }
+    }
+
+    /** 1: a machine that was cut off hands out nothing old, refuses nothing, and confirms nothing; edges start at it. */
+    @ParameterizedTest
+    @CsvSource({"3, 0", "3, 1", "3, 2", "4, 0", "4, 1", "5, 2"})
+    void theLeaderIsCutOffForTwentySeconds(int machines, int way) {
+        play(machines, OFTEN, "5000 cut_seeds leader 20000 " + way + "\n6000 races operators 0 20\n10000 races operators 0 20",
+                Closing.NONE);
+    }
+
+    /** 2: of two under one number one is confirmed, and an order that is sent again is not refused. */
+    @ParameterizedTest
+    @ValueSource(ints = {3, 4, 5})
+    void ordersRaceWhileTheirAnswersAreLost(int machines) {
+        play(machines, OFTEN, """
+                5000 races operators 0 30
+                5500 after_ack acker 600 1
+                9900 after_send leader 600 20
+                11000 races operators 0 30
+                14500 after_ack acker 600 0
+                19500 freeze leader 2500 0
+                19600 races operators 0 10""", Closing.KILL_ALL);
+    }
+
+    /** 3: a second loss right after a replacement, and the last copy isn't with the one that leaves. */
+    @ParameterizedTest
+    @ValueSource(ints = {3, 4})
+    void aSecondLossFollowsAReplacement(int machines) {
+        play(machines, OFTEN, """
+                5000 replace leader 0 1000
+                9010 wipe leader 500 0
+                13600 replace other 0 1000
+                17700 lose leader 0 1000
+                22800 wipe_after_send any 500 20
+                27500 after_ack acker 500 2""", Closing.WIPE_SOME_POWER_ALL);
+    }
+
+    /** 3, with two losses to be borne. */
+    @Test
+    void twoOfFiveAreLostRightAfterAReplacement() {
+        play(5, OFTEN, """
+                5000 replace leader 0 1000
+                5100 replace other 0 1000
+                9200 wipe leader 500 0
+                9300 lose other 0 1000
+                14500 wipe_after_send leader 500 20
+                14600 after_ack acker 500 2""", Closing.WIPE_SOME_POWER_ALL);
+    }
+
+    /** 4: members that start again in the middle of hundreds of changes catch up, also on a snapshot. */
+    @ParameterizedTest
+    @ValueSource(ints = {3, 4})
+    void membersStartAgainAmongHundredsOfChanges(int machines) {
+        play(machines, VERY_OFTEN, """
+                4500 changes operators 0 300
+                6000 kill other 4500 0
+                15000 power leader 4500 0
+                24000 all all 500 1
+                25000 changes operators 0 100
+                29500 wipe other 500 0""", Closing.POWER_ALL);
+    }
+
+    /** 5, as far as the core's own calls go: connections break and machines stand still with calls passed on. */
+    @ParameterizedTest
+    @ValueSource(ints = {3, 4})
+    void callsArePassedOnOverBrokenConnections(int machines) {
+        StringBuilder script = new StringBuilder("4500 changes operators 0 200\n6000 freeze leader 1400 0\n12500 freeze other 1400 0\n");
+        for (int at = 5_000; at < 20_000; at += 700) {
+            script.append(at).append(" reset other 0 2\n");
+        }
+        play(machines, VERY_OFTEN, script.toString(), Closing.NONE);
+    }
+
+    /** Found by simulated days; the cause stands in docs/design/simulation.md by the number. */
+    @ParameterizedTest
+    @CsvSource({
+        "44,  NONE,                '7647 cut leader 5636 2'",
+        "129, WIPE_SOME_POWER_ALL, '8681 lose other 0 1969'",
+        "41,  WIPE_SOME,           '7427 after_send any 2793 110;13438 lose leader 0 931;14289 stall other 1593 0'",
+        "60,  NONE,                '7415 full m1 3338 0;10000 stall leader 4584 0'",
+        "1167, NONE,               '9700 after_send any 1935 118;14498 cut_seeds leader 14868 0;14890 replace leader 0 1378'",
+        "650, WIPE_SOME_POWER_ALL, '6968 after_send leader 1863 14;10446 all all 356 0;12529 replace leader 0 1177;16163 slow other 5271 7634'",
+        "81,  NONE,                '11480 replace m3 0 1547;15354 lose leader 0 1945'",
+        "266, NONE,                '5731 replace m3 0 1843;8933 replace leader 0 2073;13836 lose other 0 1164'",
+        "17,  NONE,                '8702 cut_seeds m4 20238 0'",
+        "147, NONE,                '5408 wipe leader 1511 0;5922 cut_seeds m1 7680 1;8336 cut_both other 11823 0;9243 all all 1614 0'",
+        "23,  NONE,                ''",
+    })
+    void foundOnceBreaksNothing(long seed, Closing closing, String script) {
+        SimulatedDay.play(Settings.of(seed).with(Trouble.script(script.replace(';', '\n'))).with(closing));
+    }
+}
--- a/src/test/java/tinworks/control/SimulatedCore.java
+++ b/src/test/java/tinworks/control/SimulatedCore.java
@@ -1,8 +1,10 @@
 package tinworks.control;
 
+import java.lang.reflect.Field;
 import java.lang.reflect.RecordComponent;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -17,6 +19,7 @@
 import tinworks.channel.Signal.Hello;
 import tinworks.channel.Signal.Part;
 import tinworks.channel.SimulatedNetwork;
+import tinworks.config.ForgetfulHistory;
 import tinworks.raft.HardState;
 import tinworks.raft.Output;
 import tinworks.raft.Raft;
@@ -26,7 +29,7 @@
 
 /** A core machine of the simulation: the production {@link CoreMachine} with a simulated clock, network and disk. */
 final class SimulatedCore implements CoreMachine.Environment {
-    private static final long RETRY_MICROS = 200_000, HAND_OVER_MILLIS = 150, POLL_MILLIS = 1_000;
+    private static final long RETRY_MICROS = 200_000, START_AGAIN_MICROS = 500_000, POLL_MILLIS = 1_000;
 
     /** What a simulated core machine needs of the day round it. */
     interface Around {
@@ -96,6 +99,16 @@
         // Above all ids of a first start.
         long newId = flaw == Flaw.IDENTITY_KEPT && knownId != 0 ? knownId : (random.nextLong() | 1L << 62) & Long.MAX_VALUE;
         SimulatedStore.Found found = store.open(machine.address(), bootstrap, seeds, newId);
+        if (found == null) {
+            // The process ends and is started again.
+            machine.kill();
+            world.later(START_AGAIN_MICROS, () -> {
+                if (machine.powered() && !machine.running() && !gone) {
+                    start(false, itsSeeds);
+                }
+            });
+            return;
+        }
         knownId = found.id();
         Stored stored = found.stored();
         if (flaw == Flaw.VOTE_FORGOTTEN) {
@@ -103,13 +116,26 @@
         }
         writer = new Writer(machine.life());
         core = new CoreMachine(new CoreMachine.Identity(found.id(), machine.address(), losses), stored, writer, this);
+        if (flaw == Flaw.REPEATS_FORGOTTEN) {
+            forgetRepeats();
+        }
         Hello own = new Hello(Part.CORE, found.id(), machine.address(), name, "z");
-        Conversation.Listener listener = flaw == Flaw.ALWAYS_FRESH ? new SaysFresh(core) : core;
+        Conversation.Listener listener = flaw == Flaw.ALWAYS_FRESH ? new SaysFresh(core, new HashMap<>()) : core;
         links = network.links(machine, machines, own, listener);
         network.listen(machine, own, listener);
         tick();
     }
 
+    private void forgetRepeats() {
+        try {
+            Field history = Agreement.class.getDeclaredField("history");
+            history.setAccessible(true);
+            history.set(core.agreement(), ForgetfulHistory.make());
+        } catch (ReflectiveOperationException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     private void tick() {
         machine.schedule(CoreMachine.TICK_MILLIS, this::tick);
         core.tick();
@@ -145,14 +171,17 @@
         if (!machine.running()) {
             return;
         }
-        long life = machine.life();
-        machine.arrive(life, () -> {
-            core.retire();
-            machine.schedule(HAND_OVER_MILLIS, () -> {
-                core.close();
-                machine.schedule(0, this::kill);
-            });
-        });
+        long until = machine.millis() + Core.RETIRE_MILLIS;
+        machine.arrive(machine.life(), () -> retire(until));
+    }
+
+    private void retire(long until) {
+        if (core.retire() || machine.millis() >= until) {
+            core.close();
+            machine.schedule(0, this::kill);
+        } else {
+            machine.schedule(Core.RETIRE_AGAIN_MILLIS, () -> retire(until));
+        }
     }
 
     private void hangUp() {
@@ -326,20 +355,24 @@
     }
 
     /** What a machine says that takes itself for up to date whatever happens. */
-    private record SaysFresh(CoreMachine core) implements Conversation.Listener {
+    private record SaysFresh(CoreMachine core, Map<Conversation, Conversation> said) implements Conversation.Listener {
+        private Conversation fresh(Conversation conversation) {
+            return said.computeIfAbsent(conversation, Fresh::new);
+        }
+
         @Override
         public void opened(Conversation conversation) {
-            core.opened(new Fresh(conversation));
+            core.opened(fresh(conversation));
         }
 
         @Override
         public void received(Conversation conversation, Signal signal) {
-            core.received(new Fresh(conversation), signal);
+            core.received(fresh(conversation), signal);
         }
 
         @Override
         public void closed(Conversation conversation) {
-            core.closed(new Fresh(conversation));
+            core.closed(said.remove(conversation));
         }
 
         @Override
--- a/src/test/java/tinworks/control/SimulatedDay.java
+++ b/src/test/java/tinworks/control/SimulatedDay.java
@@ -51,6 +51,13 @@
                     Trouble.draw(random, FIRST_TROUBLE, millis, machines, edges), closing, Flaw.NONE);
         }
 
+        /** A day of a script; the seed decides the rest. */
+        static Settings scripted(long seed, int machines, boolean onFiles, long pause, String script, Closing closing) {
+            List<Trouble> troubles = Trouble.script(script);
+            long millis = troubles.stream().mapToLong(t -> t.at() + t.lasts()).max().orElse(FIRST_TROUBLE) + 6_000;
+            return new Settings(seed, machines, machines == 5 ? 2 : 1, 3, 3_000, onFiles, 1_000, pause, millis, troubles, closing, Flaw.NONE);
+        }
+
         Settings with(List<Trouble> others) {
             return new Settings(seed, machines, losses, edges, applyMillis, onFiles, syncMicros, pauseMillis, millis, others, closing, flaw);
         }
@@ -60,8 +67,12 @@
         }
 
         Settings with(Flaw other) {
-            return new Settings(seed, machines, losses, edges, applyMillis, onFiles || other == Flaw.FOLDER_NOT_SYNCED,
-                    syncMicros, pauseMillis, millis, troubles, closing, other);
+            Settings day = other == Flaw.FOLDER_NOT_SYNCED ? onFiles(true) : this;
+            return new Settings(seed, machines, losses, edges, applyMillis, day.onFiles, syncMicros, pauseMillis, millis, troubles, closing, other);
+        }
+
+        Settings onFiles(boolean other) {
+            return new Settings(seed, machines, losses, edges, applyMillis, other, syncMicros, pauseMillis, millis, troubles, closing, flaw);
         }
 
         /** As a test can hold it. */
@@ -79,6 +90,7 @@
     static final long FIRST_TROUBLE = 4_000;
     static final long CONTACT = 4_000, ACK = 5_000, SYNC = 4_000, RECOVER = 15_000;
     private static final long LAG = 3_000, LISTING = 500, CHECK = 100, TURN = 300, LONGEST_WAIT = 60_000, FIRST_ORDER = 1_000;
+    private static final long GONE_MICROS = 3_000_000;
     private static final int SEEDS = 3, SLOW_BYTES_PER_MILLI = 40;
 
     private final Settings settings;
@@ -454,7 +466,7 @@
             lastEvent = world.millis();
             core.gone = true;
             core.end();
-            world.later(1_000_000, () -> {
+            world.later(GONE_MICROS, () -> {
                 core.powerOff();
                 lastEvent = world.millis();
             });
--- a/src/test/java/tinworks/control/SimulatedStore.java
+++ b/src/test/java/tinworks/control/SimulatedStore.java
@@ -21,7 +21,7 @@
     /** Who the machine is, and what it has agreed to. */
     record Found(long id, Stored stored) { }
 
-    /** What {@link Core} does first; {@code newId} is for a machine whose disk is empty. */
+    /** What {@link Core} does first; {@code newId} is for a machine whose disk is empty. Null where the disk takes nothing now. */
     Found open(String address, boolean bootstrap, List<String> seeds, long newId);
 
     /** Writes and syncs; false where the disk takes nothing now. */
@@ -52,6 +52,9 @@
 
         @Override
         public Found open(String address, boolean bootstrap, List<String> seeds, long newId) {
+            if (id == 0 && full) {
+                return null;
+            }
             if (id == 0) {
                 boolean first = bootstrap && seeds.contains(address);
                 id = first ? Core.firstId(address) : newId;
@@ -109,6 +112,7 @@
         private final SimulatedDisk disk;
         private final boolean folderSyncs;
         private CoreStore store;
+        private boolean full;
 
         /** Without the folder's syncs it is broken on purpose. */
         Files(long seed, boolean folderSyncs) {
@@ -123,8 +127,11 @@
                 store = Core.open(folderSyncs ? disk.folder() : unsynced(disk.folder()));
                 long id = Core.identity(store, address, bootstrap, seeds, newId);
                 return new Found(id, store.load());
-            } catch (IOException | CoreStore.Damaged e) {
-                throw new IllegalStateException("the store at " + address + " can't be opened", e);
+            } catch (IOException | CoreStore.Damaged | IllegalStateException e) {
+                if (!full) {
+                    throw new IllegalStateException("the store at " + address + " can't be opened", e);
+                }
+                return null;
             }
         }
 
@@ -176,8 +183,9 @@
         }
 
         @Override
-        public void full(boolean full) {
-            disk.full(full);
+        public void full(boolean nowFull) {
+            full = nowFull;
+            disk.full(nowFull);
         }
 
         /** The folder, but its syncs do nothing. */
--- a/src/test/java/tinworks/control/SimulationTest.java
+++ b/src/test/java/tinworks/control/SimulationTest.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.Future;
 import org.junit.jupiter.api.Assertions;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.extension.ExtendWith;
 import tinworks.control.SimulatedDay.Result;
 import tinworks.control.SimulatedDay.Settings;
 
@@ -18,6 +19,7 @@
  * Days of the whole control side from seeds. {@code -Dtinworks.simulation.days=N} plays so many, from the seed
  * {@code -Dtinworks.simulation.seed} on; a failure prints the seed and the fewest troubles that still bring it about.
  */
+@ExtendWith(Quietly.class)
 class SimulationTest {
     private static final int DAYS = Integer.getInteger("tinworks.simulation.days", 1_000), THREADS = 4, MOST_FAILURES = 5;
     private static final long SEED = Long.getLong("tinworks.simulation.seed", 1);
--- a/src/test/java/tinworks/edge/CoreFollowerTest.java
+++ b/src/test/java/tinworks/edge/CoreFollowerTest.java
@@ -106,6 +106,14 @@
         edge.received(core, new Hosts(new HostList(hosts(term, count), List.of())));
     }
 
+    @Test
+    void findsItsWayPastACoreMachineThatIsCutOff() {
+        follower(1, 3, HostListVersion.NONE, false);
+        assertEquals(Set.of("f:1", "s:1"), edge.wanted(List.of("s:1")));
+        leader(2, 4, HostListVersion.NONE, "a:1", "b:1");
+        assertEquals(Set.of("a:1", "b:1"), edge.wanted(List.of("s:1")));
+    }
+
     @Test
     void anEdgeThatStartsWaitsForTheNewestVersionsByTheLeadersLease() {
         follower(2, 4, hosts(2, 5), false);
