--- a/src/main/java/tinworks/cli/CommandLineTool.java
+++ b/src/main/java/tinworks/cli/CommandLineTool.java
@@ -39,7 +39,7 @@
             "  serve     be a gateway of the earlier protocol, as the LB_ variables say",
             "  simhost   decide for the gateways on standard input, on the lbsim wire"},
         subcommands = {CommandLineTool.Check.class, CommandLineTool.Status.class, CommandLineTool.State.class,
-            CommandLineTool.Schema.class, DemoCommand.class, LoadCommand.class})
+            CommandLineTool.Schema.class, DemoCommand.class, LoadCommand.class, HollowCommand.class})
 public final class CommandLineTool {
     private static final int OK = 0, BAD_INPUT = 1;
 
--- a/src/main/java/tinworks/demo/Changes.java
+++ b/src/main/java/tinworks/demo/Changes.java
@@ -17,6 +17,7 @@
 import java.util.stream.Stream;
 import tinworks.json.Json;
 import tinworks.node.NodeProcess;
+import tinworks.standin.StandInHost;
 import tinworks.standin.StandInPlatform;
 
 /**
@@ -48,7 +49,7 @@
     private final Path folder;
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
-    private final StandInPlatform platform = new StandInPlatform(loop, 0, 50);
+    private final StandInPlatform<StandInHost> platform = new StandInPlatform<>(loop, 0, 50);
     private final Machines machines;
     private final Operator operator;
     private final List<Integer> ports;
--- a/src/main/java/tinworks/demo/Demo.java
+++ b/src/main/java/tinworks/demo/Demo.java
@@ -45,11 +45,11 @@
     private static final String[] SERVICES = {"lookup", "book", "archive"};
     private static final double[] WORK_MILLIS = {40, 60, 110};
     private static final double[] PARTS = {0.5, 0.25, 0.25};
-    private static final int SLOTS = 4, QUEUE = 8, PLATFORM_RATE = 50;
+    private static final int SLOTS = 4, QUEUE = 8, PLATFORM_RATE = 50, DESCRIPTORS = 4_096;
     private static final long LAG_MILLIS = 400, START_MILLIS = 15_000, LAST_ANSWERS_MILLIS = 5_000,
             DRAIN_MILLIS = 2_000;
     private static final double SLOWDOWN = 6;
-    private static final int FIRST_CORE = 11, FIRST_EDGE = 101;
+    private static final int FIRST_EDGE = 101;
 
     private final Plan plan;
     private final PrintWriter out;
@@ -57,34 +57,33 @@
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private final Ledger ledger = new Ledger();
-    private final StandInPlatform platform = new StandInPlatform(loop, LAG_MILLIS, PLATFORM_RATE);
+    private final StandInPlatform<StandInHost> platform = new StandInPlatform<>(loop, LAG_MILLIS, PLATFORM_RATE);
     private final Machines machines;
     private final SplittableRandom random;
     private final List<RequestKind> kinds;
     private final LoadClients clients;
-    private final int ctl;
     private final int http;
     private final int readyz;
-    private final int inner;
+    private final Deployment deployment;
     private final Operator operator;
     private final List<Fault> faults;
     private int victims;
     private long rev;
     private boolean closed;
 
-    /** Nothing is started yet but the folder for disks and logs, which goes with the demo. */
+    /** Nothing is started yet but the platform and the folder for disks and logs, which goes with the demo. */
     public Demo(Plan plan, PrintWriter out) throws IOException {
         this.plan = plan;
         this.out = out;
         random = new SplittableRandom(plan.seed());
         folder = Files.createTempDirectory("tinworks-demo");
         machines = new Machines(folder, plan.javaOptions());
-        List<Integer> ports = FreePorts.at("127.0.0." + FIRST_CORE, 4);
-        ctl = ports.get(0);
+        List<Integer> ports = FreePorts.at(Deployment.FIRST_CORE_IP, 4);
         http = ports.get(1);
         readyz = ports.get(2);
-        inner = ports.get(3);
-        operator = new Operator(Stream.iterate(0, i -> i < plan.cores(), i -> i + 1).map(i -> coreIp(i) + ":" + ctl).toList());
+        NodeProcess.call(loop, () -> platform.listen(new InetSocketAddress("127.0.0.1", 0))).syncUninterruptibly();
+        deployment = new Deployment(plan.cores(), ports.get(0), ports.get(3), DESCRIPTORS, platform.address());
+        operator = new Operator(deployment.operated());
         kinds = List.of(
                 new RequestKind("lookup", "demo.example", "/lookup/", false, plan.perSecond() * PARTS[0], 200, 1_500),
                 new RequestKind("book", "demo.example", "/book/", true, plan.perSecond() * PARTS[1], 300, 2_000),
@@ -94,10 +93,6 @@
         faults.sort(Comparator.comparingDouble(Fault::atSeconds));
     }
 
-    private static String coreIp(int i) {
-        return "127.0.0." + (FIRST_CORE + i);
-    }
-
     private static String edgeIp(int i) {
         return "127.0.0." + (FIRST_EDGE + i);
     }
@@ -123,7 +118,6 @@
     }
 
     private void startHosts() throws IOException {
-        NodeProcess.call(loop, () -> platform.listen(new InetSocketAddress("127.0.0.1", 0))).syncUninterruptibly();
         for (int service = 0; service < SERVICES.length; service++) {
             for (int i = 0; i < plan.hostsPerService(); i++) {
                 addHost(service, i);
@@ -143,32 +137,14 @@
 
     private void startMachines() throws IOException {
         for (int i = 0; i < plan.cores(); i++) {
-            start("core-" + i, "core", coreIp(i), "\"ctl\":\"" + coreIp(i) + ":" + ctl + "\"",
-                    "\"" + machines.disk("core-" + i) + "\"", i);
+            deployment.startCore(machines, i);
         }
         for (int i = 0; i < plan.edges(); i++) {
-            start("edge-" + i, "edge", edgeIp(i),
+            deployment.start(machines, "edge-" + i, "edge", edgeIp(i),
                     "\"http\":\"" + edgeIp(i) + ":" + http + "\",\"readyz\":\"" + edgeIp(i) + ":" + readyz + "\"", "null", i);
         }
     }
 
-    /** As the platform does, it says of the first start alone that the whole system starts for the first time. */
-    private void start(String node, String role, String ip, String listen, String disk, int number) throws IOException {
-        machines.start(node, role, settings(node, ip, listen, disk, number, true), settings(node, ip, listen, disk, number, false));
-    }
-
-    private String settings(String node, String ip, String listen, String disk, int number, boolean bootstrap) {
-        List<String> seeds = new ArrayList<>();
-        for (int i = 0; i < Math.min(3, plan.cores()); i++) {
-            seeds.add("\"" + coreIp(i) + ":" + ctl + "\"");
-        }
-        return "{\"node\":\"" + node + "\",\"az\":\"zone-" + number % 2 + "\",\"ip\":\"" + ip + "\",\"listen\":{" + listen
-                + "},\"portRange\":[" + inner + "," + inner + "],\"seeds\":[" + String.join(",", seeds)
-                + "],\"bootstrap\":" + bootstrap + ",\"limits\":{\"nofile\":4096},\"datadir\":" + disk
-                + ",\"survive\":{\"nodes\":1},\"bounds\":{\"graceS\":6},\"provider\":{\"addr\":\"127.0.0.1:"
-                + platform.address().getPort() + "\"}}";
-    }
-
     private static String configuration(long rev, String archive) {
         return "{\"rev\":" + rev + ",\"routes\":["
                 + route("lookup", "idem", 1_500, 200, 0, "lookup") + "," + route("book", "mutating", 2_000, 300, 0, "book") + ","
--- a/src/main/java/tinworks/demo/Machines.java
+++ b/src/main/java/tinworks/demo/Machines.java
@@ -60,7 +60,7 @@
         Path file = folder.resolve(name + ".json");
         Files.writeString(file, settings);
         Files.createDirectories(disk(name));
-        Machine machine = new Machine(file, laterSettings, role, folder.resolve(name + ".log"));
+        Machine machine = new Machine(file, laterSettings, role, log(name));
         machines.put(name, machine);
         launch(name, machine);
     }
@@ -89,6 +89,11 @@
         machines.get(name).process.destroy();
     }
 
+    /** What a machine's processes have written to its log. */
+    Path log(String name) {
+        return folder.resolve(name + ".log");
+    }
+
     /** What the processes of a role have cost since each one's last start. */
     synchronized ProcessCosts costs(String role) {
         ProcessCosts costs = new ProcessCosts();
--- a/src/main/java/tinworks/standin/StandInHost.java
+++ b/src/main/java/tinworks/standin/StandInHost.java
@@ -21,7 +21,7 @@
  * A host by the published protocol: it works on as many requests as it has slots, queues a few, turns away the rest with
  * {@code Not-Run}, stops at the deadline, and stamps its answers. All on one event loop.
  */
-public final class StandInHost implements ClientServer.Listener {
+public final class StandInHost implements ClientServer.Listener, Listable {
     /**
      * What it is like.
      *
@@ -71,22 +71,22 @@
         return server.listen(address);
     }
 
-    /** Where it listens. */
+    @Override
     public InetSocketAddress address() {
         return server.address();
     }
 
-    /** What it is like. */
+    @Override
     public Nature nature() {
         return nature;
     }
 
-    /** Whether it is about to end. */
+    @Override
     public boolean isDraining() {
         return draining;
     }
 
-    /** How much longer it is slow from its start. */
+    @Override
     public long warmupLeftMillis() {
         return Math.max(0, nature.warmupMillis() - TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedAt));
     }
--- a/src/main/java/tinworks/standin/StandInPlatform.java
+++ b/src/main/java/tinworks/standin/StandInPlatform.java
@@ -24,19 +24,21 @@
 /**
  * The platform's list of hosts by the published protocol: in pages, trailing what is so by a lag, and with a rate beyond
  * which it answers 429. On the event loop of the hosts that it lists.
+ *
+ * @param <H> what hosts are
  */
-public final class StandInPlatform implements ClientServer.Listener {
+public final class StandInPlatform<H extends Listable> implements ClientServer.Listener {
     private static final int PAGE = 50, CONNECTIONS = 100, HEAD_BYTES = 8_192;
     private static final long SECOND_NANOS = TimeUnit.SECONDS.toNanos(1), IDLE_SECONDS = 30;
 
     /** A host as the list shows it, which trails what it is. */
-    private record Listed(StandInHost host, boolean draining) { }
+    private record Listed(Listable host, boolean draining) { }
 
     private final EventLoop loop;
     private final long lagMillis;
     private final int ratePerSecond;
     private final ClientServer server;
-    private final Map<String, StandInHost> hosts = new LinkedHashMap<>();
+    private final Map<String, H> hosts = new LinkedHashMap<>();
     private final ArrayDeque<Long> calls = new ArrayDeque<>();
     private List<Listed> shown = List.of();
     private long answered;
@@ -62,7 +64,7 @@
     }
 
     /** Takes in hosts, and shows them after the lag. */
-    public void add(List<StandInHost> added) {
+    public void add(List<H> added) {
         added.forEach(host -> hosts.put(host.nature().id(), host));
         changed();
     }
@@ -80,7 +82,7 @@
     }
 
     /** The hosts, those that are draining among them. */
-    public List<StandInHost> hosts() {
+    public List<H> hosts() {
         return List.copyOf(hosts.values());
     }
 
@@ -95,7 +97,7 @@
     }
 
     private static String entry(Listed listed) {
-        StandInHost host = listed.host();
+        Listable host = listed.host();
         StandInHost.Nature nature = host.nature();
         return "{\"id\":\"" + nature.id() + "\",\"svc\":\"" + nature.service() + "\",\"addr\":\""
                 + host.address().getAddress().getHostAddress() + ":" + host.address().getPort() + "\",\"az\":\"" + nature.zone()
