--- a/src/main/java/tinworks/logging/Fatal.java
+++ b/src/main/java/tinworks/logging/Fatal.java
@@ -8,22 +8,26 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * The end of a process that can't go on: a full heap, a full stack or another {@link Error} leaves it in no state that is
- * known, and whoever started it starts it anew.
+ * The end of a process that can't go on: a full heap, a full stack or another {@link Error} leaves it in no state that
+ * is known, and whoever started it starts it anew.
  */
 public final class Fatal {
     /** The exit code of such an end. */
     public static final int EXIT_CODE = 70;
     /** Made beforehand, and written past all buffers: there may be no memory for it later. */
-    private static final byte[] HEAP = line("OutOfMemoryError"), STACK = line("StackOverflowError"), OTHER = line("another error");
+    private static final byte[] HEAP = line("OutOfMemoryError");
+
+    private static final byte[] STACK = line("StackOverflowError");
+    private static final byte[] OTHER = line("another error");
+
     private static final FileOutputStream OUT = new FileOutputStream(FileDescriptor.err);
     private static final int DEEPEST = 20;
 
-    private Fatal() { }
+    private Fatal() {}
 
     /**
-     * From now on what nobody has caught ends the process, on whichever thread it comes; but for work that an event loop
-     * refuses since it has ended: then the process is about to end in order.
+     * From now on what nobody has caught ends the process, on whichever thread it comes; but for work that an event
+     * loop refuses since it has ended: then the process is about to end in order.
      */
     public static void install() {
         Thread.setDefaultUncaughtExceptionHandler((thread, thrown) -> {
@@ -46,8 +50,8 @@
     }
 
     /**
-     * To be called with all that is caught for want of a better place. Where it is an error, or was caused by one, it goes to
-     * the thread's handler of uncaught ones, which ends the process once {@link #install} was called.
+     * To be called with all that is caught for want of a better place. Where it is an error, or was caused by one, it
+     * goes to the thread's handler of uncaught ones, which ends the process once {@link #install} was called.
      */
     public static void pass(Throwable thrown) {
         Error error = in(thrown);
@@ -58,8 +62,9 @@
     }
 
     private static byte[] line(String what) {
-        return ("{\"level\":\"ERROR\",\"part\":\"Fatal\",\"said\":\"this process can't go on and ends with code " + EXIT_CODE
-                + "\",\"thrown\":\"" + what + "\"}\n").getBytes(StandardCharsets.US_ASCII);
+        return ("{\"level\":\"ERROR\",\"part\":\"Fatal\",\"said\":\"this process can't go on and ends with code "
+                        + EXIT_CODE + "\",\"thrown\":\"" + what + "\"}\n")
+                .getBytes(StandardCharsets.US_ASCII);
     }
 
     private static void end(Throwable thrown) {
--- a/src/main/java/tinworks/logging/JsonLog.java
+++ b/src/main/java/tinworks/logging/JsonLog.java
@@ -84,7 +84,8 @@
     }
 
     @Override
-    protected void handleNormalizedLoggingCall(Level level, Marker marker, String pattern, Object[] arguments, Throwable thrown) {
+    protected void handleNormalizedLoggingCall(
+            Level level, Marker marker, String pattern, Object[] arguments, Throwable thrown) {
         String said = arguments == null ? pattern : MessageFormatter.basicArrayFormat(pattern, arguments);
         System.err.print(line(System.currentTimeMillis(), level, node, part, String.valueOf(said), thrown));
     }
--- a/src/main/java/tinworks/metrics/MetricsPage.java
+++ b/src/main/java/tinworks/metrics/MetricsPage.java
@@ -17,6 +17,7 @@
 public final class MetricsPage {
     /** The page's {@code Content-Type}. */
     public static final String CONTENT_TYPE = PrometheusTextFormatWriter.CONTENT_TYPE;
+
     private static final String PREFIX = "tinworks_";
 
     private final Map<String, CounterSnapshot.Builder> counters = new LinkedHashMap<>();
@@ -24,15 +25,23 @@
 
     /** A count that only rises while the process lives; labels are names and values in turn. */
     public MetricsPage counter(String name, String help, double value, String... labels) {
-        counters.computeIfAbsent(name, n -> CounterSnapshot.builder().name(PREFIX + n).help(help))
-                .dataPoint(CounterDataPointSnapshot.builder().labels(Labels.of(labels)).value(value).build());
+        counters.computeIfAbsent(
+                        name, n -> CounterSnapshot.builder().name(PREFIX + n).help(help))
+                .dataPoint(CounterDataPointSnapshot.builder()
+                        .labels(Labels.of(labels))
+                        .value(value)
+                        .build());
         return this;
     }
 
     /** A figure that rises and falls; labels are names and values in turn. */
     public MetricsPage gauge(String name, String help, double value, String... labels) {
-        gauges.computeIfAbsent(name, n -> GaugeSnapshot.builder().name(PREFIX + n).help(help))
-                .dataPoint(GaugeDataPointSnapshot.builder().labels(Labels.of(labels)).value(value).build());
+        gauges.computeIfAbsent(
+                        name, n -> GaugeSnapshot.builder().name(PREFIX + n).help(help))
+                .dataPoint(GaugeDataPointSnapshot.builder()
+                        .labels(Labels.of(labels))
+                        .value(value)
+                        .build());
         return this;
     }
 
--- a/src/main/java/tinworks/net/AnswerReader.java
+++ b/src/main/java/tinworks/net/AnswerReader.java
@@ -1,6 +1,5 @@
 package tinworks.net;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.CompositeByteBuf;
 import io.netty.channel.ChannelHandlerContext;
@@ -21,8 +20,8 @@
 import java.util.List;
 
 /**
- * Collects a host's answer whole and within bounds, and tells of it once all that came with it has been looked
- * at: only then is it known whether the connection can carry another request.
+ * Collects a host's answer whole and within bounds, and tells of it once all that came with it has been looked at: only
+ * then is it known whether the connection can carry another request.
  */
 final class AnswerReader extends ChannelInboundHandlerAdapter {
     /** What waits for the answer. */
@@ -37,8 +36,8 @@
         HostPool.Whose whose(HttpResponse head);
 
         /**
-         * The answer has come whole; {@code framed} says that its head told its length, {@code clean} that
-         * nothing came behind it, and no other answer before it. The body is the listener's for the call's length.
+         * The answer has come whole; {@code framed} says that its head told its length, {@code clean} that nothing came
+         * behind it, and no other answer before it. The body is the listener's for the call's length.
          */
         void answered(HttpResponse head, ByteBuf body, boolean framed, boolean clean);
 
@@ -62,6 +61,7 @@
     private boolean spoilt;
     /** The answer that is being read is another request's. */
     private boolean passingOver;
+
     private int passedOver;
 
     AnswerReader(Listener listener, int largestBody) {
@@ -79,7 +79,8 @@
         try {
             if (whole || spoilt) {
                 surplus = true;
-            } else if (!(message instanceof HttpObject part) || part.decoderResult().isFailure()) {
+            } else if (!(message instanceof HttpObject part)
+                    || part.decoderResult().isFailure()) {
                 spoilt = true;
             } else {
                 read(ctx, part);
@@ -93,10 +94,13 @@
         if (part instanceof HttpResponse response) {
             head = response;
             // Guards against gathering what is said to have gigabytes, and against a switch that nobody asked for.
-            spoilt = !Framing.hasOneReading(response) || Framing.holdsAnother(response) || HttpUtil.getContentLength(response, 0L) > largestBody
+            spoilt = !Framing.hasOneReading(response)
+                    || Framing.holdsAnother(response)
+                    || HttpUtil.getContentLength(response, 0L) > largestBody
                     || response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS);
             framed = response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
-                    || HttpUtil.isTransferEncodingChunked(response) || decoder.isContentAlwaysEmpty(response);
+                    || HttpUtil.isTransferEncodingChunked(response)
+                    || decoder.isContentAlwaysEmpty(response);
             if (!spoilt && !informational()) {
                 judge(listener.whose(response));
             }
@@ -128,7 +132,7 @@
     private void judge(HostPool.Whose whose) {
         passingOver = whose == HostPool.Whose.ANOTHERS;
         passedOver += passingOver ? 1 : 0;
-        spoilt = whose == HostPool.Whose.NOBODYS || passingOver && (!framed || passedOver > MOST_PASSED_OVER);
+        spoilt = whose == HostPool.Whose.NOBODYS || (passingOver && (!framed || passedOver > MOST_PASSED_OVER));
     }
 
     private boolean informational() {
@@ -136,8 +140,8 @@
     }
 
     /**
-     * Guards against using the connection again while more of the same read is to come: a second copy, or
-     * noise, would pass for the answer to the next request.
+     * Guards against using the connection again while more of the same read is to come: a second copy, or noise, would
+     * pass for the answer to the next request.
      */
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
--- a/src/main/java/tinworks/net/BalancerStyle.java
+++ b/src/main/java/tinworks/net/BalancerStyle.java
@@ -13,7 +13,7 @@
 final class BalancerStyle implements Forwarding.Style, HostPool.Dialect {
     static final BalancerStyle INSTANCE = new BalancerStyle();
 
-    private BalancerStyle() { }
+    private BalancerStyle() {}
 
     @Override
     public FullHttpRequest forHost(FullHttpRequest request, String host, long timeoutNanos) {
--- a/src/main/java/tinworks/net/ClientServer.java
+++ b/src/main/java/tinworks/net/ClientServer.java
@@ -12,15 +12,14 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DuplexChannel;
-import io.netty.util.concurrent.Future;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
-import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequestDecoder;
@@ -29,6 +28,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.TooLongHttpContentException;
+import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -47,8 +47,7 @@
         boolean ready();
 
         /**
-         * A request whose last byte came at the given time; a plain line tells the client what is wrong with a
-         * bad one.
+         * A request whose last byte came at the given time; a plain line tells the client what is wrong with a bad one.
          */
         void requested(FullHttpRequest request, long arrivedAt, Reply reply) throws BadRequest;
     }
@@ -76,20 +75,23 @@
      * @param bodyBytes the longest body
      * @param readyPath where {@link Listener#ready} is asked for, or null
      */
-    public record Bounds(int connections, long arrivalNanos, long idleNanos, int headBytes, int bodyBytes,
-                         String readyPath) {
+    public record Bounds(
+            int connections, long arrivalNanos, long idleNanos, int headBytes, int bodyBytes, String readyPath) {
         /** Those of the earlier protocol, whose requests arrive in less time than any client waits. */
         static Bounds usual(int connections) {
             return new Bounds(connections, TimeUnit.SECONDS.toNanos(2), 0, 8_192, AnswerReader.USUAL_BODY, "/ready");
         }
     }
 
-    private static final int BACKLOG = 512, MOST_PIPELINED = 16;
+    private static final int BACKLOG = 512;
+    private static final int MOST_PIPELINED = 16;
     private static final int LONGEST_LINE = 4_096;
     private static final long SWEEP_MILLIS = 200;
     /** Who connects to ask does so within this time. */
     private static final long YOUNG_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
-    private static final long RECHECK_MILLIS = 20, LINGER_MILLIS = 200;
+
+    private static final long RECHECK_MILLIS = 20;
+    private static final long LINGER_MILLIS = 200;
     private static final long NO_ROOM_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
     /** Where places are scarce, who has asked nothing for so long is thought to have no more to ask. */
     private static final long LONG_IDLE_NANOS = TimeUnit.SECONDS.toNanos(2);
@@ -105,6 +107,7 @@
     private final Set<Connection> due = new LinkedHashSet<>();
     /** Those that have been told what is wrong and are about to be closed. */
     private final Set<Connection> lingering = new LinkedHashSet<>();
+
     private final Future<?> sweeper;
     private final ByteBudget bodies;
     private Bounds bounds;
@@ -118,10 +121,16 @@
     }
 
     /**
-     * A server that doesn't listen yet. Bodies come out of a budget, from a request's head until its listener has done with it;
-     * whoever finds no room gets a 503 that says when to come back.
+     * A server that doesn't listen yet. Bodies come out of a budget, from a request's head until its listener has done
+     * with it; whoever finds no room gets a 503 that says when to come back.
      */
-    public ClientServer(EventLoop loop, Transport transport, GatewayClock clock, Bounds bounds, ByteBudget bodies, Listener listener) {
+    public ClientServer(
+            EventLoop loop,
+            Transport transport,
+            GatewayClock clock,
+            Bounds bounds,
+            ByteBudget bodies,
+            Listener listener) {
         this.bodies = bodies;
         this.loop = loop;
         this.transport = transport;
@@ -134,17 +143,23 @@
     /** Starts to listen; the future fails where the address can't be had. */
     public ChannelFuture listen(SocketAddress address) {
         ServerBootstrap listening = new ServerBootstrap().group(loop).channel(transport.server());
-        if (transport != Transport.MEMORY) {
+        if (!transport.equals(Transport.MEMORY)) {
             listening.option(ChannelOption.SO_BACKLOG, BACKLOG);
         }
-        ChannelFuture bound = listening.childHandler(new ChannelInitializer<Channel>() {
-            @Override
-            protected void initChannel(Channel channel) {
-                Connection connection = new Connection(channel);
-                channel.pipeline().addLast(connection.decoder, new HttpResponseEncoder(), connection.assembler,
-                        connection);
-            }
-        }).bind(address);
+        ChannelFuture bound = listening
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        Connection connection = new Connection(channel);
+                        channel.pipeline()
+                                .addLast(
+                                        connection.decoder,
+                                        new HttpResponseEncoder(),
+                                        connection.assembler,
+                                        connection);
+                    }
+                })
+                .bind(address);
         acceptor = bound.channel();
         return bound;
     }
@@ -185,9 +200,9 @@
     }
 
     /**
-     * Guards against running out of descriptors, and against silent clients who take the places of those who
-     * ask: with too many connections, one of the least use makes room, and while none can be spared, new ones
-     * wait in the backlog.
+     * Guards against running out of descriptors, and against silent clients who take the places of those who ask: with
+     * too many connections, one of the least use makes room, and while none can be spared, new ones wait in the
+     * backlog.
      */
     private void bound() {
         while (connections.size() > bounds.connections()) {
@@ -201,10 +216,13 @@
         acceptor.config().setAutoRead(room);
         if (!room && !due.isEmpty() && !rechecking) {
             rechecking = true;
-            loop.schedule(() -> {
-                rechecking = false;
-                bound();
-            }, RECHECK_MILLIS, TimeUnit.MILLISECONDS);
+            loop.schedule(
+                    () -> {
+                        rechecking = false;
+                        bound();
+                    },
+                    RECHECK_MILLIS,
+                    TimeUnit.MILLISECONDS);
         }
     }
 
@@ -221,10 +239,10 @@
     }
 
     /**
-     * Guards against clients who keep a connection for good and don't ask on it again: each would cost a
-     * place, until those who ask find none. With half of the places taken an answer ends its connection, and
-     * who is still to ask connects anew; equally against crowds that say nothing and take what is left.
-     * It could do harm where connecting is slow or dear and more clients than half the places come back often.
+     * Guards against clients who keep a connection for good and don't ask on it again: each would cost a place, until
+     * those who ask find none. With half of the places taken an answer ends its connection, and who is still to ask
+     * connects anew; equally against crowds that say nothing and take what is left. It could do harm where connecting
+     * is slow or dear and more clients than half the places come back often.
      */
     private boolean crowded() {
         return connections.size() > bounds.connections() / 2;
@@ -236,7 +254,8 @@
         while (crowded() && !idle.isEmpty() && idle.iterator().next().idleSince <= unused) {
             idle.iterator().next().drop();
         }
-        while (bounds.idleNanos() > 0 && !idle.isEmpty()
+        while (bounds.idleNanos() > 0
+                && !idle.isEmpty()
                 && idle.iterator().next().idleSince <= clock.nanos() - bounds.idleNanos()) {
             idle.iterator().next().drop();
         }
@@ -254,8 +273,9 @@
         private final boolean keepAlive;
         /** It answers a HEAD: a body would stand where the next answer begins. */
         private final boolean headAlone;
-        private Runnable left = () -> { };
-        private Runnable written = () -> { };
+
+        private Runnable left = () -> {};
+        private Runnable written = () -> {};
         private FullHttpRequest kept;
         private long taken;
         private boolean done;
@@ -311,8 +331,8 @@
         }
 
         /**
-         * An answer with headers of its own; they and the body are the reply's from here on. Where a HEAD is answered the
-         * body stays behind, and a {@code Content-Length} among the headers is what a GET would be told.
+         * An answer with headers of its own; they and the body are the reply's from here on. Where a HEAD is answered
+         * the body stays behind, and a {@code Content-Length} among the headers is what a GET would be told.
          */
         public void write(HttpResponseStatus status, HttpHeaders headers, ByteBuf body, long pauseNanos) {
             if (done) {
@@ -327,8 +347,8 @@
             if (headAlone) {
                 body.clear();
             }
-            DefaultFullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body, headers,
-                    EmptyHttpHeaders.INSTANCE);
+            DefaultFullHttpResponse answer =
+                    new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body, headers, EmptyHttpHeaders.INSTANCE);
             if (pauseNanos > 0) {
                 headers.set(HttpHeaderNames.RETRY_AFTER, seconds(pauseNanos));
             }
@@ -346,14 +366,15 @@
     }
 
     /** A request, or what came in place of one, and when its last byte came. */
-    private record Arrived(FullHttpRequest request, long at, long taken) { }
+    private record Arrived(FullHttpRequest request, long at, long taken) {}
 
     private static final class Decoder extends HttpRequestDecoder {
         /** A part of a head has been read, and its end has not. */
         private boolean amidstHead;
 
         Decoder(int headBytes) {
-            super(new HttpDecoderConfig().setMaxHeaderSize(headBytes)
+            super(new HttpDecoderConfig()
+                    .setMaxHeaderSize(headBytes)
                     .setMaxInitialLineLength(Math.max(LONGEST_LINE, headBytes / 2)));
         }
 
@@ -382,15 +403,18 @@
         private final RequestAssembler assembler = new RequestAssembler(this::isFree, bounds.bodyBytes(), bodies);
         /** Requests that came before the one ahead had its answer. */
         private final ArrayDeque<Arrived> pipelined = new ArrayDeque<>();
+
         private Reply open;
         /** Since when the next request is due: the connect, or its first byte. */
         private long dueSince;
+
         private long idleSince;
         private boolean asked;
         /** A part of the next request has come. */
         private boolean begun;
         /** Nothing more is read: what came can't be, or the answer on its way says that the connection ends. */
         private boolean deaf;
+
         private boolean closing;
 
         Connection(Channel channel) {
@@ -418,7 +442,8 @@
             }
             begun = false;
             if (!request.decoderResult().isSuccess()) {
-                // Guards against spending time on the rest of what can't be read. Of one that there is no room for the rest is
+                // Guards against spending time on the rest of what can't be read. Of one that there is no room for the
+                // rest is
                 // read past: its client sends a whole body before it looks for an answer.
                 deaf = true;
                 channel.config().setAutoRead(request.decoderResult().cause() instanceof RequestAssembler.NoRoom);
@@ -469,22 +494,29 @@
             boolean readable = request.decoderResult().isSuccess();
             boolean probes = request.uri().equals(bounds.readyPath());
             // Guards against probes that take clients' places: each comes on a connection of its own.
-            Reply reply = new Reply(this, readable && !probes && HttpUtil.isKeepAlive(request),
+            Reply reply = new Reply(
+                    this,
+                    readable && !probes && HttpUtil.isKeepAlive(request),
                     request.method().equals(HttpMethod.HEAD));
             reply.taken = arrived.taken;
             open = reply;
             place();
             try {
                 if (request.decoderResult().cause() instanceof RequestAssembler.NoRoom) {
-                    reply.plain(HttpResponseStatus.SERVICE_UNAVAILABLE, "no room for the body at present", NO_ROOM_NANOS);
+                    reply.plain(
+                            HttpResponseStatus.SERVICE_UNAVAILABLE, "no room for the body at present", NO_ROOM_NANOS);
                 } else if (!readable) {
                     boolean tooLong = request.decoderResult().cause() instanceof TooLongHttpContentException;
-                    reply.plain(tooLong ? HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE : HttpResponseStatus.BAD_REQUEST,
-                            tooLong ? "the body is too long" : "not a readable HTTP request", 0);
+                    reply.plain(
+                            tooLong ? HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE : HttpResponseStatus.BAD_REQUEST,
+                            tooLong ? "the body is too long" : "not a readable HTTP request",
+                            0);
                 } else if (probes) {
                     boolean ready = listener.ready();
-                    reply.plain(ready ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
-                            ready ? "ready" : "starting", 0);
+                    reply.plain(
+                            ready ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
+                            ready ? "ready" : "starting",
+                            0);
                 } else {
                     listener.requested(request, arrived.at, reply);
                 }
@@ -501,7 +533,9 @@
         private void answer(DefaultFullHttpResponse answer, boolean keepAlive, Runnable whenWritten) {
             open = null;
             if (keepAlive) {
-                channel.writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE_ON_FAILURE).addListener(done -> whenWritten.run());
+                channel.writeAndFlush(answer)
+                        .addListener(ChannelFutureListener.CLOSE_ON_FAILURE)
+                        .addListener(done -> whenWritten.run());
                 if (!pipelined.isEmpty()) {
                     // Guards against recursion through a run of requests that are answered at once.
                     loop.execute(this::takeNext);
@@ -522,8 +556,8 @@
         }
 
         /**
-         * Guards against the reset that closing with bytes unread would be: it would take the answer away from
-         * a client that is still sending. The rest isn't read either, as it may have no end.
+         * Guards against the reset that closing with bytes unread would be: it would take the answer away from a client
+         * that is still sending. The rest isn't read either, as it may have no end.
          */
         private void linger(ChannelFuture written) {
             lingering.add(this);
--- a/src/main/java/tinworks/net/Discovery.java
+++ b/src/main/java/tinworks/net/Discovery.java
@@ -1,13 +1,12 @@
 package tinworks.net;
 
-import tinworks.json.Json;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -29,10 +28,11 @@
 import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
+import tinworks.json.Json;
 
 /**
- * The watch on the list of hosts. Each {@link #watch} ends as one {@link Listener#failed}, sooner or later;
- * when to watch again is the module's decision.
+ * The watch on the list of hosts. Each {@link #watch} ends as one {@link Listener#failed}, sooner or later; when to
+ * watch again is the module's decision.
  */
 final class Discovery {
     /** Told on the event loop, never from within {@link #watch}. */
@@ -43,11 +43,13 @@
     }
 
     /**
-     * An empty line comes every two seconds. Guards against a watch whose far side vanished: nothing ends
-     * such a connection, and what it would have told counts as told after six seconds.
+     * An empty line comes every two seconds. Guards against a watch whose far side vanished: nothing ends such a
+     * connection, and what it would have told counts as told after six seconds.
      */
     static final long SILENCE_MILLIS = 5_000;
-    private static final int DIAL_MILLIS = 2_000, LONGEST_LINE = 1 << 20;
+
+    private static final int DIAL_MILLIS = 2_000;
+    private static final int LONGEST_LINE = 1 << 20;
 
     private final EventLoop loop;
     private final Transport transport;
@@ -58,8 +60,13 @@
     private Channel watch;
 
     /** Follows what changes after the version {@code index}; a watch that is silent for so long is broken. */
-    Discovery(EventLoop loop, Transport transport, SocketAddress address, long index, long silenceMillis,
-              Listener listener) {
+    Discovery(
+            EventLoop loop,
+            Transport transport,
+            SocketAddress address,
+            long index,
+            long silenceMillis,
+            Listener listener) {
         this.loop = loop;
         this.transport = transport;
         this.address = address;
@@ -69,8 +76,8 @@
     }
 
     /**
-     * Goes over to another address at once, without a word to the listener: the list that it has still holds,
-     * and what the new address tells comes on top. Its version may be lower, as that of any answer.
+     * Goes over to another address at once, without a word to the listener: the list that it has still holds, and what
+     * the new address tells comes on top. Its version may be lower, as that of any answer.
      */
     void moveTo(SocketAddress next) {
         address = next;
@@ -83,16 +90,23 @@
         if (watch != null) {
             return;
         }
-        ChannelFuture dial = new Bootstrap().group(loop).channel(transport.client())
+        ChannelFuture dial = new Bootstrap()
+                .group(loop)
+                .channel(transport.client())
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, DIAL_MILLIS)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new ReadTimeoutHandler(silenceMillis, TimeUnit.MILLISECONDS),
-                                new HttpClientCodec(), new BodyBytes(), new LineBasedFrameDecoder(LONGEST_LINE),
-                                new Lines());
+                        channel.pipeline()
+                                .addLast(
+                                        new ReadTimeoutHandler(silenceMillis, TimeUnit.MILLISECONDS),
+                                        new HttpClientCodec(),
+                                        new BodyBytes(),
+                                        new LineBasedFrameDecoder(LONGEST_LINE),
+                                        new Lines());
                     }
-                }).connect(address);
+                })
+                .connect(address);
         watch = dial.channel();
         Channel dialled = watch;
         // The close future, unlike the end of a handler, is also told of a dial that failed.
@@ -120,7 +134,7 @@
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
             if (part.decoderResult().isFailure()
-                    || part instanceof HttpResponse head && !head.status().equals(HttpResponseStatus.OK)) {
+                    || (part instanceof HttpResponse head && !head.status().equals(HttpResponseStatus.OK))) {
                 ctx.close();
                 return;
             }
@@ -137,8 +151,8 @@
     private final class Lines extends ChannelInboundHandlerAdapter {
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
-            DefaultFullHttpRequest ask = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
-                    "/v1/endpoints?follow=1&since=" + index);
+            DefaultFullHttpRequest ask = new DefaultFullHttpRequest(
+                    HttpVersion.HTTP_1_1, HttpMethod.GET, "/v1/endpoints?follow=1&since=" + index);
             ask.headers().set(HttpHeaderNames.HOST, host());
             ctx.writeAndFlush(ask);
         }
--- a/src/main/java/tinworks/net/EndpointList.java
+++ b/src/main/java/tinworks/net/EndpointList.java
@@ -1,12 +1,12 @@
 package tinworks.net;
 
+import java.net.SocketAddress;
+import java.util.ArrayList;
+import java.util.List;
 import tinworks.json.Address;
 import tinworks.json.Json;
 import tinworks.policy.Protocol.Readiness;
 import tinworks.policy.Protocol.ServerInfo;
-import java.net.SocketAddress;
-import java.util.ArrayList;
-import java.util.List;
 
 /** The list of hosts, or changes to it, in discovery's form. */
 record EndpointList(long index, boolean snapshot, List<Endpoint> endpoints) {
@@ -28,7 +28,10 @@
         for (Json entry : json.required("endpoints").entries()) {
             endpoints.add(endpoint(entry));
         }
-        return new EndpointList(json.required("index").number(0).longValue(), json.field("snapshot").isTrue(), endpoints);
+        return new EndpointList(
+                json.required("index").number(0).longValue(),
+                json.field("snapshot").isTrue(),
+                endpoints);
     }
 
     List<ServerInfo> servers() {
@@ -37,18 +40,29 @@
 
     /** The same for the pool of connections. */
     List<HostPool.Place> places() {
-        return endpoints.stream().map(e -> new HostPool.Place(e.info().id(), e.address(), e.info().startedAtNanos(),
-                e.info().readiness() == Readiness.READY, e.gone())).toList();
+        return endpoints.stream()
+                .map(e -> new HostPool.Place(
+                        e.info().id(),
+                        e.address(),
+                        e.info().startedAtNanos(),
+                        e.info().readiness() == Readiness.READY,
+                        e.gone()))
+                .toList();
     }
 
     private static Endpoint endpoint(Json entry) {
         Readiness readiness = readiness(entry.required("status").text());
-        ServerInfo info = new ServerInfo(entry.required("name").text(), entry.field("zone").text(),
-                entry.field("type").text(), entry.field("group").number(0).intValue(), readiness,
+        ServerInfo info = new ServerInfo(
+                entry.required("name").text(),
+                entry.field("zone").text(),
+                entry.field("type").text(),
+                entry.field("group").number(0).intValue(),
+                readiness,
                 entry.field("weight").number(1).doubleValue(),
                 GatewayClock.ofUnixMillis(entry.field("since_ms").number(0).longValue()));
         // One that is removed may come without an address: nothing goes there any more.
-        SocketAddress address = readiness == Readiness.GONE ? null
+        SocketAddress address = readiness == Readiness.GONE
+                ? null
                 : Address.read(entry.required("address").text());
         return new Endpoint(info, address);
     }
--- a/src/main/java/tinworks/net/FarSide.java
+++ b/src/main/java/tinworks/net/FarSide.java
@@ -7,8 +7,8 @@
 import java.nio.charset.StandardCharsets;
 
 /**
- * A client or a host of a rehearsal. Far sides know each other's words and so need no codec, whose own warming would only
- * cost time: what they send ends in a mark, and nothing follows before it has its answer.
+ * A client or a host of a rehearsal. Far sides know each other's words and so need no codec, whose own warming would
+ * only cost time: what they send ends in a mark, and nothing follows before it has its answer.
  */
 public abstract class FarSide extends SimpleChannelInboundHandler<ByteBuf> {
     /** Ends a body, and stands nowhere else in one: a read may end anywhere. */
@@ -16,7 +16,8 @@
     /** A body. */
     protected static final byte[] BODY = (".".repeat(600) + (char) MARK).getBytes(StandardCharsets.US_ASCII);
     /** No body. */
-    protected static final byte[] NOTHING = { };
+    protected static final byte[] NOTHING = {};
+
     private static final int NONE = -1;
 
     private int first = NONE;
@@ -40,10 +41,13 @@
     /** A whole message has come. */
     protected abstract void came(ChannelHandlerContext ctx);
 
-    /** Whether an answer is whole: a host's body ends in the mark, a gateway's own line in a bare line feed, which no head does. */
+    /**
+     * Whether an answer is whole: a host's body ends in the mark, a gateway's own line in a bare line feed, which no
+     * head does.
+     */
     protected static boolean isWholeAnswer(int last, ByteBuf end) {
         int ahead = end.readableBytes() < 2 ? MARK : end.getByte(end.writerIndex() - 2);
-        return last == MARK || last == '\n' && ahead != '\r';
+        return last == MARK || (last == '\n' && ahead != '\r');
     }
 
     /** Whether a request is whole: a POST has a body, which ends in the mark; a GET ends with its head. */
--- a/src/main/java/tinworks/net/Forwarding.java
+++ b/src/main/java/tinworks/net/Forwarding.java
@@ -74,11 +74,17 @@
     private boolean deciding;
     private boolean closed;
 
-    private record Stamped(long at, Event event) { }
+    private record Stamped(long at, Event event) {}
 
     /** A module with these settings; the hosts are the caller's to keep in step with the lists that it tells. */
-    public Forwarding(EventLoop loop, GatewayClock clock, Settings settings, long seed, HostPool hosts, Style style,
-                      Owner owner) {
+    public Forwarding(
+            EventLoop loop,
+            GatewayClock clock,
+            Settings settings,
+            long seed,
+            HostPool hosts,
+            Style style,
+            Owner owner) {
         this.loop = loop;
         this.clock = clock;
         this.hosts = hosts;
@@ -183,11 +189,14 @@
 
     @Override
     public void setTimer(long delayNanos, long token) {
-        loop.schedule(() -> {
-            if (!closed) {
-                tell(new TimerFired(token, clock.heldUpNanos()));
-            }
-        }, delayNanos, TimeUnit.NANOSECONDS);
+        loop.schedule(
+                () -> {
+                    if (!closed) {
+                        tell(new TimerFired(token, clock.heldUpNanos()));
+                    }
+                },
+                delayNanos,
+                TimeUnit.NANOSECONDS);
     }
 
     @Override
@@ -227,8 +236,13 @@
         void send(String server, long timeoutNanos) {
             outstanding++;
             servers.add(server);
-            attempts.add(hosts.send(server, id, style.forHost(request, server, timeoutNanos), timeoutNanos,
-                    style.restedNanos(requestClass), this));
+            attempts.add(hosts.send(
+                    server,
+                    id,
+                    style.forHost(request, server, timeoutNanos),
+                    timeoutNanos,
+                    style.restedNanos(requestClass),
+                    this));
         }
 
         @Override
@@ -242,8 +256,17 @@
                 keep(answer);
             }
             forgetIfOver();
-            tell(at, new AttemptEnded(id, number, servers.get(number), outcome, attempt.elapsed(at), reply.isDone(),
-                    load, clock.heldUpNanos()));
+            tell(
+                    at,
+                    new AttemptEnded(
+                            id,
+                            number,
+                            servers.get(number),
+                            outcome,
+                            attempt.elapsed(at),
+                            reply.isDone(),
+                            load,
+                            clock.heldUpNanos()));
         }
 
         private void keep(Answer answer) {
--- a/src/main/java/tinworks/net/Gateway.java
+++ b/src/main/java/tinworks/net/Gateway.java
@@ -1,13 +1,5 @@
 package tinworks.net;
 
-import tinworks.policy.Protocol.Ending;
-import tinworks.policy.Protocol.Event;
-import tinworks.policy.Protocol.ListKind;
-import tinworks.policy.Protocol.ListReceived;
-import tinworks.policy.Protocol.PeerSaid;
-import tinworks.policy.Protocol.RequestClass;
-import tinworks.net.ClientServer.BadRequest;
-import tinworks.net.ClientServer.Reply;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.FullHttpRequest;
 import java.net.InetSocketAddress;
@@ -19,16 +11,25 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.ToLongFunction;
+import tinworks.net.ClientServer.BadRequest;
+import tinworks.net.ClientServer.Reply;
+import tinworks.policy.Protocol.Ending;
+import tinworks.policy.Protocol.Event;
+import tinworks.policy.Protocol.ListKind;
+import tinworks.policy.Protocol.ListReceived;
+import tinworks.policy.Protocol.PeerSaid;
+import tinworks.policy.Protocol.RequestClass;
 
 /**
- * One real gateway of the earlier protocol: clients, hosts, the watch on the list and messages to other gateways
- * round one {@link Forwarding}. Everything runs on one event loop thread.
+ * One real gateway of the earlier protocol: clients, hosts, the watch on the list and messages to other gateways round
+ * one {@link Forwarding}. Everything runs on one event loop thread.
  */
 final class Gateway implements Forwarding.Owner {
     /** The platform kills no sooner than the longest deadline and so much more after it asked for an end. */
     private static final long KILLED_AFTER_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
     /** Of that time, what is left for a signal that comes late and for this process's own stalls. */
     private static final long END_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
+
     private static final long LONGEST_TAKING_NANOS = TimeUnit.SECONDS.toNanos(1);
     private static final long END_CHECK_MILLIS = 10;
     /** Descriptors for the listener, the watch, the selector, the jar files and the standard streams. */
@@ -46,6 +47,7 @@
     private final ClientServer clients;
     /** Null where the configuration names no other gateways. */
     private final Peers peers;
+
     private boolean askedForList;
     private boolean ending;
 
@@ -55,28 +57,39 @@
         this.config = config;
         config.settings().classes().forEach(c -> classes.put(c.name(), c));
         int connections = Math.max(2, config.sockets() - OTHER_DESCRIPTORS);
-        hosts = new HostPool(loop, transport, clock, new HostPool.Bounds(config.dialTimeoutNanos(), config.idleNanos(),
-                connections / 2, AnswerReader.USUAL_BODY), BalancerStyle.INSTANCE);
-        discovery = new Discovery(loop, transport, config.discovery(), config.known().index(),
-                Discovery.SILENCE_MILLIS, new Watcher());
+        hosts = new HostPool(
+                loop,
+                transport,
+                clock,
+                new HostPool.Bounds(
+                        config.dialTimeoutNanos(), config.idleNanos(), connections / 2, AnswerReader.USUAL_BODY),
+                BalancerStyle.INSTANCE);
+        discovery = new Discovery(
+                loop, transport, config.discovery(), config.known().index(), Discovery.SILENCE_MILLIS, new Watcher());
         clients = new ClientServer(loop, transport, clock, ClientServer.Bounds.usual(connections / 2), new Requests());
         forwarding = new Forwarding(loop, clock, config.settings(), config.seed(), hosts, BalancerStyle.INSTANCE, this);
-        peers = config.peers() == null ? null : new Peers(loop, config.peers(), config.settings().gatewayNumber(),
-                (gateway, body) -> tell(new PeerSaid(gateway, body)), log);
+        peers = config.peers() == null
+                ? null
+                : new Peers(
+                        loop,
+                        config.peers(),
+                        config.settings().gatewayNumber(),
+                        (gateway, body) -> tell(new PeerSaid(gateway, body)),
+                        log);
     }
 
     /** Starts a gateway; the future ends when it listens, or tells why it can't. */
-    static CompletableFuture<Gateway> start(EventLoop loop, GatewayConfig config, Transport transport,
-                                            Consumer<String> log) {
+    static CompletableFuture<Gateway> start(
+            EventLoop loop, GatewayConfig config, Transport transport, Consumer<String> log) {
         return open(loop, config, transport, log).thenCompose(Gateway::listen);
     }
 
     /**
-     * A gateway that follows discovery and takes no clients yet. Guards against a gateway that listens and
-     * isn't ready: discovery's first answer may take its time, in which other work can be done.
+     * A gateway that follows discovery and takes no clients yet. Guards against a gateway that listens and isn't ready:
+     * discovery's first answer may take its time, in which other work can be done.
      */
-    static CompletableFuture<Gateway> open(EventLoop loop, GatewayConfig config, Transport transport,
-                                           Consumer<String> log) {
+    static CompletableFuture<Gateway> open(
+            EventLoop loop, GatewayConfig config, Transport transport, Consumer<String> log) {
         CompletableFuture<Gateway> opened = new CompletableFuture<>();
         loop.execute(() -> {
             Gateway gateway = new Gateway(loop, config, transport, log);
@@ -106,11 +119,11 @@
     }
 
     /**
-     * Ends in good order: serves on the connections that clients have for as long as a request can still be
-     * answered within its aim, answers all that was taken, and then completes the future. Guards against
-     * sending clients away while no other gateway may be there for them, as in a rolling restart whose
-     * starts take long; equally where the others are full, or die. It could do harm where a successor has
-     * to wait for this process's end, so the time is bounded. May be called from any thread.
+     * Ends in good order: serves on the connections that clients have for as long as a request can still be answered
+     * within its aim, answers all that was taken, and then completes the future. Guards against sending clients away
+     * while no other gateway may be there for them, as in a rolling restart whose starts take long; equally where the
+     * others are full, or die. It could do harm where a successor has to wait for this process's end, so the time is
+     * bounded. May be called from any thread.
      */
     CompletableFuture<Void> end() {
         loop.execute(() -> {
@@ -118,8 +131,10 @@
                 ending = true;
                 long within = longest(RequestClass::deadlineNanos) + KILLED_AFTER_NANOS - END_MARGIN_NANOS;
                 tell(new Ending(within));
-                loop.schedule(this::stopAccepting,
-                        Math.min(LONGEST_TAKING_NANOS, within - longest(RequestClass::aimNanos)), TimeUnit.NANOSECONDS);
+                loop.schedule(
+                        this::stopAccepting,
+                        Math.min(LONGEST_TAKING_NANOS, within - longest(RequestClass::aimNanos)),
+                        TimeUnit.NANOSECONDS);
             }
         });
         return ended;
@@ -194,8 +209,8 @@
 
     private final class Requests implements ClientServer.Listener {
         /**
-         * Guards against a release that keeps its gateways out for as long as discovery takes to answer all of them
-         * in turn: with the list that it last had, a gateway serves meanwhile. One without a list waits.
+         * Guards against a release that keeps its gateways out for as long as discovery takes to answer all of them in
+         * turn: with the list that it last had, a gateway serves meanwhile. One without a list waits.
          */
         @Override
         public boolean ready() {
--- a/src/main/java/tinworks/net/GatewayClock.java
+++ b/src/main/java/tinworks/net/GatewayClock.java
@@ -4,9 +4,9 @@
 import java.util.function.LongSupplier;
 
 /**
- * The gateway's one clock: monotonic, and set to Unix time once at the start. Discovery tells in Unix time
- * when a host started, so its figures are this clock's own, and stay equal from one list to the next, which
- * a conversion with two clocks at each list would not grant.
+ * The gateway's one clock: monotonic, and set to Unix time once at the start. Discovery tells in Unix time when a host
+ * started, so its figures are this clock's own, and stay equal from one list to the next, which a conversion with two
+ * clocks at each list would not grant.
  */
 public final class GatewayClock {
     private final LongSupplier lag;
@@ -17,7 +17,9 @@
         this(() -> 0);
     }
 
-    /** A clock beside an event loop; {@code lag} tells how long what is told now may have waited there, in nanoseconds. */
+    /**
+     * A clock beside an event loop; {@code lag} tells how long what is told now may have waited there, in nanoseconds.
+     */
     public GatewayClock(LongSupplier lag) {
         this.lag = lag;
     }
--- a/src/main/java/tinworks/net/GatewayConfig.java
+++ b/src/main/java/tinworks/net/GatewayConfig.java
@@ -1,9 +1,5 @@
 package tinworks.net;
 
-import tinworks.json.Address;
-import tinworks.json.Json;
-import tinworks.policy.Protocol.Settings;
-import tinworks.policy.SettingsReader;
 import java.io.IOException;
 import java.net.SocketAddress;
 import java.nio.file.Files;
@@ -11,6 +7,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import tinworks.json.Address;
+import tinworks.json.Json;
+import tinworks.policy.Protocol.Settings;
+import tinworks.policy.SettingsReader;
 
 /**
  * What the platform tells a gateway at its start: the environment, and the JSON file that it names.
@@ -20,14 +20,23 @@
  * @param idleNanos when at the latest a host closes a connection that stands idle
  * @param peers the other gateways' addresses, or null where there are none
  */
-record GatewayConfig(SocketAddress listen, SocketAddress discovery, long seed, int sockets,
-                     long dialTimeoutNanos, long idleNanos, Settings settings, EndpointList known,
-                     Peers.Addresses peers) {
+record GatewayConfig(
+        SocketAddress listen,
+        SocketAddress discovery,
+        long seed,
+        int sockets,
+        long dialTimeoutNanos,
+        long idleNanos,
+        Settings settings,
+        EndpointList known,
+        Peers.Addresses peers) {
     private static final int USUAL_SOCKETS = 1024;
 
     /** Reads both; whatever is wrong ends as an {@link IllegalArgumentException} with one plain line. */
     static GatewayConfig read(Map<String, String> environment) {
-        return read(file(environment), Address.read(variable(environment, "LB_LISTEN")),
+        return read(
+                file(environment),
+                Address.read(variable(environment, "LB_LISTEN")),
                 Address.read(variable(environment, "LB_DISCOVERY")));
     }
 
@@ -45,8 +54,10 @@
         try {
             return Json.read(Files.readString(Path.of(file)));
         } catch (IOException e) {
-            throw new IllegalArgumentException("can't read LB_CONFIG " + file + ": "
-                    + e.getMessage().lines().findFirst().orElse(""), e);
+            throw new IllegalArgumentException(
+                    "can't read LB_CONFIG " + file + ": "
+                            + e.getMessage().lines().findFirst().orElse(""),
+                    e);
         }
     }
 
@@ -54,10 +65,16 @@
         Map<String, String> pairs = new HashMap<>();
         flatten("", json.field("settings"), pairs);
         SettingsReader settings = new SettingsReader(pairs);
-        return new GatewayConfig(listen, discovery, seed(json.field("seed").text()),
+        return new GatewayConfig(
+                listen,
+                discovery,
+                seed(json.field("seed").text()),
                 json.field("limits").field("sockets").number(USUAL_SOCKETS).intValue(),
-                settings.number("allowed.dial_timeout_ns"), settings.number("allowed.conn_idle_ns"),
-                settings.read(), known(json.field("known")), Peers.Addresses.read(json));
+                settings.number("allowed.dial_timeout_ns"),
+                settings.number("allowed.conn_idle_ns"),
+                settings.read(),
+                known(json.field("known")),
+                Peers.Addresses.read(json));
     }
 
     /** A gateway that never had a list starts with an empty one. */
@@ -76,8 +93,9 @@
     /** Writes nested settings as the simulator's pairs of path and value. */
     private static void flatten(String path, Json json, Map<String, String> pairs) {
         if (json.isObject()) {
-            json.fields().forEach((name, value) ->
-                    flatten(path.isEmpty() ? name.toString() : path + "." + name, new Json(value), pairs));
+            json.fields()
+                    .forEach((name, value) ->
+                            flatten(path.isEmpty() ? name.toString() : path + "." + name, new Json(value), pairs));
         } else if (json.isArray()) {
             List<Json> entries = json.entries();
             pairs.put(path + ".count", String.valueOf(entries.size()));
--- a/src/main/java/tinworks/net/HostPool.java
+++ b/src/main/java/tinworks/net/HostPool.java
@@ -1,7 +1,5 @@
 package tinworks.net;
 
-import tinworks.policy.Protocol.LoadReport;
-import tinworks.policy.Protocol.Outcome;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -25,10 +23,12 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import tinworks.policy.Protocol.LoadReport;
+import tinworks.policy.Protocol.Outcome;
 
 /**
- * Kept-alive connections to the hosts, and the attempts on them. A connection carries one request at a time.
- * Nothing is ever sent a second time here: an attempt whose connection breaks has ended.
+ * Kept-alive connections to the hosts, and the attempts on them. A connection carries one request at a time. Nothing is
+ * ever sent a second time here: an attempt whose connection breaks has ended.
  */
 public final class HostPool {
     /** Told once for each attempt, on the event loop, never from within {@link #send} or a cancel. */
@@ -38,14 +38,20 @@
     }
 
     /** A host's whole answer. */
-    public record Answer(HttpResponse head, ByteBuf body) { }
+    public record Answer(HttpResponse head, ByteBuf body) {}
 
     /** Whose an answer is: by the id that it repeats, where hosts repeat ids. */
-    public enum Whose { OWN, ANOTHERS, NOBODYS }
+    public enum Whose {
+        OWN,
+        ANOTHERS,
+        NOBODYS
+    }
 
     /** How hosts say what became of a request. */
     public interface Dialect {
-        /** Whether an answer with these headers is the one to the request of this id; so it is where none repeats an id. */
+        /**
+         * Whether an answer with these headers is the one to the request of this id; so it is where none repeats an id.
+         */
         default Whose whose(String request, HttpHeaders headers) {
             return Whose.OWN;
         }
@@ -58,7 +64,7 @@
     }
 
     /** One host and where it is; {@code startedAt} in the clock's time, 0 where the start is long ago. */
-    public record Place(String id, SocketAddress address, long startedAt, boolean ready, boolean gone) { }
+    public record Place(String id, SocketAddress address, long startedAt, boolean ready, boolean gone) {}
 
     /**
      * What connections may cost.
@@ -67,10 +73,11 @@
      * @param connections the most to all hosts
      * @param answerBytes the longest body of an answer
      */
-    public record Bounds(long dialTimeoutNanos, long idleNanos, int connections, int answerBytes) { }
+    public record Bounds(long dialTimeoutNanos, long idleNanos, int connections, int answerBytes) {}
 
     /** Guards against a request that crosses the host's own closing of an idle connection. */
     private static final double IDLE_PART = 2.0 / 3;
+
     private static final long SWEEP_MILLIS = 500;
     private static final AsciiString KEEP_ALIVE = AsciiString.cached("keep-alive");
     private static final String TIMEOUT = "timeout=";
@@ -91,9 +98,11 @@
         this.clock = clock;
         this.bounds = bounds;
         this.dialect = dialect;
-        bootstrap = new Bootstrap().group(loop).channel(transport.client())
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS,
-                        (int) Math.max(1, TimeUnit.NANOSECONDS.toMillis(bounds.dialTimeoutNanos())));
+        bootstrap = new Bootstrap()
+                .group(loop)
+                .channel(transport.client())
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int)
+                        Math.max(1, TimeUnit.NANOSECONDS.toMillis(bounds.dialTimeoutNanos())));
         sweeper = loop.scheduleWithFixedDelay(this::retireIdle, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
     }
 
@@ -141,8 +150,8 @@
      * @param id the request's id, for the {@link Dialect}
      * @param restedNanos how long a connection may have rested to be trusted with this request
      */
-    public Attempt send(String host, String id, FullHttpRequest request, long timeoutNanos, long restedNanos,
-                        Listener listener) {
+    public Attempt send(
+            String host, String id, FullHttpRequest request, long timeoutNanos, long restedNanos, Listener listener) {
         Attempt attempt = new Attempt(id, request, clock.nanos(), listener);
         attempt.timer = loop.schedule(attempt::timedOut, Math.max(0, timeoutNanos), TimeUnit.NANOSECONDS);
         Host target = hosts.get(host);
@@ -190,6 +199,7 @@
         private final long startedAt;
         /** The latest used last. */
         private final ArrayDeque<Connection> idle = new ArrayDeque<>();
+
         private final Set<Connection> all = new HashSet<>();
         private boolean keeps;
         /** Shorter than the usual where the host itself has told a shorter time. */
@@ -222,8 +232,11 @@
             if (at >= 0) {
                 int end = at + TIMEOUT.length();
                 long seconds = 0;
-                for (int digits = 0; end < keepAlive.length() && Character.digit(keepAlive.charAt(end), 10) >= 0
-                        && digits < MOST_DIGITS; digits++) {
+                for (int digits = 0;
+                        end < keepAlive.length()
+                                && Character.digit(keepAlive.charAt(end), 10) >= 0
+                                && digits < MOST_DIGITS;
+                        digits++) {
                     seconds = seconds * 10 + Character.digit(keepAlive.charAt(end++), 10);
                 }
                 idleNanos = (long) (Math.min(bounds.idleNanos(), TimeUnit.SECONDS.toNanos(seconds)) * IDLE_PART);
@@ -235,13 +248,16 @@
             Connection connection = new Connection(this, attempt);
             all.add(connection);
             attempt.connection = connection;
-            ChannelFuture dial = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel channel) {
-                    AnswerReader reader = new AnswerReader(connection, bounds.answerBytes());
-                    channel.pipeline().addLast(reader.decoder(), new HttpRequestEncoder(), reader);
-                }
-            }).connect(address);
+            ChannelFuture dial = bootstrap
+                    .clone()
+                    .handler(new ChannelInitializer<Channel>() {
+                        @Override
+                        protected void initChannel(Channel channel) {
+                            AnswerReader reader = new AnswerReader(connection, bounds.answerBytes());
+                            channel.pipeline().addLast(reader.decoder(), new HttpRequestEncoder(), reader);
+                        }
+                    })
+                    .connect(address);
             connection.channel = dial.channel();
             dial.channel().closeFuture().addListener(closed -> loop.execute(connection::closed));
             dial.addListener(connection::dialled);
@@ -254,8 +270,8 @@
         }
 
         /**
-         * Guards against holding connections, of which a host has few, to one that drains or is gone. What
-         * is in work there may still be answered.
+         * Guards against holding connections, of which a host has few, to one that drains or is gone. What is in work
+         * there may still be answered.
          */
         void keepConnections(boolean keep) {
             keeps = keep;
@@ -338,7 +354,9 @@
             host.told(head.headers().get(KEEP_ALIVE));
             // A free connection first: the module may send again at once.
             release(clean && framed && HttpUtil.isKeepAlive(head) && answered.written);
-            answered.end(dialect.outcome(answered.id, head, framed), dialect.load(head.headers()),
+            answered.end(
+                    dialect.outcome(answered.id, head, framed),
+                    dialect.load(head.headers()),
                     framed ? new Answer(head, body) : null);
         }
 
--- a/src/main/java/tinworks/net/LoopLag.java
+++ b/src/main/java/tinworks/net/LoopLag.java
@@ -21,10 +21,12 @@
     private final IoHandlerFactory wrapped;
     /** When this pass began to look; when the last look ended; how long the pass before this one was at work. */
     private long enteredAt = System.nanoTime();
+
     private long lookedAt = enteredAt;
     private long workBefore;
     /** When the first thing of this look was told, 0 before that. */
     private long firstAt;
+
     private boolean reading;
 
     /** Watches the one handler that this factory makes. */
--- a/src/main/java/tinworks/net/Peers.java
+++ b/src/main/java/tinworks/net/Peers.java
@@ -1,7 +1,5 @@
 package tinworks.net;
 
-import tinworks.json.Address;
-import tinworks.json.Json;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -15,10 +13,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
+import tinworks.json.Address;
+import tinworks.json.Json;
 
 /**
- * Short messages to and from the other gateways, as datagrams that may be lost. What comes from elsewhere, or is
- * too long to be one, is passed over.
+ * Short messages to and from the other gateways, as datagrams that may be lost. What comes from elsewhere, or is too
+ * long to be one, is passed over.
  */
 final class Peers {
     /** Told on the event loop. */
@@ -34,14 +34,17 @@
 
         /** What the configuration tells of them, or null where it tells of none. */
         static Addresses read(Json config) {
-            if (!config.field("peer_listen").isText() || !config.field("peers_all").isText()) {
+            if (!config.field("peer_listen").isText()
+                    || !config.field("peers_all").isText()) {
                 return null;
             }
             List<InetSocketAddress> gateways = new ArrayList<>();
             for (Json peer : config.required("peers").entries()) {
                 gateways.add(Address.read(peer.text()));
             }
-            return new Addresses(Address.read(config.field("peer_listen").text()), gateways,
+            return new Addresses(
+                    Address.read(config.field("peer_listen").text()),
+                    gateways,
                     Address.read(config.field("peers_all").text()));
         }
     }
@@ -59,12 +62,18 @@
         this.addresses = addresses;
         this.ownNumber = ownNumber;
         this.listener = listener;
-        channel = new Bootstrap().group(loop).channel(NioDatagramChannel.class).handler(new Reader())
-                .bind(addresses.listen()).addListener(bound -> {
+        channel = new Bootstrap()
+                .group(loop)
+                .channel(NioDatagramChannel.class)
+                .handler(new Reader())
+                .bind(addresses.listen())
+                .addListener(bound -> {
                     if (!bound.isSuccess()) {
-                        log.accept("no messages between gateways: " + bound.cause().getMessage());
+                        log.accept(
+                                "no messages between gateways: " + bound.cause().getMessage());
                     }
-                }).channel();
+                })
+                .channel();
     }
 
     /** Where it listens; of use where the port was left to the system. */
--- a/src/main/java/tinworks/net/Rehearsal.java
+++ b/src/main/java/tinworks/net/Rehearsal.java
@@ -1,10 +1,5 @@
 package tinworks.net;
 
-import tinworks.policy.Protocol.Effect;
-import tinworks.policy.Protocol.Readiness;
-import tinworks.policy.Protocol.RequestClass;
-import tinworks.policy.Protocol.ServerInfo;
-import tinworks.net.EndpointList.Endpoint;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
@@ -31,22 +26,31 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import tinworks.net.EndpointList.Endpoint;
+import tinworks.policy.Protocol.Effect;
+import tinworks.policy.Protocol.Readiness;
+import tinworks.policy.Protocol.RequestClass;
+import tinworks.policy.Protocol.ServerInfo;
 
 /**
  * Made-up requests through a gateway of its own, over sockets that nobody else can reach, before the real one listens.
- * Guards against a cold start under load: code that is not yet compiled costs so much that the first seconds'
- * clients are answered late, and the module learns from these answers that all hosts are slow. Nothing of the
- * rehearsal outlives it, and no client or host ever sees it.
+ * Guards against a cold start under load: code that is not yet compiled costs so much that the first seconds' clients
+ * are answered late, and the module learns from these answers that all hosts are slow. Nothing of the rehearsal
+ * outlives it, and no client or host ever sees it.
  */
 final class Rehearsal {
     /** Enough to meet nearly all code often; more would keep a gateway that starts anew out for longer. */
     private static final int REQUESTS = 400;
     /** Without sockets less can be warmed: enough to meet the code once, and clients are served the sooner. */
     private static final int REQUESTS_IN_MEMORY = 24;
-    private static final int CLIENTS = 8, HOSTS = 4;
+
+    private static final int CLIENTS = 8;
+    private static final int HOSTS = 4;
     /** A gateway is wanted soon after its start: what isn't warm by then has to do. */
     static final long LONGEST_MILLIS = 4_000;
-    private static final long END_MILLIS = 500, QUIET_MILLIS = 20;
+
+    private static final long END_MILLIS = 500;
+    private static final long QUIET_MILLIS = 20;
 
     private final EventLoop loop;
     private final EventLoop farSides;
@@ -59,20 +63,25 @@
     private int asked;
     private int answered;
 
-    private Rehearsal(EventLoop loop, EventLoop farSides, GatewayConfig config, Transport transport, SocketAddress stage,
-                      SocketAddress hosts) {
+    private Rehearsal(
+            EventLoop loop,
+            EventLoop farSides,
+            GatewayConfig config,
+            Transport transport,
+            SocketAddress stage,
+            SocketAddress hosts) {
         this.loop = loop;
         this.farSides = farSides;
         this.config = config;
         this.transport = transport;
-        requests = transport == Transport.MEMORY ? REQUESTS_IN_MEMORY : REQUESTS;
+        requests = transport.equals(Transport.MEMORY) ? REQUESTS_IN_MEMORY : REQUESTS;
         this.stage = stage;
         this.hosts = hosts;
     }
 
     /**
-     * Returns when all is warm, or when it has taken long enough: whether it was played to its end. One that
-     * fails costs only its gain.
+     * Returns when all is warm, or when it has taken long enough: whether it was played to its end. One that fails
+     * costs only its gain.
      */
     static boolean run(GatewayConfig config, long longestMillis) {
         try {
@@ -99,10 +108,15 @@
     private static boolean inFiles(GatewayConfig config, long longestMillis)
             throws IOException, InterruptedException, ExecutionException, TimeoutException {
         // Of its own making: the library's names for such folders come out of a slow source of chance.
-        Path folder = Files.createDirectory(Path.of(System.getProperty("java.io.tmpdir"),
+        Path folder = Files.createDirectory(Path.of(
+                System.getProperty("java.io.tmpdir"),
                 "rehearsal-" + ProcessHandle.current().pid() + "-" + System.nanoTime()));
         try {
-            return play(config, longestMillis, NioIoHandler.newFactory(), Transport.FILES,
+            return play(
+                    config,
+                    longestMillis,
+                    NioIoHandler.newFactory(),
+                    Transport.FILES,
                     UnixDomainSocketAddress.of(folder.resolve("stage")),
                     UnixDomainSocketAddress.of(folder.resolve("hosts")));
         } finally {
@@ -115,22 +129,35 @@
     /** Leaves the sockets themselves cold, and warms all that stands on them. */
     static boolean inMemory(GatewayConfig config, long longestMillis)
             throws InterruptedException, ExecutionException, TimeoutException {
-        return play(config, longestMillis, LocalIoHandler.newFactory(), Transport.MEMORY,
-                new LocalAddress("rehearsal-stage"), new LocalAddress("rehearsal-hosts"));
+        return play(
+                config,
+                longestMillis,
+                LocalIoHandler.newFactory(),
+                Transport.MEMORY,
+                new LocalAddress("rehearsal-stage"),
+                new LocalAddress("rehearsal-hosts"));
     }
 
-    private static boolean play(GatewayConfig config, long longestMillis, IoHandlerFactory io, Transport transport,
-                                SocketAddress stage, SocketAddress hosts)
+    private static boolean play(
+            GatewayConfig config,
+            long longestMillis,
+            IoHandlerFactory io,
+            Transport transport,
+            SocketAddress stage,
+            SocketAddress hosts)
             throws InterruptedException, ExecutionException, TimeoutException {
         // In memory a write on one loop would be read within the call: the far sides have a loop of their own, and
         // as each tells the other of its end, neither may end at once.
-        boolean twoLoops = transport == Transport.MEMORY;
+        boolean twoLoops = transport.equals(Transport.MEMORY);
         MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(twoLoops ? 2 : 1, io);
         try {
-            new Rehearsal(group.next(), group.next(), config, transport, stage, hosts).play().get(longestMillis, TimeUnit.MILLISECONDS);
+            new Rehearsal(group.next(), group.next(), config, transport, stage, hosts)
+                    .play()
+                    .get(longestMillis, TimeUnit.MILLISECONDS);
             return true;
         } finally {
-            group.shutdownGracefully(twoLoops ? QUIET_MILLIS : 0, QUIET_MILLIS, TimeUnit.MILLISECONDS).await(END_MILLIS);
+            group.shutdownGracefully(twoLoops ? QUIET_MILLIS : 0, QUIET_MILLIS, TimeUnit.MILLISECONDS)
+                    .await(END_MILLIS);
         }
     }
 
@@ -139,23 +166,25 @@
         new NioSocketChannel().unsafe().closeForcibly();
         ServerBootstrap listener = new ServerBootstrap().group(farSides).channel(transport.server());
         listener.childHandler(new ChannelInitializer<Channel>() {
-            @Override
-            protected void initChannel(Channel channel) {
-                channel.pipeline().addLast(new Host());
-            }
-        }).bind(hosts).addListener(bound -> {
-            if (bound.isSuccess()) {
-                Gateway.start(loop, setting(), transport, line -> { }).whenComplete((gateway, fault) -> {
-                    if (fault == null) {
-                        farSides.execute(this::clients);
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline().addLast(new Host());
+                    }
+                })
+                .bind(hosts)
+                .addListener(bound -> {
+                    if (bound.isSuccess()) {
+                        Gateway.start(loop, setting(), transport, line -> {}).whenComplete((gateway, fault) -> {
+                            if (fault == null) {
+                                farSides.execute(this::clients);
+                            } else {
+                                done.completeExceptionally(fault);
+                            }
+                        });
                     } else {
-                        done.completeExceptionally(fault);
+                        done.completeExceptionally(bound.cause());
                     }
                 });
-            } else {
-                done.completeExceptionally(bound.cause());
-            }
-        });
         return done;
     }
 
@@ -163,15 +192,25 @@
     private GatewayConfig setting() {
         List<Endpoint> endpoints = new ArrayList<>();
         for (int i = 0; i < HOSTS; i++) {
-            endpoints.add(new Endpoint(new ServerInfo("host-" + i, config.settings().zone(), "any", 0, Readiness.READY,
-                    1, 0), hosts));
+            endpoints.add(new Endpoint(
+                    new ServerInfo("host-" + i, config.settings().zone(), "any", 0, Readiness.READY, 1, 0), hosts));
         }
-        return new GatewayConfig(stage, hosts, config.seed(), config.sockets(), config.dialTimeoutNanos(),
-                config.idleNanos(), config.settings(), new EndpointList(0, true, endpoints), null);
+        return new GatewayConfig(
+                stage,
+                hosts,
+                config.seed(),
+                config.sockets(),
+                config.dialTimeoutNanos(),
+                config.idleNanos(),
+                config.settings(),
+                new EndpointList(0, true, endpoints),
+                null);
     }
 
     private void clients() {
-        Bootstrap dial = new Bootstrap().group(farSides).channel(transport.client())
+        Bootstrap dial = new Bootstrap()
+                .group(farSides)
+                .channel(transport.client())
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
@@ -222,7 +261,8 @@
 
     /** Serves nearly all, and shows the gateway the other ends that an attempt can have. */
     private static final class Host extends FarSide {
-        private static final int FULL_EVERY = 37, ERROR_EVERY = 53;
+        private static final int FULL_EVERY = 37;
+        private static final int ERROR_EVERY = 53;
         private static final String REST = "Content-Length: " + BODY.length + "\r\nX-Server-Load: tps=";
 
         private int requests;
@@ -236,7 +276,8 @@
         protected void came(ChannelHandlerContext ctx) {
             requests++;
             boolean full = requests % FULL_EVERY == 0;
-            String status = full ? "503 Full\r\nX-Not-Processed: 1\r\n"
+            String status = full
+                    ? "503 Full\r\nX-Not-Processed: 1\r\n"
                     : requests % ERROR_EVERY == 0 ? "500 Error\r\n" : "200 OK\r\n";
             write(ctx, "HTTP/1.1 " + status + REST + requests + ".5,load_share=0.25,err_ps=0\r\n", BODY);
         }
--- a/src/main/java/tinworks/net/RequestAssembler.java
+++ b/src/main/java/tinworks/net/RequestAssembler.java
@@ -19,9 +19,9 @@
 import java.util.function.BooleanSupplier;
 
 /**
- * Collects a client's request whole and within bounds. Guards against the answers that Netty's own collector
- * writes past the connection (413, 417 and 100): they would overtake the answer that an earlier request is
- * still owed, and pass for it. Here a request that is too long comes out as one that can't be read, in its turn.
+ * Collects a client's request whole and within bounds. Guards against the answers that Netty's own collector writes
+ * past the connection (413, 417 and 100): they would overtake the answer that an earlier request is still owed, and
+ * pass for it. Here a request that is too long comes out as one that can't be read, in its turn.
  */
 final class RequestAssembler extends HttpObjectAggregator {
     /** Why a request was turned away whose body there was no room for. */
@@ -41,8 +41,8 @@
     private long taken;
 
     /**
-     * Tells clients to go on with a body only while {@code free}: while no earlier request waits. Bodies come out of a budget,
-     * those of unknown length with the largest.
+     * Tells clients to go on with a body only while {@code free}: while no earlier request waits. Bodies come out of a
+     * budget, those of unknown length with the largest.
      */
     RequestAssembler(BooleanSupplier free, int largestBody, ByteBudget bodies) {
         super(largestBody);
@@ -68,7 +68,9 @@
         return amidst;
     }
 
-    /** Guards against a request whose end another reader would see elsewhere: it comes out as one that can't be read. */
+    /**
+     * Guards against a request whose end another reader would see elsewhere: it comes out as one that can't be read.
+     */
     @Override
     protected void decode(ChannelHandlerContext ctx, HttpObject part, List<Object> out) throws Exception {
         if (part instanceof HttpRequest head && head.decoderResult().isSuccess() && !Framing.hasOneReading(head)) {
@@ -81,7 +83,8 @@
     protected Object newContinueResponse(HttpMessage start, int most, ChannelPipeline pipeline) {
         boolean usual = !isContentLengthInvalid(start, most) && free.getAsBoolean();
         return usual && start.headers().contains(HttpHeaderNames.EXPECT, HttpHeaderValues.CONTINUE, true)
-                ? super.newContinueResponse(start, most, pipeline) : null;
+                ? super.newContinueResponse(start, most, pipeline)
+                : null;
     }
 
     /** Guards against bodies that together are more than the memory: whoever finds no room is told so at once. */
@@ -92,8 +95,11 @@
         }
         giveUp();
         // A head that can't be read may name any length; its request is refused without a body.
-        long wanted = start.decoderResult().isFailure() ? 0
-                : HttpUtil.isTransferEncodingChunked(start) ? largestBody : Math.max(0, HttpUtil.getContentLength(start, 0L));
+        long wanted = start.decoderResult().isFailure()
+                ? 0
+                : HttpUtil.isTransferEncodingChunked(start)
+                        ? largestBody
+                        : Math.max(0, HttpUtil.getContentLength(start, 0L));
         if (!bodies.take(wanted)) {
             return true;
         }
@@ -119,9 +125,10 @@
         giveUp();
         HttpRequest request = (HttpRequest) oversized;
         boolean tooLong = super.isContentLengthInvalid(oversized, largestBody) || oversized instanceof FullHttpMessage;
-        DefaultFullHttpRequest told = new DefaultFullHttpRequest(request.protocolVersion(), request.method(),
-                request.uri(), Unpooled.EMPTY_BUFFER);
-        told.setDecoderResult(DecoderResult.failure(tooLong ? new TooLongHttpContentException("body too long") : new NoRoom()));
+        DefaultFullHttpRequest told = new DefaultFullHttpRequest(
+                request.protocolVersion(), request.method(), request.uri(), Unpooled.EMPTY_BUFFER);
+        told.setDecoderResult(
+                DecoderResult.failure(tooLong ? new TooLongHttpContentException("body too long") : new NoRoom()));
         ctx.fireChannelRead(told);
     }
 }
--- a/src/main/java/tinworks/net/RequestReader.java
+++ b/src/main/java/tinworks/net/RequestReader.java
@@ -1,9 +1,5 @@
 package tinworks.net;
 
-import tinworks.policy.Protocol.Effect;
-import tinworks.policy.Protocol.RequestArrived;
-import tinworks.policy.Protocol.RequestClass;
-import tinworks.net.ClientServer.BadRequest;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -17,18 +13,33 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Pattern;
+import tinworks.net.ClientServer.BadRequest;
+import tinworks.policy.Protocol.Effect;
+import tinworks.policy.Protocol.RequestArrived;
+import tinworks.policy.Protocol.RequestClass;
 
 /** Reads a client's request as the module's event, and makes the request that goes on to a host. */
 final class RequestReader {
-    private static final String ID = "X-Request-ID", TIMEOUT = "X-Timeout", KEY = "Idempotency-Key";
+    private static final String ID = "X-Request-ID";
+    private static final String TIMEOUT = "X-Timeout";
+    private static final String KEY = "Idempotency-Key";
     private static final Pattern UNCHANGED = Pattern.compile("[!-~]{1,4000}");
     /** Longer figures of a time-out are no time-out that anyone waits for. */
     private static final int MOST_DIGITS = 12;
     /** Headers that are between two neighbours only, or are made anew for the host. */
-    private static final Set<String> NOT_PASSED_ON = Set.of("connection", "keep-alive", "proxy-connection", "te",
-            "trailer", "transfer-encoding", "upgrade", "expect", "content-length", "x-timeout");
+    private static final Set<String> NOT_PASSED_ON = Set.of(
+            "connection",
+            "keep-alive",
+            "proxy-connection",
+            "te",
+            "trailer",
+            "transfer-encoding",
+            "upgrade",
+            "expect",
+            "content-length",
+            "x-timeout");
 
-    private RequestReader() { }
+    private RequestReader() {}
 
     /** {@code waitedNanos} is how long ago the request's last byte came: that much of its time has passed. */
     static RequestArrived read(FullHttpRequest request, Map<String, RequestClass> classes, long waitedNanos)
@@ -48,8 +59,14 @@
         if (left <= 0) {
             throw new BadRequest(HttpResponseStatus.SERVICE_UNAVAILABLE, "its time ran out before its turn");
         }
-        return new RequestArrived(id, requestClass.name(), headers.get("X-Tenant-Id"), headers.get("X-Route-Key"),
-                left, workNanos(headers.get("X-Cost")), "1".equals(headers.get("X-Retried")));
+        return new RequestArrived(
+                id,
+                requestClass.name(),
+                headers.get("X-Tenant-Id"),
+                headers.get("X-Route-Key"),
+                left,
+                workNanos(headers.get("X-Cost")),
+                "1".equals(headers.get("X-Retried")));
     }
 
     /** Guards against asking a host for what it turns away, and against passing an unsafe request for a safe one. */
@@ -58,7 +75,8 @@
         if (!request.method().equals(effect == Effect.SAFE ? HttpMethod.GET : HttpMethod.POST)) {
             throw new BadRequest(HttpResponseStatus.METHOD_NOT_ALLOWED, "not the method of its class");
         }
-        if (keyed != (effect == Effect.KEYED) || effect == Effect.SAFE && request.content().isReadable()) {
+        if (keyed != (effect == Effect.KEYED)
+                || (effect == Effect.SAFE && request.content().isReadable())) {
             throw new BadRequest(HttpResponseStatus.BAD_REQUEST, "a key or a body that its class has not, or no key");
         }
         if (keyed) {
@@ -67,8 +85,8 @@
     }
 
     /**
-     * The only value of the header. Guards against two readings of a request, and against values that would not
-     * reach a host as they came.
+     * The only value of the header. Guards against two readings of a request, and against values that would not reach a
+     * host as they came.
      */
     private static String only(HttpHeaders headers, String name) throws BadRequest {
         List<String> values = headers.getAll(name);
@@ -104,14 +122,17 @@
 
     /** The number, or 0 where the text is not one of a usual size. */
     private static long positive(String text) {
-        boolean plain = !text.isEmpty() && text.length() <= MOST_DIGITS
-                && text.chars().allMatch(c -> c >= '0' && c <= '9');
+        boolean plain =
+                !text.isEmpty() && text.length() <= MOST_DIGITS && text.chars().allMatch(c -> c >= '0' && c <= '9');
         return plain ? Long.parseLong(text) : 0;
     }
 
     /** The same request with what is left of its time. */
     static FullHttpRequest forHost(FullHttpRequest request, long timeoutNanos) {
-        FullHttpRequest copy = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, request.method(), request.uri(),
+        FullHttpRequest copy = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                request.method(),
+                request.uri(),
                 request.content().retainedDuplicate());
         request.headers().forEach(header -> {
             if (!NOT_PASSED_ON.contains(header.getKey().toLowerCase(Locale.ROOT))) {
--- a/src/main/java/tinworks/net/Server.java
+++ b/src/main/java/tinworks/net/Server.java
@@ -16,13 +16,15 @@
 /** The process round a {@link Gateway}: its thread, its start, its signals and its end. */
 public final class Server {
     /** The platform kills no sooner than 3.7 s after it asked for an end, where a deadline is 3 s. */
-    private static final long LONGEST_END_MILLIS = 3_600, LOOP_END_MILLIS = 100;
+    private static final long LONGEST_END_MILLIS = 3_600;
 
-    private Server() { }
+    private static final long LOOP_END_MILLIS = 100;
+
+    private Server() {}
 
     /**
-     * Starts the gateway that the environment describes and returns when it listens; it runs until the
-     * process is asked to end. A bad environment or configuration is an {@link IllegalArgumentException}.
+     * Starts the gateway that the environment describes and returns when it listens; it runs until the process is asked
+     * to end. A bad environment or configuration is an {@link IllegalArgumentException}.
      */
     public static void serve(Map<String, String> environment) {
         // Guards against a search for logging libraries that aren't there, which costs a start as much as a list.
@@ -31,7 +33,8 @@
         onHangUp(() -> started.thenAccept(gateway -> reload(gateway, environment)));
         GatewayConfig config = GatewayConfig.read(environment);
         MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-        Gateway gateway = Gateway.open(group.next(), config, Transport.TCP, System.out::println).join();
+        Gateway gateway = Gateway.open(group.next(), config, Transport.TCP, System.out::println)
+                .join();
         started.complete(gateway);
         // While discovery thinks about its first answer.
         Rehearsal.run(config, Rehearsal.LONGEST_MILLIS);
@@ -40,14 +43,14 @@
             Runtime.getRuntime().addShutdownHook(new Thread(() -> end(gateway, group)));
         } catch (CompletionException e) {
             group.shutdownGracefully();
-            throw new IllegalArgumentException("can't listen on " + config.listen() + ": "
-                    + e.getCause().getMessage(), e);
+            throw new IllegalArgumentException(
+                    "can't listen on " + config.listen() + ": " + e.getCause().getMessage(), e);
         }
     }
 
     /**
-     * Guards against the runtime's own answer to SIGHUP, which is to end. Each signal comes on a thread of its
-     * own, so the work is handed to one thread: an older file must not be applied after a newer one.
+     * Guards against the runtime's own answer to SIGHUP, which is to end. Each signal comes on a thread of its own, so
+     * the work is handed to one thread: an older file must not be applied after a newer one.
      */
     private static void onHangUp(Runnable work) {
         sun.misc.Signal.handle(new sun.misc.Signal("HUP"), signal -> GlobalEventExecutor.INSTANCE.execute(work));
--- a/src/main/java/tinworks/net/Tally.java
+++ b/src/main/java/tinworks/net/Tally.java
@@ -49,7 +49,8 @@
     /** Attempts by how they ended, without the ways in which none did. */
     public Map<Outcome, Long> attemptsByOutcome() {
         Map<Outcome, Long> counts = new EnumMap<>(Outcome.class);
-        Arrays.stream(Outcome.values()).filter(outcome -> attempts[outcome.ordinal()] > 0)
+        Arrays.stream(Outcome.values())
+                .filter(outcome -> attempts[outcome.ordinal()] > 0)
                 .forEach(outcome -> counts.put(outcome, attempts[outcome.ordinal()]));
         return counts;
     }
--- a/src/main/java/tinworks/node/BootSettings.java
+++ b/src/main/java/tinworks/node/BootSettings.java
@@ -28,19 +28,34 @@
  * @param graceMillis from SIGTERM to SIGKILL
  * @param provider where the platform keeps the list of hosts
  */
-public record BootSettings(String node, String zone, InetSocketAddress http, InetSocketAddress readyz,
-                           InetSocketAddress ctl, InetSocketAddress inner, List<String> seeds, boolean bootstrap,
-                           int descriptors, Path dataDir, int losses, long graceMillis, InetSocketAddress provider) {
+public record BootSettings(
+        String node,
+        String zone,
+        InetSocketAddress http,
+        InetSocketAddress readyz,
+        InetSocketAddress ctl,
+        InetSocketAddress inner,
+        List<String> seeds,
+        boolean bootstrap,
+        int descriptors,
+        Path dataDir,
+        int losses,
+        long graceMillis,
+        InetSocketAddress provider) {
     /** The variable that names the file. */
     public static final String VARIABLE = "TINWORKS_BOOT";
-    private static final int FILE_DESCRIPTORS = 200, LEAST_DESCRIPTORS = 64;
+
+    private static final int FILE_DESCRIPTORS = 200;
+    private static final int LEAST_DESCRIPTORS = 64;
 
     /** Keeps its own list. */
     public BootSettings {
         seeds = List.copyOf(seeds);
     }
 
-    /** The text of the file that the environment names; one that can't be read is an {@link IllegalArgumentException}. */
+    /**
+     * The text of the file that the environment names; one that can't be read is an {@link IllegalArgumentException}.
+     */
     public static String text(Map<String, String> environment) {
         String file = environment.get(VARIABLE);
         if (file == null || file.isEmpty()) {
@@ -71,7 +86,8 @@
     }
 
     private static IllegalArgumentException unreadable(String file, IOException e) {
-        return new IllegalArgumentException("can't read " + file + ": " + e.getMessage().lines().findFirst().orElse(""), e);
+        return new IllegalArgumentException(
+                "can't read " + file + ": " + e.getMessage().lines().findFirst().orElse(""), e);
     }
 
     /** Reads the file's text. */
@@ -91,13 +107,26 @@
         }
         Json listen = json.field("listen");
         Json limits = json.field("limits");
-        long files = limits.field("nofile").value() == null ? 1_024
-                : whole(limits.field("nofile"), "limits.nofile", FILE_DESCRIPTORS + LEAST_DESCRIPTORS, Integer.MAX_VALUE);
+        long files = limits.field("nofile").value() == null
+                ? 1_024
+                : whole(
+                        limits.field("nofile"),
+                        "limits.nofile",
+                        FILE_DESCRIPTORS + LEAST_DESCRIPTORS,
+                        Integer.MAX_VALUE);
         Json provider = json.field("provider").field("addr");
         String dataDir = json.field("datadir").text();
-        return new BootSettings(text(json, "", "node"), text(json, "", "az"), optional(listen, "http"),
-                optional(listen, "readyz"), optional(listen, "ctl"), new InetSocketAddress(ip, port), seeds,
-                json.field("bootstrap").isTrue(), (int) files - FILE_DESCRIPTORS, dataDir.isEmpty() ? null : Path.of(dataDir),
+        return new BootSettings(
+                text(json, "", "node"),
+                text(json, "", "az"),
+                optional(listen, "http"),
+                optional(listen, "readyz"),
+                optional(listen, "ctl"),
+                new InetSocketAddress(ip, port),
+                seeds,
+                json.field("bootstrap").isTrue(),
+                (int) files - FILE_DESCRIPTORS,
+                dataDir.isEmpty() ? null : Path.of(dataDir),
                 (int) whole(json.field("survive").field("nodes"), "survive.nodes", 0, 100),
                 1_000 * whole(json.field("bounds").field("graceS"), "bounds.graceS", 1, 3_600),
                 address(provider.text(), "provider.addr"));
@@ -109,13 +138,16 @@
     }
 
     private static InetSocketAddress optional(Json listen, String name) {
-        return listen.field(name).value() == null ? null : address(listen.field(name).text(), "listen." + name);
+        return listen.field(name).value() == null
+                ? null
+                : address(listen.field(name).text(), "listen." + name);
     }
 
     private static String text(Json json, String at, String name) {
         Json field = json.field(name);
         if (!field.isText() || field.text().isEmpty()) {
-            throw new IllegalArgumentException(at + name + ": " + (field.value() == null ? "is missing" : "wanted a text"));
+            throw new IllegalArgumentException(
+                    at + name + ": " + (field.value() == null ? "is missing" : "wanted a text"));
         }
         return field.text();
     }
--- a/src/main/java/tinworks/node/NodeProcess.java
+++ b/src/main/java/tinworks/node/NodeProcess.java
@@ -31,7 +31,8 @@
     }
 
     private static final Logger LOG = LoggerFactory.getLogger(NodeProcess.class);
-    private static final long WATCH_MILLIS = 2_500, LOOP_END_MILLIS = 50;
+    private static final long WATCH_MILLIS = 2_500;
+    private static final long LOOP_END_MILLIS = 50;
     private static final String LEVEL = "TINWORKS_LOG";
 
     private final Map<String, String> environment;
@@ -65,7 +66,8 @@
         try {
             return Level.valueOf(name);
         } catch (IllegalArgumentException e) {
-            throw new IllegalArgumentException(LEVEL + ": wanted one of " + List.of(Level.values()) + ", not " + name, e);
+            throw new IllegalArgumentException(
+                    LEVEL + ": wanted one of " + List.of(Level.values()) + ", not " + name, e);
         }
     }
 
@@ -116,7 +118,8 @@
         for (ChannelFuture one : bound) {
             one.awaitUninterruptibly();
             if (!one.isSuccess()) {
-                throw new IllegalArgumentException("can't listen: " + one.cause().getMessage(), one.cause());
+                throw new IllegalArgumentException(
+                        "can't listen: " + one.cause().getMessage(), one.cause());
             }
         }
     }
@@ -143,15 +146,19 @@
 
     /** What SIGTERM does. */
     public void onEnd(Ending ending) {
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            try {
-                ending.end();
-                group.shutdownGracefully(0, LOOP_END_MILLIS, TimeUnit.MILLISECONDS).await(LOOP_END_MILLIS);
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            } catch (CompletionException e) {
-                LOG.error("did not end in order", e);
-            }
-        }, "end"));
+        Runtime.getRuntime()
+                .addShutdownHook(new Thread(
+                        () -> {
+                            try {
+                                ending.end();
+                                group.shutdownGracefully(0, LOOP_END_MILLIS, TimeUnit.MILLISECONDS)
+                                        .await(LOOP_END_MILLIS);
+                            } catch (InterruptedException e) {
+                                Thread.currentThread().interrupt();
+                            } catch (CompletionException e) {
+                                LOG.error("did not end in order", e);
+                            }
+                        },
+                        "end"));
     }
 }
--- a/src/main/java/tinworks/platform/HostPoller.java
+++ b/src/main/java/tinworks/platform/HostPoller.java
@@ -36,8 +36,11 @@
  */
 public final class HostPoller {
     private static final String PLATFORM = "platform";
-    private static final long PERIOD_MILLIS = 1_000, LONGEST_PAUSE_MILLIS = 4_000, TIMEOUT_MILLIS = 1_500;
-    private static final int MOST_PAGES = 1_000, LARGEST_PAGE = 4 << 20;
+    private static final long PERIOD_MILLIS = 1_000;
+    private static final long LONGEST_PAUSE_MILLIS = 4_000;
+    private static final long TIMEOUT_MILLIS = 1_500;
+    private static final int MOST_PAGES = 1_000;
+    private static final int LARGEST_PAGE = 4 << 20;
     /** Longer than a period: the one connection to the platform is kept. */
     private static final long IDLE_NANOS = TimeUnit.SECONDS.toNanos(20);
 
@@ -56,15 +59,24 @@
     private long run;
 
     /** A poller that is off; the listener is told of each whole list, in the order of the hosts' ids. */
-    public HostPoller(EventLoop loop, GatewayClock clock, InetSocketAddress address, long seed,
-                      Consumer<List<Host>> listener, Consumer<String> log) {
+    public HostPoller(
+            EventLoop loop,
+            GatewayClock clock,
+            InetSocketAddress address,
+            long seed,
+            Consumer<List<Host>> listener,
+            Consumer<String> log) {
         this.loop = loop;
         this.clock = clock;
         this.listener = listener;
         this.log = log;
         random = new SplittableRandom(seed);
-        pool = new HostPool(loop, Transport.TCP, clock, new HostPool.Bounds(TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS),
-                IDLE_NANOS, 2, LARGEST_PAGE), new ListDialect());
+        pool = new HostPool(
+                loop,
+                Transport.TCP,
+                clock,
+                new HostPool.Bounds(TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS), IDLE_NANOS, 2, LARGEST_PAGE),
+                new ListDialect());
         moveTo(address);
     }
 
@@ -102,11 +114,18 @@
     }
 
     private void fetch(long itsRun, String cursor) {
-        String path = cursor.isEmpty() ? "/hosts" : "/hosts?cursor=" + URLEncoder.encode(cursor, StandardCharsets.UTF_8);
-        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path, Unpooled.EMPTY_BUFFER);
+        String path =
+                cursor.isEmpty() ? "/hosts" : "/hosts?cursor=" + URLEncoder.encode(cursor, StandardCharsets.UTF_8);
+        FullHttpRequest request =
+                new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path, Unpooled.EMPTY_BUFFER);
         request.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
         long started = clock.nanos();
-        pool.send(PLATFORM, "", request, TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS), Long.MAX_VALUE,
+        pool.send(
+                PLATFORM,
+                "",
+                request,
+                TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS),
+                Long.MAX_VALUE,
                 (attempt, outcome, at, load, answer) -> answered(itsRun, started, outcome, answer));
     }
 
@@ -115,7 +134,9 @@
             return;
         }
         if (outcome != Outcome.SERVED) {
-            failed(itsRun, answer == null ? outcome.toString() : answer.head().status().toString());
+            failed(
+                    itsRun,
+                    answer == null ? outcome.toString() : answer.head().status().toString());
             return;
         }
         try {
@@ -141,7 +162,7 @@
         if (failures == 1) {
             log.accept("the platform's list: " + why);
         }
-        long pause = Math.min(LONGEST_PAUSE_MILLIS, PERIOD_MILLIS / 4 << Math.min(failures, 5));
+        long pause = Math.min(LONGEST_PAUSE_MILLIS, (PERIOD_MILLIS / 4) << Math.min(failures, 5));
         loop.schedule(() -> begin(itsRun), pause / 2 + random.nextLong(pause), TimeUnit.MILLISECONDS);
     }
 
@@ -151,9 +172,14 @@
             throw new IllegalArgumentException("no hosts in it");
         }
         for (Json entry : page.field("hosts").entries()) {
-            gathered.add(new Host(entry.required("id").text(), entry.required("svc").text(), entry.required("addr").text(),
-                    entry.field("az").text(), entry.field("slots").number(1).intValue(),
-                    !entry.field("status").text().equals("ready"), entry.field("warmupMs").number(0).longValue()));
+            gathered.add(new Host(
+                    entry.required("id").text(),
+                    entry.required("svc").text(),
+                    entry.required("addr").text(),
+                    entry.field("az").text(),
+                    entry.field("slots").number(1).intValue(),
+                    !entry.field("status").text().equals("ready"),
+                    entry.field("warmupMs").number(0).longValue()));
         }
         return page.field("nextCursor").text();
     }
--- a/src/main/java/tinworks/policy/Choice.java
+++ b/src/main/java/tinworks/policy/Choice.java
@@ -1,7 +1,5 @@
 package tinworks.policy;
 
-import tinworks.policy.Protocol.*;
-import tinworks.policy.State.*;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
@@ -13,23 +11,56 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
+import tinworks.policy.Protocol.Actions;
+import tinworks.policy.Protocol.AttemptEnded;
+import tinworks.policy.Protocol.ClientLeft;
+import tinworks.policy.Protocol.Effect;
+import tinworks.policy.Protocol.Ending;
+import tinworks.policy.Protocol.Event;
+import tinworks.policy.Protocol.Group;
+import tinworks.policy.Protocol.ListKind;
+import tinworks.policy.Protocol.ListReceived;
+import tinworks.policy.Protocol.Outcome;
+import tinworks.policy.Protocol.PeerSaid;
+import tinworks.policy.Protocol.Readiness;
+import tinworks.policy.Protocol.Reconfigured;
+import tinworks.policy.Protocol.RequestArrived;
+import tinworks.policy.Protocol.RequestClass;
+import tinworks.policy.Protocol.Rules;
+import tinworks.policy.Protocol.ServerInfo;
+import tinworks.policy.Protocol.Settings;
+import tinworks.policy.Protocol.StreamStarted;
+import tinworks.policy.Protocol.Tenant;
+import tinworks.policy.Protocol.TimerFired;
+import tinworks.policy.State.Attempt;
+import tinworks.policy.State.Bucket;
+import tinworks.policy.State.ClassHealth;
+import tinworks.policy.State.Heard;
+import tinworks.policy.State.Kind;
+import tinworks.policy.State.Pool;
+import tinworks.policy.State.Quota;
+import tinworks.policy.State.Request;
+import tinworks.policy.State.Server;
 
 /**
- * The decisions of one gateway. Its interface (settings, events, actions) is in Protocol.java, the plain
- * holders of what it remembers in State.java; every decision is here.
+ * The decisions of one gateway. Its interface (settings, events, actions) is in Protocol.java, the plain holders of
+ * what it remembers in State.java; every decision is here.
  *
- * <p>The ordinary path is the paper's load shifting (section 4.1, Algorithm 1), run by each gateway over its
- * own attempts: a share for each server, a random draw by share, a renormalised multiplicative step. Around
- * it stands one shape, draw weight = share x gates. A gate is 1 on the ordinary path and falls only under the
- * condition written at it. Every send passes {@link #maySend} and the conditions in {@link #draw}, every refusal {@link #mayRefuse}.
+ * <p>The ordinary path is the paper's load shifting (section 4.1, Algorithm 1), run by each gateway over its own
+ * attempts: a share for each server, a random draw by share, a renormalised multiplicative step. Around it stands one
+ * shape, draw weight = share x gates. A gate is 1 on the ordinary path and falls only under the condition written at
+ * it. Every send passes {@link #maySend} and the conditions in {@link #draw}, every refusal {@link #mayRefuse}.
  * Single-threaded, without a clock of its own, all chance from one seed.
  */
 public final class Choice {
     /** The paper's learning rate, and a fifth of its interval: unlike machines are told apart in seconds. */
     private static final double ETA = 0.2;
+
     private static final long TICK_NANOS = 1_000_000_000L;
     /** One step at most halves a share, and no share falls so low that later steps can't bring it back. */
-    private static final double LEAST_FACTOR = 0.5, LEAST_SHARE = 0.05;
+    private static final double LEAST_FACTOR = 0.5;
+
+    private static final double LEAST_SHARE = 0.05;
     /** Latencies spread about as wide as their mean: so many samples of the mean are mixed into each. */
     private static final double SHRINK_SAMPLES = 5;
     /** Answers should take a fifth of the aim: the rest is for waiting here, a second try and long work. */
@@ -41,13 +72,18 @@
     /** The most of its aim that work is thought to need: a fresh request always has a hope. */
     private static final double MOST_OF_AIM = 0.9;
     /** In flight at one server from all gateways: one in work, one on its way, one waiting; one at first. */
-    private static final double LEAST_IN_FLIGHT = 3, FIRST_IN_FLIGHT = 1;
+    private static final double LEAST_IN_FLIGHT = 3;
+
+    private static final double FIRST_IN_FLIGHT = 1;
     /** A Poisson count rarely lies so many of its deviations above its mean. */
     private static final double CHANCE_DEVIATIONS = 2;
     /** Weight of the newest answer in a server's health: about the last five count. */
     private static final double HEALTH_RATE = 0.2;
     /** Two failures among the last five are no chance; the memory outlasts some trials. */
-    private static final double FAILING = 0.3, SURE = 0.85, FAILURE_MEMORY_NANOS = 20e9;
+    private static final double FAILING = 0.3;
+
+    private static final double SURE = 0.85;
+    private static final double FAILURE_MEMORY_NANOS = 20e9;
     /** A server that gave errors to more of a class's last requests than not can't serve this class. */
     private static final double FAILS_CLASS = 0.5;
     /** A doubtful server gets one request in so much time from all gateways, to notice its recovery. */
@@ -55,34 +91,56 @@
     /** Part of what the cold rule allows that is used: other gateways and long work need the rest. */
     private static final double COLD_SAFETY = 0.5;
     /** Tries after a failure: one for ten requests, so that no storm can grow. */
-    private static final double EXTRA_PER_REQUEST = 0.1, MOST_EXTRA = 10;
+    private static final double EXTRA_PER_REQUEST = 0.1;
+
+    private static final double MOST_EXTRA = 10;
     /** A late answer adds so much pressure and one in time takes it off: it settles where half are late. */
     private static final double PRESSURE_STEP = 0.1;
     /** Up to 1 the zones share the load, from there on some is shed; chance alone must not shed. */
-    private static final double ZONES_OPEN = 1, CALM = 0.9;
-    /** The least part of its share that another zone's server gets, and the least that is admitted, of the best and of any. */
-    private static final double LEAST_CROSSING = 1e-3, LEAST_ADMITTED = 0.05, LEAST_OF_ANY = 0.01;
-    /** The part of its share that a server of another gateway's portion gets: it is drawn on when none of the own is free. */
+    private static final double ZONES_OPEN = 1;
+
+    private static final double CALM = 0.9;
+    /**
+     * The least part of its share that another zone's server gets, and the least that is admitted, of the best and of
+     * any.
+     */
+    private static final double LEAST_CROSSING = 1e-3;
+
+    private static final double LEAST_ADMITTED = 0.05;
+    private static final double LEAST_OF_ANY = 0.01;
+    /**
+     * The part of its share that a server of another gateway's portion gets: it is drawn on when none of the own is
+     * free.
+     */
     private static final double LEAST_REACH = 1e-3;
     /** With each request that others have out at a server, it is so much less likely to be drawn. */
     private static final double CROWDED = 0.25;
     /** Messages are so far apart at least, and what hasn't changed is said again after so long. */
-    private static final long TELL_NANOS = 20_000_000L, REPEAT_NANOS = 250_000_000L;
+    private static final long TELL_NANOS = 20_000_000L;
+
+    private static final long REPEAT_NANOS = 250_000_000L;
     /** So much time has to be seen before arrivals tell a rate. */
     private static final long LEAST_SEEN_NANOS = 50_000_000L;
     /** How often held requests are looked at; short against any aim. */
     private static final long SWEEP_NANOS = 10_000_000L;
-    /** How often those that are out are looked at while none is held, in parts of the shortest aim and of its long work. */
+    /**
+     * How often those that are out are looked at while none is held, in parts of the shortest aim and of its long work.
+     */
     private static final double CALM_SWEEP_OF_AIM = 0.05;
     /** What pressure loses in a tick that brought no answer: what shuts all out is open again within two. */
     private static final double RELAX_PER_TICK = 0.6;
     /** Time-outs this near to each other, in parts of the deadline, are one: the way here takes some time. */
     private static final double SAME_TIME_OUT = 0.02;
     /** Votes for the usual time-out that count, and answers until a class's mean is known. */
-    private static final int MOST_VOTES = 40, LEAST_SAMPLES = 20;
+    private static final int MOST_VOTES = 40;
+
+    private static final int LEAST_SAMPLES = 20;
+
     private static final double MEAN_SAMPLES = 100;
     private static final double SECOND_NANOS = 1e9;
-    private static final long STEP_TOKEN = 1, SWEEP_TOKEN = 2, ASK_TOKEN = 3;
+    private static final long STEP_TOKEN = 1;
+    private static final long SWEEP_TOKEN = 2;
+    private static final long ASK_TOKEN = 3;
 
     private final Settings settings;
     private final Rules rules;
@@ -92,6 +150,7 @@
     private final Map<String, Kind> kinds = new LinkedHashMap<>();
     /** The classes that a server has failed at. */
     private final Set<Kind> erring = new LinkedHashSet<>();
+
     private final Map<String, Quota> quotas = new HashMap<>();
     private final Map<String, Server> servers = new LinkedHashMap<>();
     private final List<Server> ready = new ArrayList<>();
@@ -99,11 +158,28 @@
     private final LinkedHashSet<Request> held = new LinkedHashSet<>();
     private final Map<Integer, Server> byCode = new HashMap<>();
     private final Map<Integer, Heard> peers = new LinkedHashMap<>();
-    private byte[] told = { };
+    private byte[] told = {};
     private long toldAt;
-    private double total = 1, lateness, warmRate, extra, pressure, leastPressure, bestValue;
-    private int gateways, inFlight, inDoubt, arrivals, answers, refusals, failedAsks;
-    private long now, heardUpTo, tickStart, calmSweepNanos, sweepAt = Long.MAX_VALUE, endsAt = Long.MAX_VALUE;
+    private double total = 1;
+    private double lateness;
+    private double warmRate;
+    private double extra;
+    private double pressure;
+    private double leastPressure;
+    private double bestValue;
+    private int gateways;
+    private int inFlight;
+    private int inDoubt;
+    private int arrivals;
+    private int answers;
+    private int refusals;
+    private int failedAsks;
+    private long now;
+    private long heardUpTo;
+    private long tickStart;
+    private long calmSweepNanos;
+    private long sweepAt = Long.MAX_VALUE;
+    private long endsAt = Long.MAX_VALUE;
     private List<RequestClass> classesTaken = List.of();
     private boolean started;
 
@@ -174,8 +250,10 @@
         }
         erring.retainAll(kinds.values());
         rankClasses();
-        double aim = kinds.values().stream().mapToLong(k -> k.spec.aimNanos()).min().orElse(0);
-        calmSweepNanos = settings.allowed().peers() ? sweepNanos
+        double aim =
+                kinds.values().stream().mapToLong(k -> k.spec.aimNanos()).min().orElse(0);
+        calmSweepNanos = settings.allowed().peers()
+                ? sweepNanos
                 : Math.max(sweepNanos, (long) (aim * CALM_SWEEP_OF_AIM * rules.longWork()));
     }
 
@@ -247,19 +325,22 @@
     /** Half the answers taking half their aim means more work than the servers drawn on can do in time. */
     private void feel(Kind kind, Outcome outcome, long elapsedNanos) {
         boolean late = outcome != Outcome.SERVED || elapsedNanos > kind.spec.aimNanos() * PATIENCE_OF_AIM;
-        pressure = Math.max(leastPressure, Math.min(1 + ZONES_OPEN - leastAdmitted(),
-                pressure + (late ? PRESSURE_STEP : -PRESSURE_STEP)));
+        pressure = Math.max(
+                leastPressure,
+                Math.min(1 + ZONES_OPEN - leastAdmitted(), pressure + (late ? PRESSURE_STEP : -PRESSURE_STEP)));
     }
 
     /** Guards against a gateway of little traffic that sheds nearly all and so is long in learning that it need not. */
     private double leastAdmitted() {
         double perSecond = warmRate() * ready.size();
-        return sparse() ? Math.max(LEAST_ADMITTED, Math.min(1, LEAST_SAMPLES / Math.max(1, perSecond))) : LEAST_ADMITTED;
+        return sparse()
+                ? Math.max(LEAST_ADMITTED, Math.min(1, LEAST_SAMPLES / Math.max(1, perSecond)))
+                : LEAST_ADMITTED;
     }
 
     /**
-     * Guards against serving a client's repeat whose aim passed with its first try. Such a repeat has what is
-     * left of the deadline; first tries have one time-out, which most requests share.
+     * Guards against serving a client's repeat whose aim passed with its first try. Such a repeat has what is left of
+     * the deadline; first tries have one time-out, which most requests share.
      */
     private long firstAsked(RequestArrived e, Kind kind) {
         long deadline = kind.spec.deadlineNanos();
@@ -293,9 +374,9 @@
     }
 
     /**
-     * Too late to be answered within the aim, even if it were sent now. Guards against giving up on a class
-     * for good after a time in which its mean answer took longer than its aim: with all of its requests shed,
-     * no answer would ever tell that this time is over.
+     * Too late to be answered within the aim, even if it were sent now. Guards against giving up on a class for good
+     * after a time in which its mean answer took longer than its aim: with all of its requests shed, no answer would
+     * ever tell that this time is over.
      */
     private boolean hopeless(Request r) {
         double aim = r.kind.spec.aimNanos();
@@ -304,8 +385,8 @@
     }
 
     /**
-     * Sends what is held while a server has room: best worth for its work first and, guarding against
-     * sending in overload only what is about to miss its aim, the newest of these first.
+     * Sends what is held while a server has room: best worth for its work first and, guarding against sending in
+     * overload only what is about to miss its aim, the newest of these first.
      */
     private void dispatch() {
         while (!held.isEmpty()) {
@@ -334,7 +415,11 @@
             limits += s.limit * cold;
             double room = may ? roomGate(s, cold) : 0;
             if (room > 0 && s.ready && coldBudget(s) >= 1 && effectAllows(r, s) && !r.wasAt(s)) {
-                double gates = room * cold * healthGate(s) * classGate(r.kind, s) * zoneGate(s)
+                double gates = room
+                        * cold
+                        * healthGate(s)
+                        * classGate(r.kind, s)
+                        * zoneGate(s)
                         * (sparse ? portionGate(s) * crowdGate(s) : 1);
                 double weight = s.share * gates;
                 sum += weight;
@@ -412,7 +497,9 @@
         return sparse() ? (s.portion + equal) / 2 : equal;
     }
 
-    /** Fewer samples of a server in a tick than make a mean of its own; before the first tick's end, by what has come. */
+    /**
+     * Fewer samples of a server in a tick than make a mean of its own; before the first tick's end, by what has come.
+     */
     private boolean sparse() {
         if (settings.gatewayNumber() < 0) {
             return false;
@@ -467,9 +554,9 @@
     }
 
     /**
-     * Guards against silent servers, and fast errors, which would gain share: such a server gets one request
-     * a trial time from all gateways, even if it alone has room. Where most are doubtful, only those stay so
-     * that fail nearly always (a lost zone); where all are, none.
+     * Guards against silent servers, and fast errors, which would gain share: such a server gets one request a trial
+     * time from all gateways, even if it alone has room. Where most are doubtful, only those stay so that fail nearly
+     * always (a lost zone); where all are, none.
      */
     private double healthGate(Server s) {
         boolean serves = 2 * inDoubt > ready.size() && (inDoubt == ready.size() || failures(s) < SURE);
@@ -477,10 +564,10 @@
     }
 
     /**
-     * Guards against servers that fail one class and serve the others, which among all their answers hide it:
-     * a part of them that is broken, a release that can't do it, a store behind them that is gone. Only errors
-     * count, a server's own word, as slowness and crowding have other causes. It could do harm where the few
-     * that still serve a class can't bear all of it; where none does, all are tried.
+     * Guards against servers that fail one class and serve the others, which among all their answers hide it: a part of
+     * them that is broken, a release that can't do it, a store behind them that is gone. Only errors count, a server's
+     * own word, as slowness and crowding have other causes. It could do harm where the few that still serve a class
+     * can't bear all of it; where none does, all are tried.
      */
     private double classGate(Kind kind, Server s) {
         ClassHealth h = s.classes.get(kind);
@@ -494,7 +581,9 @@
     /** This class and not all: what fails at every class is {@link #healthGate}'s. */
     private boolean fails(Server s, Kind kind) {
         ClassHealth h = s.classes.get(kind);
-        return h != null && errors(h) >= FAILS_CLASS && s.classes.values().stream().anyMatch(o -> errors(o) < FAILING);
+        return h != null
+                && errors(h) >= FAILS_CLASS
+                && s.classes.values().stream().anyMatch(o -> errors(o) < FAILING);
     }
 
     private boolean doubtful(Server s) {
@@ -503,7 +592,10 @@
 
     /** The guard that every send passes, wherever it goes: further tries, and none past the end. */
     private boolean maySend(Request r) {
-        return !r.concluded && !r.streaming && now < r.deadline && r.attempts.size() < mostAttempts(r)
+        return !r.concluded
+                && !r.streaming
+                && now < r.deadline
+                && r.attempts.size() < mostAttempts(r)
                 && r.outstanding == 0;
     }
 
@@ -518,18 +610,20 @@
             return true;
         }
         boolean dropped = c.effect() == Effect.KEYED && now - first.sentAt() < c.dedupWindowNanos();
-        return dropped && switch (c.group()) {
-            case ALL -> true;
-            case ZONE -> s.info.zone().equals(first.server().info.zone());
-            case CELL -> s.info.cell() == first.server().info.cell();
-        };
+        return dropped
+                && switch (c.group()) {
+                    case ALL -> true;
+                    case ZONE -> s.info.zone().equals(first.server().info.zone());
+                    case CELL -> s.info.cell() == first.server().info.cell();
+                };
     }
 
     /** The one guard that every refusal passes: it tells the client that a further try is harmless. */
     private static boolean mayRefuse(Request r) {
         RequestClass c = r.kind.spec;
-        return c.effect() == Effect.SAFE || r.firstThatMayRun() == null
-                || c.effect() == Effect.KEYED && c.group() == Group.ALL;
+        return c.effect() == Effect.SAFE
+                || r.firstThatMayRun() == null
+                || (c.effect() == Effect.KEYED && c.group() == Group.ALL);
     }
 
     /** Requests that may go to a cold server now, by what a warm one was seen to bear. */
@@ -620,7 +714,11 @@
     /** Calls off what is still out, once, and forgets the request when nothing is. */
     private void conclude(Request r) {
         for (Attempt a : r.attempts) {
-            if (!r.concluded && !a.ended() && (r.calledOff >> a.number() & 1) == 0 && settings.allowed().cancel() && !r.streaming) {
+            if (!r.concluded
+                    && !a.ended()
+                    && (r.calledOff >> a.number() & 1) == 0
+                    && settings.allowed().cancel()
+                    && !r.streaming) {
                 actions.cancel(r.id, a.number());
             }
         }
@@ -661,8 +759,7 @@
                 erring.add(kind);
             }
         }
-        if (served || outcome == Outcome.FULL || outcome == Outcome.TIMED_OUT
-                || outcome == Outcome.CANCELLED) {
+        if (served || outcome == Outcome.FULL || outcome == Outcome.TIMED_OUT || outcome == Outcome.CANCELLED) {
             feel(kind, outcome, elapsedNanos);
             adapt(s, outcome == Outcome.FULL ? 2 : elapsedNanos / budget(kind));
         }
@@ -693,8 +790,8 @@
     }
 
     /**
-     * Moves the in-flight limit by the lateness of answers; where they are rare, by the fleet's. Guards
-     * against limits that rise unused in calm times and choke what is left when a zone is lost.
+     * Moves the in-flight limit by the lateness of answers; where they are rare, by the fleet's. Guards against limits
+     * that rise unused in calm times and choke what is left when a zone is lost.
      */
     private void adapt(Server s, double late) {
         s.lateness += HEALTH_RATE * (late - s.lateness);
@@ -729,7 +826,7 @@
         erring.forEach(k -> k.failsEverywhere = ready.stream().allMatch(s -> fails(s, k)));
         for (Request r : List.copyOf(held)) {
             r.value = value(r);
-            if (endsBeforeSweep(r) || hopeless(r) && r.kind.spec.lateWorth() == 0) {
+            if (endsBeforeSweep(r) || (hopeless(r) && r.kind.spec.lateWorth() == 0)) {
                 finish(r);
             }
         }
@@ -746,14 +843,15 @@
         }
         int overdue = 0;
         double slowness = Math.max(1, lateness);
-        for (Iterator<Attempt> i = s.waiting.iterator(); i.hasNext();) {
+        for (Iterator<Attempt> i = s.waiting.iterator(); i.hasNext(); ) {
             Attempt a = i.next();
             if (a.ended()) {
                 i.remove();
                 continue;
             }
             // Guards against calling off long work, which would only begin anew elsewhere.
-            double outOfAim = (heardUpTo - a.sentAt()) / (slowness * rules.longWork() * a.request().kind.spec.aimNanos());
+            double outOfAim = (heardUpTo - a.sentAt())
+                    / (slowness * rules.longWork() * a.request().kind.spec.aimNanos());
             boolean atSilent = s.silent && rules.longWork() > 1;
             if (outOfAim > OVERTAKEN_OF_AIM && (a.sentAt() < s.answeredSentAt || atSilent)) {
                 lose(a);
@@ -775,10 +873,10 @@
     }
 
     /**
-     * Guards against answers that never come, while later ones do: such an attempt would hold a place at its
-     * server until its time-out, and two of them all places; equally against work that is stuck in a server.
-     * Where it may run again it is called off once it can be tried again. It could do harm where work differs so
-     * much that long requests are overtaken as a rule: they would be run twice, within the budget for tries.
+     * Guards against answers that never come, while later ones do: such an attempt would hold a place at its server
+     * until its time-out, and two of them all places; equally against work that is stuck in a server. Where it may run
+     * again it is called off once it can be tried again. It could do harm where work differs so much that long requests
+     * are overtaken as a rule: they would be run twice, within the budget for tries.
      */
     private void lose(Attempt a) {
         Request r = a.request();
@@ -798,7 +896,10 @@
      * gateway breaks off nothing, as then there may be nobody to try again.
      */
     private boolean canGoElsewhere(Request r) {
-        return endsAt == Long.MAX_VALUE && now < r.deadline && r.attempts.size() < mostAttempts(r) && extra >= 1
+        return endsAt == Long.MAX_VALUE
+                && now < r.deadline
+                && r.attempts.size() < mostAttempts(r)
+                && extra >= 1
                 && ready.stream().anyMatch(s -> !r.wasAt(s) && healthGate(s) > 0 && roomGate(s, coldGate(s)) > 0);
     }
 
@@ -821,7 +922,7 @@
         int counted = 0;
         for (Server s : ready) {
             Pool like = pools.get(s.likes);
-            s.sampled = s.tick.samples > 0 || few && like.samples > 0;
+            s.sampled = s.tick.samples > 0 || (few && like.samples > 0);
             if (s.sampled) {
                 s.latency = s.tick.mixed(like.mixed(fleet.mean(), SHRINK_SAMPLES), SHRINK_SAMPLES);
                 mean += s.latency;
@@ -850,9 +951,9 @@
     }
 
     /**
-     * Guards against shutting out for good. What is refused teaches nothing, and a gateway of little traffic that admits
-     * a twentieth of it would be minutes in learning that it need not: the fewer answers a tick brought, the more of the
-     * pressure is no longer known to be there.
+     * Guards against shutting out for good. What is refused teaches nothing, and a gateway of little traffic that
+     * admits a twentieth of it would be minutes in learning that it need not: the fewer answers a tick brought, the
+     * more of the pressure is no longer known to be there.
      */
     private void relax() {
         double known = Math.min(1, (double) answers / LEAST_SAMPLES);
@@ -880,7 +981,8 @@
         }
         double mean = ready.stream().mapToDouble(s -> s.share).average().orElse(1);
         // Guards against holding back the whole traffic when all servers are replaced one by one.
-        double first = Math.max(FIRST_IN_FLIGHT / gateways,
+        double first = Math.max(
+                FIRST_IN_FLIGHT / gateways,
                 ready.stream().mapToDouble(s -> s.limit).average().orElse(0));
         for (ServerInfo info : e.servers()) {
             Server s = servers.get(info.id());
--- a/src/main/java/tinworks/policy/InFlightReport.java
+++ b/src/main/java/tinworks/policy/InFlightReport.java
@@ -1,20 +1,22 @@
 package tinworks.policy;
 
-import tinworks.policy.State.Server;
 import java.nio.ByteBuffer;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import tinworks.policy.State.Server;
 
 /**
- * The message in which a gateway tells the others how many requests it has out at which server: a byte for the
- * form, then four bytes that stand for a server's id and one for the count. It decides nothing.
+ * The message in which a gateway tells the others how many requests it has out at which server: a byte for the form,
+ * then four bytes that stand for a server's id and one for the count. It decides nothing.
  */
 final class InFlightReport {
     private static final byte FORM = 1;
-    private static final int ENTRY = Integer.BYTES + 1, MOST_BYTES = 256, MOST_COUNT = 255;
+    private static final int ENTRY = Integer.BYTES + 1;
+    private static final int MOST_BYTES = 256;
+    private static final int MOST_COUNT = 255;
 
-    private InFlightReport() { }
+    private InFlightReport() {}
 
     /** What stands for a server in a message. Where two have the same, their counts are told as one of theirs. */
     static int code(String id) {
--- a/src/main/java/tinworks/policy/Protocol.java
+++ b/src/main/java/tinworks/policy/Protocol.java
@@ -3,21 +3,27 @@
 import java.util.List;
 
 /**
- * The interface of the decision module {@link Choice}: what a gateway tells it and what it may ask for.
- * All times are nanoseconds; the clock starts anywhere and only moves forward.
+ * The interface of the decision module {@link Choice}: what a gateway tells it and what it may ask for. All times are
+ * nanoseconds; the clock starts anywhere and only moves forward.
  *
- * <p>A gateway owns one {@link Choice} and calls it from one thread, each event as it happens. It delivers
- * each request once, under an id that is not used again; exactly one {@link AttemptEnded} for each send; a
- * {@link TimerFired} for each timer, never early; and the server list whenever it changes. In return each
- * request gets one final answer: the first SERVED outcome, which the host passes to the client itself, a
- * refusal or a failure, all before the request expires. Equal settings, seed and events give equal actions.
+ * <p>A gateway owns one {@link Choice} and calls it from one thread, each event as it happens. It delivers each request
+ * once, under an id that is not used again; exactly one {@link AttemptEnded} for each send; a {@link TimerFired} for
+ * each timer, never early; and the server list whenever it changes. In return each request gets one final answer: the
+ * first SERVED outcome, which the host passes to the client itself, a refusal or a failure, all before the request
+ * expires. Equal settings, seed and events give equal actions.
  */
 public interface Protocol {
 
     /** How an attempt ended. */
     enum Outcome {
-        SERVED(false), ERROR(false), FULL(true), TIMED_OUT(false), CONNECT_FAILED(true), RESET(false),
-        CANCELLED(false), NOT_SENT(true);
+        SERVED(false),
+        ERROR(false),
+        FULL(true),
+        TIMED_OUT(false),
+        CONNECT_FAILED(true),
+        RESET(false),
+        CANCELLED(false),
+        NOT_SENT(true);
 
         private final boolean neverRan;
 
@@ -32,16 +38,33 @@
     }
 
     /** What a second run of the same request would do. */
-    enum Effect { SAFE, KEYED, UNSAFE }
+    enum Effect {
+        SAFE,
+        KEYED,
+        UNSAFE
+    }
 
     /** Which servers drop a repeat of a keyed request: all, those of one zone, or those of one cell. */
-    enum Group { ALL, ZONE, CELL }
+    enum Group {
+        ALL,
+        ZONE,
+        CELL
+    }
 
     /** What the server list says of a server. */
-    enum Readiness { READY, DRAINING, GONE }
+    enum Readiness {
+        READY,
+        DRAINING,
+        GONE
+    }
 
     /** Changes only, the whole list, the list as last held by a gateway that starts, or a failed call. */
-    enum ListKind { CHANGES, WHOLE, CACHED, FAILED }
+    enum ListKind {
+        CHANGES,
+        WHOLE,
+        CACHED,
+        FAILED
+    }
 
     /**
      * A class of requests.
@@ -50,22 +73,49 @@
      * @param tries the most attempts for one of its requests, within what the gateway allows
      * @param failureNanos what an attempt without a whole answer counts as in the loop at least; 0 for the time it took
      */
-    record RequestClass(String name, Effect effect, Group group, long dedupWindowNanos, long aimNanos,
-                        long deadlineNanos, double worth, double lateWorth, boolean stream, int tries,
-                        long failureNanos) {
+    record RequestClass(
+            String name,
+            Effect effect,
+            Group group,
+            long dedupWindowNanos,
+            long aimNanos,
+            long deadlineNanos,
+            double worth,
+            double lateWorth,
+            boolean stream,
+            int tries,
+            long failureNanos) {
         /** One whose tries are the gateway's, and whose failures count as long as they took. */
-        public RequestClass(String name, Effect effect, Group group, long dedupWindowNanos, long aimNanos,
-                            long deadlineNanos, double worth, double lateWorth, boolean stream) {
-            this(name, effect, group, dedupWindowNanos, aimNanos, deadlineNanos, worth, lateWorth, stream,
-                    Integer.MAX_VALUE, 0);
+        public RequestClass(
+                String name,
+                Effect effect,
+                Group group,
+                long dedupWindowNanos,
+                long aimNanos,
+                long deadlineNanos,
+                double worth,
+                double lateWorth,
+                boolean stream) {
+            this(
+                    name,
+                    effect,
+                    group,
+                    dedupWindowNanos,
+                    aimNanos,
+                    deadlineNanos,
+                    worth,
+                    lateWorth,
+                    stream,
+                    Integer.MAX_VALUE,
+                    0);
         }
     }
 
     /** A tenant and the requests a second, over all gateways, that are within its share. */
-    record Tenant(String name, double quotaPerSecond) { }
+    record Tenant(String name, double quotaPerSecond) {}
 
     /** What a gateway may do. */
-    record Allowed(int maxAttempts, boolean cancel, boolean peers) { }
+    record Allowed(int maxAttempts, boolean cancel, boolean peers) {}
 
     /**
      * The figures of the rules.
@@ -75,26 +125,55 @@
      * @param longWork how many times as long an attempt may take, before it counts as overdue, as where work hardly
      *     differs; above 1 also what is overdue at a silent server is called off
      */
-    record Rules(long answerSlackNanos, long drainGraceNanos, long askWithinNanos, double coldFrom,
-                 long warmUpNanos, double overloadFactor, long overloadForNanos, double furtherArrivals,
-                 double longWork) {
+    record Rules(
+            long answerSlackNanos,
+            long drainGraceNanos,
+            long askWithinNanos,
+            double coldFrom,
+            long warmUpNanos,
+            double overloadFactor,
+            long overloadForNanos,
+            double furtherArrivals,
+            double longWork) {
         /** Those of a deployment that doesn't count arrivals, and whose requests need about the same work. */
-        public Rules(long answerSlackNanos, long drainGraceNanos, long askWithinNanos, double coldFrom,
-                     long warmUpNanos, double overloadFactor, long overloadForNanos) {
-            this(answerSlackNanos, drainGraceNanos, askWithinNanos, coldFrom, warmUpNanos, overloadFactor,
-                    overloadForNanos, 0, 1);
+        public Rules(
+                long answerSlackNanos,
+                long drainGraceNanos,
+                long askWithinNanos,
+                double coldFrom,
+                long warmUpNanos,
+                double overloadFactor,
+                long overloadForNanos) {
+            this(
+                    answerSlackNanos,
+                    drainGraceNanos,
+                    askWithinNanos,
+                    coldFrom,
+                    warmUpNanos,
+                    overloadFactor,
+                    overloadForNanos,
+                    0,
+                    1);
         }
     }
 
     /**
      * What a gateway is told at its start.
      *
-     * @param gatewayNumber its place among the gateways, from 0; below 0 where they have none, and then it keeps to
-     *     no portion of the servers
+     * @param gatewayNumber its place among the gateways, from 0; below 0 where they have none, and then it keeps to no
+     *     portion of the servers
      */
-    record Settings(int gateways, int gatewayNumber, String zone, boolean subscribe, long resolutionNanos,
-                    List<RequestClass> classes, List<Tenant> tenants, double overShareWorth,
-                    Allowed allowed, Rules rules) {
+    record Settings(
+            int gateways,
+            int gatewayNumber,
+            String zone,
+            boolean subscribe,
+            long resolutionNanos,
+            List<RequestClass> classes,
+            List<Tenant> tenants,
+            double overShareWorth,
+            Allowed allowed,
+            Rules rules) {
         /** Checks each figure that a decision divides by or waits for. */
         public Settings {
             classes = List.copyOf(classes);
@@ -125,51 +204,84 @@
     }
 
     /** One entry of the server list; {@code startedAtNanos} is 0 where the start is long ago. */
-    record ServerInfo(String id, String zone, String kind, int cell, Readiness readiness,
-                      double capacityHint, long startedAtNanos) { }
+    record ServerInfo(
+            String id,
+            String zone,
+            String kind,
+            int cell,
+            Readiness readiness,
+            double capacityHint,
+            long startedAtNanos) {}
 
     /** A server's own account of its load; a value that it doesn't report is NaN. */
-    record LoadReport(double requestsPerSecond, double utilisation, double errorsPerSecond,
-                      double inFlight, double queued, double latencyMillis) { }
+    record LoadReport(
+            double requestsPerSecond,
+            double utilisation,
+            double errorsPerSecond,
+            double inFlight,
+            double queued,
+            double latencyMillis) {}
 
     /** What the host tells the module. */
-    sealed interface Event { }
+    sealed interface Event {}
 
     /** The server list, or changes to it; empty where a call failed. */
-    record ListReceived(ListKind kind, List<ServerInfo> servers) implements Event { }
+    record ListReceived(ListKind kind, List<ServerInfo> servers) implements Event {}
 
     /** A request; {@code tenant} and {@code key} may be null, {@code workNanos} is 0 where unknown. */
-    record RequestArrived(String id, String requestClass, String tenant, String key, long expiresInNanos,
-                          long workNanos, boolean retry) implements Event { }
+    record RequestArrived(
+            String id,
+            String requestClass,
+            String tenant,
+            String key,
+            long expiresInNanos,
+            long workNanos,
+            boolean retry)
+            implements Event {}
 
     /** The client left, or the answer is overdue: nothing is owed any more. */
-    record ClientLeft(String id) implements Event { }
+    record ClientLeft(String id) implements Event {}
 
     /** A streamed answer has begun: the attempt is the client's and no time-out runs any more. */
-    record StreamStarted(String id, int attempt, String server) implements Event { }
+    record StreamStarted(String id, int attempt, String server) implements Event {}
 
     /**
      * An attempt ended; {@code concluded} says that the request has its final answer.
      *
-     * @param heldUpNanos the part of {@code elapsedNanos} that the news may have waited here, while the gateway was busy
+     * @param heldUpNanos the part of {@code elapsedNanos} that the news may have waited here, while the gateway was
+     *     busy
      */
-    record AttemptEnded(String id, int attempt, String server, Outcome outcome, long elapsedNanos,
-                        boolean concluded, LoadReport load, long heldUpNanos) implements Event {
+    record AttemptEnded(
+            String id,
+            int attempt,
+            String server,
+            Outcome outcome,
+            long elapsedNanos,
+            boolean concluded,
+            LoadReport load,
+            long heldUpNanos)
+            implements Event {
         /** One that was told of as soon as it ended. */
-        public AttemptEnded(String id, int attempt, String server, Outcome outcome, long elapsedNanos, boolean concluded,
-                            LoadReport load) {
+        public AttemptEnded(
+                String id,
+                int attempt,
+                String server,
+                Outcome outcome,
+                long elapsedNanos,
+                boolean concluded,
+                LoadReport load) {
             this(id, attempt, server, outcome, elapsedNanos, concluded, load, 0);
         }
     }
 
     /** A probe ended. */
-    record Probed(String server, Outcome outcome, long elapsedNanos, LoadReport load) implements Event { }
+    record Probed(String server, Outcome outcome, long elapsedNanos, LoadReport load) implements Event {}
 
     /** Another gateway's message. */
-    record PeerSaid(int gateway, byte[] body) implements Event { }
+    record PeerSaid(int gateway, byte[] body) implements Event {}
 
     /** The gateway is to end: what comes from now on needs its final answer within this time. */
-    record Ending(long answerWithinNanos) implements Event { }
+    record Ending(long answerWithinNanos) implements Event {}
 
     /**
      * Other classes, or another number of gateways, from now on. A class of a name that was there keeps what was
@@ -198,14 +310,14 @@
     }
 
     /**
-     * What the module asks of its host. Each is called from within {@link Choice#on}, on its thread, and
-     * takes effect at the time of the event under way; none may call the module. Those with a default body
-     * are no-ops unless a host implements them.
+     * What the module asks of its host. Each is called from within {@link Choice#on}, on its thread, and takes effect
+     * at the time of the event under way; none may call the module. Those with a default body are no-ops unless a host
+     * implements them.
      */
     interface Actions {
         /**
-         * Starts the request's next attempt; attempts count from 0. The host owes one {@link AttemptEnded}
-         * for it, at the time-out at the latest.
+         * Starts the request's next attempt; attempts count from 0. The host owes one {@link AttemptEnded} for it, at
+         * the time-out at the latest.
          */
         void send(String request, String server, long timeoutNanos);
 
@@ -225,15 +337,15 @@
         void subscribe();
 
         /** Asks for the whole server list once. */
-        default void fetchList() { }
+        default void fetchList() {}
 
         /** Checks a server. */
-        default void probe(String server) { }
+        default void probe(String server) {}
 
         /** Sends a message to all other gateways. */
-        default void tellAll(byte[] body) { }
+        default void tellAll(byte[] body) {}
 
         /** A line for the operators. */
-        default void log(String line) { }
+        default void log(String line) {}
     }
 }
--- a/src/main/java/tinworks/policy/SettingsReader.java
+++ b/src/main/java/tinworks/policy/SettingsReader.java
@@ -1,5 +1,8 @@
 package tinworks.policy;
 
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
 import tinworks.policy.Protocol.Allowed;
 import tinworks.policy.Protocol.Effect;
 import tinworks.policy.Protocol.Group;
@@ -7,14 +10,11 @@
 import tinworks.policy.Protocol.Rules;
 import tinworks.policy.Protocol.Settings;
 import tinworks.policy.Protocol.Tenant;
-import java.util.ArrayList;
-import java.util.List;
-import java.util.Map;
 
 /**
- * Reads a deployment's settings from path and value pairs such as {@code grades.0.name}, the form of the
- * simulator's wire; a real gateway flattens its configuration into the same form. Unknown keys are passed
- * over. What is missing or unreadable ends as an {@link IllegalArgumentException} that names the key.
+ * Reads a deployment's settings from path and value pairs such as {@code grades.0.name}, the form of the simulator's
+ * wire; a real gateway flattens its configuration into the same form. Unknown keys are passed over. What is missing or
+ * unreadable ends as an {@link IllegalArgumentException} that names the key.
  */
 public final class SettingsReader {
     private final Map<String, String> values;
@@ -26,9 +26,17 @@
 
     /** The settings that the module needs. */
     public Settings read() {
-        return new Settings((int) number("group_size"), (int) number("my_number"), text("zone", ""),
-                text("discovery").equals("subscribe"), number("resolution_ns"), classes(), tenants(),
-                decimal("over_share_worth", 1), allowed(), rules());
+        return new Settings(
+                (int) number("group_size"),
+                (int) number("my_number"),
+                text("zone", ""),
+                text("discovery").equals("subscribe"),
+                number("resolution_ns"),
+                classes(),
+                tenants(),
+                decimal("over_share_worth", 1),
+                allowed(),
+                rules());
     }
 
     /** A whole number that has to be there. */
@@ -46,9 +54,16 @@
         long count = number("grades.count");
         for (int i = 0; i < count; i++) {
             String at = "grades." + i + ".";
-            classes.add(new RequestClass(text(at + "name"), effect(at), group(at),
-                    number(at + "window_ns", 0), number(at + "aim_ns"), number(at + "deadline_ns"),
-                    decimal(at + "value", 1), decimal(at + "late_worth", 0), flag(at + "stream", false)));
+            classes.add(new RequestClass(
+                    text(at + "name"),
+                    effect(at),
+                    group(at),
+                    number(at + "window_ns", 0),
+                    number(at + "aim_ns"),
+                    number(at + "deadline_ns"),
+                    decimal(at + "value", 1),
+                    decimal(at + "late_worth", 0),
+                    flag(at + "stream", false)));
         }
         return classes;
     }
@@ -77,21 +92,28 @@
         List<Tenant> tenants = new ArrayList<>();
         long count = number("accounts.count", 0);
         for (int i = 0; i < count; i++) {
-            tenants.add(new Tenant(text("accounts." + i + ".name"),
+            tenants.add(new Tenant(
+                    text("accounts." + i + ".name"),
                     decimal("accounts." + i + ".quota_per_s", Double.POSITIVE_INFINITY)));
         }
         return tenants;
     }
 
     private Allowed allowed() {
-        return new Allowed((int) number("allowed.max_attempts", 1), flag("allowed.may_cancel", false),
+        return new Allowed(
+                (int) number("allowed.max_attempts", 1),
+                flag("allowed.may_cancel", false),
                 flag("allowed.peers", false));
     }
 
     private Rules rules() {
-        return new Rules(number("obligations.answer_slack_ns", 0), number("obligations.drain_grace_ns"),
-                number("obligations.ask_within_ns", Long.MAX_VALUE), decimal("obligations.cold_from", 1),
-                number("obligations.warm_up_ns", 0), decimal("obligations.overload_factor", 1),
+        return new Rules(
+                number("obligations.answer_slack_ns", 0),
+                number("obligations.drain_grace_ns"),
+                number("obligations.ask_within_ns", Long.MAX_VALUE),
+                decimal("obligations.cold_from", 1),
+                number("obligations.warm_up_ns", 0),
+                decimal("obligations.overload_factor", 1),
                 number("obligations.overload_for_ns", 1));
     }
 
--- a/src/main/java/tinworks/policy/State.java
+++ b/src/main/java/tinworks/policy/State.java
@@ -1,12 +1,12 @@
 package tinworks.policy;
 
-import tinworks.policy.Protocol.RequestClass;
-import tinworks.policy.Protocol.ServerInfo;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import tinworks.policy.Protocol.RequestClass;
+import tinworks.policy.Protocol.ServerInfo;
 
 /** What a gateway remembers: plain holders without a decision, all of which are in {@link Choice}. */
 interface State {
@@ -16,17 +16,20 @@
         ServerInfo info;
         /** The same for servers that are held alike. */
         String likes;
+
         boolean ready;
         double share;
         /** The part of it that is this gateway's own, from 0 to 1. */
         double portion;
         /** Latencies in this tick, as multiples of their classes' means. */
         Pool tick = new Pool();
+
         double latency;
         boolean sampled;
         int inFlight;
         /** What other gateways said that they have out here. */
         int elsewhere;
+
         double limit;
         double lateness;
         double failures;
@@ -34,6 +37,7 @@
         long answeredAt;
         /** When the latest sent of its answered attempts went out. */
         long answeredSentAt;
+
         boolean silent;
         long trialAt;
         final Map<Kind, ClassHealth> classes = new HashMap<>();
@@ -90,9 +94,11 @@
         final List<Attempt> attempts = new ArrayList<>(2);
         /** A bit for each attempt that ended, and for each that is proved never to have run. */
         long ended;
+
         long neverRan;
         /** A bit for each attempt that holds no place any more, and for each that was called off. */
         long lost;
+
         long calledOff;
         int outstanding;
         boolean concluded;
@@ -141,10 +147,10 @@
     }
 
     /** A tenant's part of its share at this gateway, and what of it is left. */
-    record Quota(double perSecond, Bucket bucket) { }
+    record Quota(double perSecond, Bucket bucket) {}
 
     /** What another gateway last said that it has out, and when. */
-    record Heard(long at, Map<Server, Integer> counts) { }
+    record Heard(long at, Map<Server, Integer> counts) {}
 
     /** Tokens that come at a rate up to a most. */
     final class Bucket {
--- a/src/main/java/tinworks/raft/Entry.java
+++ b/src/main/java/tinworks/raft/Entry.java
@@ -11,11 +11,18 @@
  */
 public record Entry(long index, long term, Kind kind, byte[] body) {
     /** What an entry is for: a leader's first, a command to the state machine, or the voters from here on. */
-    public enum Kind { LEAD, COMMAND, MEMBERS }
+    public enum Kind {
+        LEAD,
+        COMMAND,
+        MEMBERS
+    }
 
     @Override
     public boolean equals(Object other) {
-        return other instanceof Entry e && index == e.index && term == e.term && kind == e.kind
+        return other instanceof Entry e
+                && index == e.index
+                && term == e.term
+                && kind == e.kind
                 && Arrays.equals(body, e.body);
     }
 
@@ -27,6 +34,7 @@
     /** The same for equal entries. */
     @Override
     public String toString() {
-        return index + "." + term + " " + kind + " " + body.length + " bytes #" + Integer.toHexString(Arrays.hashCode(body));
+        return index + "." + term + " " + kind + " " + body.length + " bytes #"
+                + Integer.toHexString(Arrays.hashCode(body));
     }
 }
--- a/src/main/java/tinworks/raft/Log.java
+++ b/src/main/java/tinworks/raft/Log.java
@@ -15,6 +15,7 @@
     private final List<Entry> entries;
     /** The index and the term before the first entry that is held; at the snapshot's or below. */
     private long start;
+
     private long startTerm;
 
     Log(Snapshot base, List<Entry> entries) {
@@ -83,7 +84,7 @@
     }
 
     private static long bytes(Entry entry) {
-        return ENTRY_BYTES + entry.body().length;
+        return (long) ENTRY_BYTES + entry.body().length;
     }
 
     void append(Entry entry) {
@@ -116,7 +117,9 @@
         base = snapshot;
     }
 
-    /** The voters as of an index, the snapshot's or a later one, as the latest entry of them at or before it has them. */
+    /**
+     * The voters as of an index, the snapshot's or a later one, as the latest entry of them at or before it has them.
+     */
     Voters votersAt(long index) {
         for (long i = Math.min(index, lastIndex()); i > base.index(); i--) {
             if (entry(i).kind() == Entry.Kind.MEMBERS) {
--- a/src/main/java/tinworks/raft/Member.java
+++ b/src/main/java/tinworks/raft/Member.java
@@ -6,4 +6,4 @@
  * @param id who it is for as long as its disk lives; a machine that comes back empty is another member
  * @param address where it takes messages, {@code ip:port}
  */
-public record Member(long id, String address) { }
+public record Member(long id, String address) {}
--- a/src/main/java/tinworks/raft/Members.java
+++ b/src/main/java/tinworks/raft/Members.java
@@ -7,13 +7,15 @@
 
 /** The bytes of a list of voters: a count, then for each an id, and an address behind its length. */
 public final class Members {
-    private static final int MOST = 64, LONGEST_ADDRESS = 64;
+    private static final int MOST = 64;
+    private static final int LONGEST_ADDRESS = 64;
 
-    private Members() { }
+    private Members() {}
 
     /** The list as bytes. */
     public static byte[] write(List<Member> members) {
-        ByteBuffer out = ByteBuffer.allocate(Integer.BYTES + members.size() * (Long.BYTES + Integer.BYTES + LONGEST_ADDRESS));
+        ByteBuffer out =
+                ByteBuffer.allocate(Integer.BYTES + members.size() * (Long.BYTES + Integer.BYTES + LONGEST_ADDRESS));
         out.putInt(members.size());
         for (Member member : members) {
             byte[] address = member.address().getBytes(StandardCharsets.UTF_8);
--- a/src/main/java/tinworks/raft/Message.java
+++ b/src/main/java/tinworks/raft/Message.java
@@ -12,22 +12,30 @@
      *
      * @param handedOver the leader itself asked the sender to stand
      */
-    record VoteRequest(long term, boolean pre, long lastIndex, long lastTerm, boolean handedOver)
-            implements Message { }
+    record VoteRequest(long term, boolean pre, long lastIndex, long lastTerm, boolean handedOver) implements Message {}
 
     /** Gives or denies a vote; {@code term} is the one asked about where it is given. */
-    record VoteReply(long term, boolean pre, boolean granted) implements Message { }
+    record VoteReply(long term, boolean pre, boolean granted) implements Message {}
 
     /**
      * Entries that follow {@code previousIndex}, none in a heartbeat.
      *
      * @param commit the leader's commit index
      * @param round counts the leader's rounds of heartbeats, for reads and leases
-     * @param echo the latest {@link AppendReply#sentAt} that the leader has from the member that this is for, 0 where none
+     * @param echo the latest {@link AppendReply#sentAt} that the leader has from the member that this is for, 0 where
+     *     none
      * @param leaseMillis how long the leader's lease lasts from when it got that, 0 where it has none
      */
-    record Append(long term, long previousIndex, long previousTerm, long commit, long round, List<Entry> entries,
-                  long echo, long leaseMillis) implements Message {
+    record Append(
+            long term,
+            long previousIndex,
+            long previousTerm,
+            long commit,
+            long round,
+            List<Entry> entries,
+            long echo,
+            long leaseMillis)
+            implements Message {
         /** Keeps its own list of entries. */
         public Append {
             entries = List.copyOf(entries);
@@ -61,13 +69,14 @@
     }
 
     /**
-     * A piece of a snapshot, which stands in place of entries that the leader no longer has; with no bytes a heartbeat that
-     * asks how far the follower has come.
+     * A piece of a snapshot, which stands in place of entries that the leader no longer has; with no bytes a heartbeat
+     * that asks how far the follower has come.
      *
      * @param offset where in the state the piece belongs
      * @param number counts the leader's messages of this kind
      */
-    record Install(long term, Snapshot.Label label, int offset, byte[] piece, long number, long round) implements Message { }
+    record Install(long term, Snapshot.Label label, int offset, byte[] piece, long number, long round)
+            implements Message {}
 
     /**
      * Answers an {@link Install} while bytes are missing; once all are on the disk an {@link AppendReply} does.
@@ -76,8 +85,8 @@
      * @param offset how many bytes of it are there, from its beginning on
      * @param number of the message that is answered
      */
-    record InstallReply(long term, long index, int offset, long number, long round) implements Message { }
+    record InstallReply(long term, long index, int offset, long number, long round) implements Message {}
 
     /** The leader asks its best follower to stand at once, since it is about to end. */
-    record HandOver(long term) implements Message { }
+    record HandOver(long term) implements Message {}
 }
--- a/src/main/java/tinworks/raft/Progress.java
+++ b/src/main/java/tinworks/raft/Progress.java
@@ -9,6 +9,7 @@
     long match;
     /** What it has to have before it may vote: where the log ended when the leader began to send it. */
     long target;
+
     long round;
     long heardAt;
     long rewoundAt;
@@ -16,6 +17,7 @@
     long askedAt = NEVER;
     /** The time that it sent last, on a clock of its own, 0 where none; and when that came. */
     long echo;
+
     long echoAt;
     /** The snapshot that is on its way, null where none is. */
     Transfer transfer;
--- a/src/main/java/tinworks/raft/Raft.java
+++ b/src/main/java/tinworks/raft/Raft.java
@@ -19,9 +19,9 @@
 import tinworks.raft.Output.Envelope;
 
 /**
- * One member's part in the agreement. Events come by {@link #tick}, {@link #receive} and the calls of a leader;
- * what is to be done about them is collected by {@link #drain}. Messages may be lost, doubled and late; nothing
- * here reads a clock, and time is the caller's steady milliseconds.
+ * One member's part in the agreement. Events come by {@link #tick}, {@link #receive} and the calls of a leader; what is
+ * to be done about them is collected by {@link #drain}. Messages may be lost, doubled and late; nothing here reads a
+ * clock, and time is the caller's steady milliseconds.
  *
  * <p>What keeps an acknowledged entry: a vote and an entry are told to others only once they are synced (the
  * {@link Output}'s order), an entry counts as committed once a majority of the voters has it and one of the leader's
@@ -32,7 +32,12 @@
  */
 public class Raft {
     /** What a member is at the moment. */
-    public enum Role { FOLLOWER, ASKING, CANDIDATE, LEADER }
+    public enum Role {
+        FOLLOWER,
+        ASKING,
+        CANDIDATE,
+        LEADER
+    }
 
     /** Entries of one message: enough for a batch, little enough not to hold up heartbeats. */
     private static final int MESSAGE_BYTES = 128 << 10;
@@ -52,8 +57,11 @@
     private final Map<Long, Long> reads = new LinkedHashMap<>();
     /** When each of the leader's latest rounds was sent. */
     private final Map<Long, Long> rounds = new LinkedHashMap<>();
+
     private final long startedAt;
-    /** Added to the times that are sent to the leader, so that what an earlier life of this member sent means nothing. */
+    /**
+     * Added to the times that are sent to the leader, so that what an earlier life of this member sent means nothing.
+     */
     private final long echoBase;
 
     private long term;
@@ -72,6 +80,7 @@
     private long tickets;
     /** When a leader that has handed over steps down if nobody took the lead, 0 where it hasn't. */
     private long leavesAt;
+
     private long freshUntil;
     private long freshIndex;
     private Voters voters;
@@ -109,7 +118,8 @@
 
     /**
      * Guards against breaking a lease by forgetting it: what was heard isn't on the disk, so a member that may have
-     * answered a leader takes its start for the last time that it heard one. No answer goes out before a term is synced.
+     * answered a leader takes its start for the last time that it heard one. No answer goes out before a term is
+     * synced.
      */
     boolean mayHavePromised() {
         return term > 0;
@@ -121,7 +131,7 @@
     public void tick(long nowMillis) {
         now = Math.max(now, nowMillis);
         if (role == Role.LEADER) {
-            if (leaves() && now >= leavesAt || !isAnswered()) {
+            if ((leaves() && now >= leavesAt) || !isAnswered()) {
                 stepDown();
             } else if (now >= heartbeatAt) {
                 broadcast();
@@ -163,23 +173,30 @@
         return role == Role.LEADER && !leaves() ? write(Kind.COMMAND, command) : 0;
     }
 
-    /** Whether a command of so many bytes may be written ahead of the commit index: one at least, and then by their bytes. */
+    /**
+     * Whether a command of so many bytes may be written ahead of the commit index: one at least, and then by their
+     * bytes.
+     */
     public boolean hasRoom(int bytes) {
         long uncommitted = log.bytes(commit, log.lastIndex());
         return commit == log.lastIndex() || uncommitted + bytes <= MOST_UNCOMMITTED;
     }
 
     /**
-     * Makes these the voters, any number of them others than now; false where this member doesn't lead, an earlier change
-     * isn't done yet, nothing would change, or the list is empty or names an id twice.
+     * Makes these the voters, any number of them others than now; false where this member doesn't lead, an earlier
+     * change isn't done yet, nothing would change, or the list is empty or names an id twice.
      *
-     * <p>One that leaves may hold the only other copy of an entry: logs have no gaps, so the change's first entry commits
-     * only once a majority of those to come has synced all that stands before it. Whatever commits after that needs a
-     * majority of those to come as well, so when those before lose their say everything committed is on such a majority.
+     * <p>One that leaves may hold the only other copy of an entry: logs have no gaps, so the change's first entry
+     * commits only once a majority of those to come has synced all that stands before it. Whatever commits after that
+     * needs a majority of those to come as well, so when those before lose their say everything committed is on such a
+     * majority.
      */
     public boolean changeMembers(List<Member> wanted) {
         boolean distinct = wanted.stream().mapToLong(Member::id).distinct().count() == wanted.size();
-        if (!mayChangeMembers() || wanted.isEmpty() || !distinct || Set.copyOf(wanted).equals(Set.copyOf(voters.current()))) {
+        if (!mayChangeMembers()
+                || wanted.isEmpty()
+                || !distinct
+                || Set.copyOf(wanted).equals(Set.copyOf(voters.current()))) {
             return false;
         }
         write(Kind.MEMBERS, new Voters(wanted, voters.current()).write());
@@ -227,9 +244,10 @@
     }
 
     /**
-     * Hands the lead to a voter that has all of the log, so that an end in good order costs no election. False where this
-     * member leads and nobody has all yet, or there are entries that aren't committed: it goes on and may be asked again.
-     * Once it has handed over it takes no proposals, has no lease, and steps down if nobody leads an election time later.
+     * Hands the lead to a voter that has all of the log, so that an end in good order costs no election. False where
+     * this member leads and nobody has all yet, or there are entries that aren't committed: it goes on and may be asked
+     * again. Once it has handed over it takes no proposals, has no lease, and steps down if nobody leads an election
+     * time later.
      */
     public boolean handOver() {
         if (role != Role.LEADER || leaves()) {
@@ -247,14 +265,22 @@
         return false;
     }
 
-    /** Guards against a successor whom the others deny their votes, or who takes the lead without what is acknowledged next. */
+    /**
+     * Guards against a successor whom the others deny their votes, or who takes the lead without what is acknowledged
+     * next.
+     */
     boolean hasAll(Progress p) {
         return p.match == log.lastIndex() && commit == log.lastIndex();
     }
 
-    /** Puts the applied state in place of the log up to an index that has been applied; not in the middle of a change of voters. */
+    /**
+     * Puts the applied state in place of the log up to an index that has been applied; not in the middle of a change of
+     * voters.
+     */
     public void compact(long index, byte[] state) {
-        if (index > log.base().index() && index <= applied && !log.votersAt(index).joint()) {
+        if (index > log.base().index()
+                && index <= applied
+                && !log.votersAt(index).joint()) {
             Snapshot snapshot = new Snapshot(index, log.term(index), log.membersAt(index), state);
             log.rebase(snapshot, tailBytes());
             unwrittenSnapshot = snapshot;
@@ -272,8 +298,17 @@
         while (applied < commit) {
             committed.add(log.entry(++applied));
         }
-        Output output = new Output(term, hardChanged ? hard : null, unwrittenSnapshot, unwrittenFrom, entries,
-                log.lastIndex(), outbox, restore, committed, List.copyOf(readable));
+        Output output = new Output(
+                term,
+                hardChanged ? hard : null,
+                unwrittenSnapshot,
+                unwrittenFrom,
+                entries,
+                log.lastIndex(),
+                outbox,
+                restore,
+                committed,
+                List.copyOf(readable));
         unwrittenFrom = 0;
         unwrittenSnapshot = null;
         restore = null;
@@ -360,8 +395,8 @@
     }
 
     /**
-     * Until when, on this member's clock, a follower that has applied {@link #freshIndex} may say that it is in touch, in
-     * steady milliseconds; at a leader its lease. What was acknowledged a lease before that is in its state.
+     * Until when, on this member's clock, a follower that has applied {@link #freshIndex} may say that it is in touch,
+     * in steady milliseconds; at a leader its lease. What was acknowledged a lease before that is in its state.
      */
     public long freshUntil() {
         return role == Role.LEADER ? leaseUntil() : freshUntil;
@@ -402,8 +437,9 @@
     }
 
     /**
-     * Whether no leader may be sending to this member: it has no vote, or has heard none for two election times. One that
-     * was voted out while it was away doesn't know it, so it has to ask to be sent the log whether or not it has a vote.
+     * Whether no leader may be sending to this member: it has no vote, or has heard none for two election times. One
+     * that was voted out while it was away doesn't know it, so it has to ask to be sent the log whether or not it has a
+     * vote.
      */
     public boolean isLeftOut() {
         return role != Role.LEADER && (!isVoter(self) || now - heardLeaderAt >= 2 * timing.electionMillis());
@@ -432,18 +468,21 @@
     }
 
     private long confirmedFrom() {
-        return quorum().agreed(m -> m.id() == self ? now
+        return quorum().agreed(m -> m.id() == self
+                ? now
                 : progress.containsKey(m.id()) ? confirmedFrom(progress.get(m.id())) : Progress.NEVER);
     }
 
-    /** Whether this leader has given up its lease for the rest of its term: who it asked to stand may do so at any time. */
+    /**
+     * Whether this leader has given up its lease for the rest of its term: who it asked to stand may do so at any time.
+     */
     boolean leaves() {
         return leavesAt != 0;
     }
 
     /**
-     * Takes a leader's word on its lease: the leader counts what is left from when it got this member's echo, so on this
-     * member's clock the lease lasts at least as long from when the echo was sent, however slow the network is.
+     * Takes a leader's word on its lease: the leader counts what is left from when it got this member's echo, so on
+     * this member's clock the lease lasts at least as long from when the echo was sent, however slow the network is.
      */
     private void toldLease(Append m) {
         long echoed = m.echo() - echoBase;
@@ -519,8 +558,8 @@
     }
 
     private void voteRequested(long from, VoteRequest m) {
-        boolean upToDate = m.lastTerm() > log.lastTerm()
-                || m.lastTerm() == log.lastTerm() && m.lastIndex() >= log.lastIndex();
+        boolean upToDate =
+                m.lastTerm() > log.lastTerm() || (m.lastTerm() == log.lastTerm() && m.lastIndex() >= log.lastIndex());
         boolean content = !m.handedOver() && content();
         if (m.pre()) {
             boolean would = m.term() > term && upToDate && !content;
@@ -617,7 +656,8 @@
     private boolean isAnswered() {
         Set<Long> heard = new HashSet<>();
         heard.add(self);
-        progress.values().stream().filter(p -> now - p.heardAt < 2 * timing.electionMillis())
+        progress.values().stream()
+                .filter(p -> now - p.heardAt < 2 * timing.electionMillis())
                 .forEach(p -> heard.add(p.member.id()));
         return majority(heard);
     }
@@ -668,8 +708,8 @@
     }
 
     /**
-     * Guards against filling the memory with what a slow follower doesn't take: with so many bytes unanswered it is sent
-     * heartbeats alone, and whichever of them it refuses tells from where to send again.
+     * Guards against filling the memory with what a slow follower doesn't take: with so many bytes unanswered it is
+     * sent heartbeats alone, and whichever of them it refuses tells from where to send again.
      */
     boolean mayFly(long unanswered) {
         return unanswered < MOST_IN_FLIGHT;
@@ -771,7 +811,7 @@
 
     /** Takes a piece; true once all are here. Another snapshot begins anew, and a leader's older one is passed over. */
     private boolean gather(long from, Install m) {
-        if (m.label().length() > Gathering.LONGEST || gathering != null && gathering.overtakes(m)) {
+        if (m.label().length() > Gathering.LONGEST || (gathering != null && gathering.overtakes(m))) {
             return false;
         }
         if (gathering == null || !gathering.label().equals(m.label())) {
@@ -802,10 +842,8 @@
         p.heardAt = now;
         p.round = Math.max(p.round, m.round());
         if (p.transfer != null && p.next <= log.start()) {
-            Transfer answered = p.transfer.answered(m);
-            boolean more = answered != p.transfer;
-            p.transfer = answered;
-            if (more) {
+            if (p.transfer.isAnsweredBy(m)) {
+                p.transfer = p.transfer.answered(m);
                 sendSnapshot(p);
             }
         }
@@ -867,7 +905,10 @@
         return log.term(index) == term;
     }
 
-    /** Ends a change whose first entry is committed, whoever began it; one that leaves goes once the second is committed. */
+    /**
+     * Ends a change whose first entry is committed, whoever began it; one that leaves goes once the second is
+     * committed.
+     */
     private void finishChange() {
         if (commit < log.membersIndex()) {
             return;
--- a/src/main/java/tinworks/raft/Snapshot.java
+++ b/src/main/java/tinworks/raft/Snapshot.java
@@ -4,8 +4,8 @@
 import java.util.zip.CRC32C;
 
 /**
- * What the log up to {@code index} came to: the voters and the state machine's bytes. No snapshot is made in the middle of
- * a change of voters.
+ * What the log up to {@code index} came to: the voters and the state machine's bytes. No snapshot is made in the middle
+ * of a change of voters.
  *
  * @param term the term of the entry at {@code index}, 0 where there was none
  */
--- a/src/main/java/tinworks/raft/Transfer.java
+++ b/src/main/java/tinworks/raft/Transfer.java
@@ -3,8 +3,9 @@
 import java.util.Arrays;
 
 /**
- * A snapshot on its way to one follower, in pieces of which one at most is under way. The same snapshot is sent to its end
- * though the leader may have a newer one by then: else a follower would never have a whole one while changes keep coming.
+ * A snapshot on its way to one follower, in pieces of which one at most is under way. The same snapshot is sent to its
+ * end though the leader may have a newer one by then: else a follower would never have a whole one while changes keep
+ * coming.
  *
  * @param offset how far the follower has come
  * @param awaited the number of the last piece sent, 0 where none is under way
@@ -30,13 +31,19 @@
     }
 
     /**
-     * What the follower's answer to a message comes to. Messages keep their order on a connection: one that was answered
-     * with nothing new, and was sent after the piece or is the piece itself, tells that the piece is lost, and what the
-     * follower had of it perhaps too.
+     * What the follower's answer to a message comes to. Messages keep their order on a connection: one that was
+     * answered with nothing new, and was sent after the piece or is the piece itself, tells that the piece is lost, and
+     * what the follower had of it perhaps too.
      */
     Transfer answered(Message.InstallReply reply) {
-        boolean counts = reply.index() == label.index() && reply.offset() >= 0 && reply.offset() <= label.length()
+        return isAnsweredBy(reply) ? new Transfer(snapshot, label, reply.offset(), 0) : this;
+    }
+
+    /** Whether an answer tells something about this transfer that wasn't known. */
+    boolean isAnsweredBy(Message.InstallReply reply) {
+        return reply.index() == label.index()
+                && reply.offset() >= 0
+                && reply.offset() <= label.length()
                 && (reply.offset() > offset || reply.number() >= awaited);
-        return counts ? new Transfer(snapshot, label, reply.offset(), 0) : this;
     }
 }
--- a/src/main/java/tinworks/raft/Voters.java
+++ b/src/main/java/tinworks/raft/Voters.java
@@ -9,8 +9,8 @@
  * Who votes. While a change is under way, both the voters to come and those before have to agree, each by a majority of
  * its own; whoever stands in both lists counts in both.
  *
- * <p>Its bytes are a list as {@link Members} writes it, and while a change is under way a second one behind it, of those
- * before. The bytes of an entry from before there were two lists are therefore read as ever.
+ * <p>Its bytes are a list as {@link Members} writes it, and while a change is under way a second one behind it, of
+ * those before. The bytes of an entry from before there were two lists are therefore read as ever.
  *
  * @param current who votes, or is about to
  * @param outgoing who voted before the change that is under way, empty where none is
@@ -60,7 +60,10 @@
             return first;
         }
         byte[] second = Members.write(outgoing);
-        return ByteBuffer.allocate(first.length + second.length).put(first).put(second).array();
+        return ByteBuffer.allocate(first.length + second.length)
+                .put(first)
+                .put(second)
+                .array();
     }
 
     /** Reads what {@link #write} wrote; anything else is an {@link IllegalArgumentException}. */
@@ -72,7 +75,8 @@
         }
         List<Member> outgoing = Members.read(in);
         if (outgoing.isEmpty() || in.hasRemaining()) {
-            throw new IllegalArgumentException("voters: " + outgoing.size() + " outgoing, " + in.remaining() + " bytes left over");
+            throw new IllegalArgumentException(
+                    "voters: " + outgoing.size() + " outgoing, " + in.remaining() + " bytes left over");
         }
         return new Voters(current, outgoing);
     }
--- a/src/main/java/tinworks/sim/Wire.java
+++ b/src/main/java/tinworks/sim/Wire.java
@@ -1,8 +1,5 @@
 package tinworks.sim;
 
-import tinworks.policy.Choice;
-import tinworks.policy.SettingsReader;
-import tinworks.policy.Protocol.*;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -13,10 +10,28 @@
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
+import tinworks.policy.Choice;
+import tinworks.policy.Protocol.Actions;
+import tinworks.policy.Protocol.AttemptEnded;
+import tinworks.policy.Protocol.ClientLeft;
+import tinworks.policy.Protocol.Event;
+import tinworks.policy.Protocol.ListKind;
+import tinworks.policy.Protocol.ListReceived;
+import tinworks.policy.Protocol.LoadReport;
+import tinworks.policy.Protocol.Outcome;
+import tinworks.policy.Protocol.PeerSaid;
+import tinworks.policy.Protocol.Probed;
+import tinworks.policy.Protocol.Readiness;
+import tinworks.policy.Protocol.RequestArrived;
+import tinworks.policy.Protocol.ServerInfo;
+import tinworks.policy.Protocol.Settings;
+import tinworks.policy.Protocol.StreamStarted;
+import tinworks.policy.Protocol.TimerFired;
+import tinworks.policy.SettingsReader;
 
 /**
- * The simulator's wire: turns lines into events, actions into lines, and keeps one {@link Choice} for each
- * gateway. It decides nothing.
+ * The simulator's wire: turns lines into events, actions into lines, and keeps one {@link Choice} for each gateway. It
+ * decides nothing.
  */
 public final class Wire {
     private static final HexFormat HEX = HexFormat.of();
@@ -139,18 +154,29 @@
     private Event event(Gateway gateway) {
         return switch (fields.tag) {
             case "FLEET" -> listReceived();
-            case "ASK" -> new RequestArrived(fields.text("rid"), fields.text("band"), tenant(),
-                    fields.optional("item"), fields.number("expires_in_ns"),
-                    fields.number("weight_hint_ns", 0), fields.number("is_retry", 0) == 1);
+            case "ASK" ->
+                new RequestArrived(
+                        fields.text("rid"),
+                        fields.text("band"),
+                        tenant(),
+                        fields.optional("item"),
+                        fields.number("expires_in_ns"),
+                        fields.number("weight_hint_ns", 0),
+                        fields.number("is_retry", 0) == 1);
             case "EXPIRED" -> new ClientLeft(fields.text("rid"));
-            case "STREAMING" -> new StreamStarted(fields.text("rid"), fields.integer("send_no"),
-                    fields.text("host"));
-            case "PING_RESULT" -> new Probed(fields.text("host"), outcome(), fields.number("delay_seen_ns"),
-                    load(gateway));
+            case "STREAMING" -> new StreamStarted(fields.text("rid"), fields.integer("send_no"), fields.text("host"));
+            case "PING_RESULT" ->
+                new Probed(fields.text("host"), outcome(), fields.number("delay_seen_ns"), load(gateway));
             case "WHISPER" -> new PeerSaid(fields.integer("neighbour"), body());
-            case "DONE" -> new AttemptEnded(fields.text("rid"), fields.integer("send_no"),
-                    fields.text("host"), outcome(), fields.number("delay_seen_ns"),
-                    fields.number("over", 0) == 1, load(gateway));
+            case "DONE" ->
+                new AttemptEnded(
+                        fields.text("rid"),
+                        fields.integer("send_no"),
+                        fields.text("host"),
+                        outcome(),
+                        fields.number("delay_seen_ns"),
+                        fields.number("over", 0) == 1,
+                        load(gateway));
             default -> new TimerFired(fields.number("nonce"));
         };
     }
@@ -236,9 +262,13 @@
                 throw new MalformedInput(in.lines, "the input ends within a POOL");
             }
             expectTag("ITEM");
-            servers.add(new ServerInfo(fields.text("host"), fields.text("dc"),
-                    fields.text("kind", ""), fields.integer("group", 0),
-                    readiness(), decimal(fields.text("capacity_hint", "1"), "capacity_hint", in.lines),
+            servers.add(new ServerInfo(
+                    fields.text("host"),
+                    fields.text("dc"),
+                    fields.text("kind", ""),
+                    fields.integer("group", 0),
+                    readiness(),
+                    decimal(fields.text("capacity_hint", "1"), "capacity_hint", in.lines),
                     fields.number("online_since_ns", 0)));
         }
         slots.set(slot, List.copyOf(servers));
@@ -272,7 +302,12 @@
 
     /** The values of a load report in the order of {@link LoadReport}'s fields. */
     private enum ReportColumn {
-        TPS, LOAD_SHARE, ERR_PS, CONCURRENT, DEPTH, MEAN_MS;
+        TPS,
+        LOAD_SHARE,
+        ERR_PS,
+        CONCURRENT,
+        DEPTH,
+        MEAN_MS;
 
         static ReportColumn named(String wireName) {
             for (ReportColumn column : values()) {
@@ -307,7 +342,10 @@
                 choice.on(now, event);
             } catch (RuntimeException e) {
                 failed = true;
-                line("GIVE_IN").append("\tmessage=").append(oneLine(e.toString())).append('\n');
+                line("GIVE_IN")
+                        .append("\tmessage=")
+                        .append(oneLine(e.toString()))
+                        .append('\n');
             }
         }
 
@@ -321,13 +359,23 @@
 
         @Override
         public void send(String request, String server, long timeoutNanos) {
-            line("FORWARD").append("\trid=").append(request).append("\thost=").append(server)
-                    .append("\ttry_for_ns=").append(timeoutNanos).append('\n');
+            line("FORWARD")
+                    .append("\trid=")
+                    .append(request)
+                    .append("\thost=")
+                    .append(server)
+                    .append("\ttry_for_ns=")
+                    .append(timeoutNanos)
+                    .append('\n');
         }
 
         @Override
         public void refuse(String request, long pauseNanos) {
-            line("DENY").append("\trid=").append(request).append("\tpause_ns=").append(pauseNanos)
+            line("DENY")
+                    .append("\trid=")
+                    .append(request)
+                    .append("\tpause_ns=")
+                    .append(pauseNanos)
                     .append('\n');
         }
 
@@ -338,7 +386,11 @@
 
         @Override
         public void cancel(String request, int attempt) {
-            line("UNDO_SEND").append("\trid=").append(request).append("\tsend_no=").append(attempt)
+            line("UNDO_SEND")
+                    .append("\trid=")
+                    .append(request)
+                    .append("\tsend_no=")
+                    .append(attempt)
                     .append('\n');
         }
 
@@ -349,13 +401,19 @@
 
         @Override
         public void tellAll(byte[] body) {
-            line("WRITE_PEER").append("\tpeer=all\tbody=")
-                    .append(body.length == 0 ? "-" : HEX.formatHex(body)).append('\n');
+            line("WRITE_PEER")
+                    .append("\tpeer=all\tbody=")
+                    .append(body.length == 0 ? "-" : HEX.formatHex(body))
+                    .append('\n');
         }
 
         @Override
         public void setTimer(long delayNanos, long token) {
-            line("REMIND").append("\toffset_ns=").append(delayNanos).append("\tnonce=").append(token)
+            line("REMIND")
+                    .append("\toffset_ns=")
+                    .append(delayNanos)
+                    .append("\tnonce=")
+                    .append(token)
                     .append('\n');
         }
 
--- a/src/main/java/tinworks/standin/StandInHost.java
+++ b/src/main/java/tinworks/standin/StandInHost.java
@@ -18,8 +18,8 @@
 import tinworks.net.Transport;
 
 /**
- * A host by the published protocol: it works on as many requests as it has slots, queues a few, turns away the rest with
- * {@code Not-Run}, stops at the deadline, and stamps its answers. All on one event loop.
+ * A host by the published protocol: it works on as many requests as it has slots, queues a few, turns away the rest
+ * with {@code Not-Run}, stops at the deadline, and stamps its answers. All on one event loop.
  */
 public final class StandInHost implements ClientServer.Listener, Listable {
     /**
@@ -32,14 +32,26 @@
      * @param speed how fast it is against the average, above 0; half that while it warms up
      * @param warmupMillis how long from its start it is slow
      */
-    public record Nature(String id, String service, String zone, int slots, int queue, double workMillis, double speed,
-                         long warmupMillis) { }
+    public record Nature(
+            String id,
+            String service,
+            String zone,
+            int slots,
+            int queue,
+            double workMillis,
+            double speed,
+            long warmupMillis) {}
 
     private static final HttpResponseStatus WRONG_HOST = HttpResponseStatus.valueOf(421, "Misdirected Request");
-    private static final int CONNECTIONS = 200, HEAD_BYTES = 32_768, BODY_BYTES = 8 << 20;
-    private static final long IDLE_SECONDS = 20, ARRIVAL_SECONDS = 10;
-    private static final String ATTEMPT = "Attempt-Id", CHECK = "/healthz";
-    private static final double COLD_SPEED = 0.5, SURE_PART = 0.5;
+    private static final int CONNECTIONS = 200;
+    private static final int HEAD_BYTES = 32_768;
+    private static final int BODY_BYTES = 8 << 20;
+    private static final long IDLE_SECONDS = 20;
+    private static final long ARRIVAL_SECONDS = 10;
+    private static final String ATTEMPT = "Attempt-Id";
+    private static final String CHECK = "/healthz";
+    private static final double COLD_SPEED = 0.5;
+    private static final double SURE_PART = 0.5;
 
     private final EventLoop loop;
     private final Nature nature;
@@ -53,7 +65,7 @@
     private boolean draining;
     private long arrivals;
 
-    private record Job(String id, long until, Reply reply) { }
+    private record Job(String id, long until, Reply reply) {}
 
     /** A host that doesn't listen yet; its work times are drawn from the seed. */
     public StandInHost(EventLoop loop, Nature nature, long seed, Ledger ledger) {
@@ -61,9 +73,18 @@
         this.nature = nature;
         this.ledger = ledger;
         random = new SplittableRandom(seed);
-        server = new ClientServer(loop, Transport.TCP, new GatewayClock(), new ClientServer.Bounds(CONNECTIONS,
-                TimeUnit.SECONDS.toNanos(ARRIVAL_SECONDS), TimeUnit.SECONDS.toNanos(IDLE_SECONDS), HEAD_BYTES, BODY_BYTES,
-                "/-/none"), this);
+        server = new ClientServer(
+                loop,
+                Transport.TCP,
+                new GatewayClock(),
+                new ClientServer.Bounds(
+                        CONNECTIONS,
+                        TimeUnit.SECONDS.toNanos(ARRIVAL_SECONDS),
+                        TimeUnit.SECONDS.toNanos(IDLE_SECONDS),
+                        HEAD_BYTES,
+                        BODY_BYTES,
+                        "/-/none"),
+                this);
     }
 
     /** Starts to listen; the future fails where the address can't be had. */
@@ -175,7 +196,11 @@
         if (inTime) {
             headers.set("Origin-Seal", "seal-" + nature.id() + "-" + job.id());
         }
-        answer(job.reply(), inTime ? HttpResponseStatus.OK : HttpResponseStatus.GATEWAY_TIMEOUT, headers, "done by " + nature.id());
+        answer(
+                job.reply(),
+                inTime ? HttpResponseStatus.OK : HttpResponseStatus.GATEWAY_TIMEOUT,
+                headers,
+                "done by " + nature.id());
         while (running < nature.slots() && !waiting.isEmpty()) {
             run(waiting.poll());
         }
@@ -186,7 +211,8 @@
     }
 
     private HttpHeaders headers(String id) {
-        HttpHeaders headers = new DefaultHttpHeaders().set("Served-By", nature.id())
+        HttpHeaders headers = new DefaultHttpHeaders()
+                .set("Served-By", nature.id())
                 .set("Host-Load", running + "," + waiting.size() + "," + nature.slots());
         return id == null ? headers : headers.set(ATTEMPT, id);
     }
--- a/src/main/java/tinworks/standin/StandInPlatform.java
+++ b/src/main/java/tinworks/standin/StandInPlatform.java
@@ -22,17 +22,20 @@
 import tinworks.net.Transport;
 
 /**
- * The platform's list of hosts by the published protocol: in pages, trailing what is so by a lag, and with a rate beyond
- * which it answers 429. On the event loop of the hosts that it lists.
+ * The platform's list of hosts by the published protocol: in pages, trailing what is so by a lag, and with a rate
+ * beyond which it answers 429. On the event loop of the hosts that it lists.
  *
  * @param <H> what hosts are
  */
 public final class StandInPlatform<H extends Listable> implements ClientServer.Listener {
-    private static final int PAGE = 50, CONNECTIONS = 100, HEAD_BYTES = 8_192;
-    private static final long SECOND_NANOS = TimeUnit.SECONDS.toNanos(1), IDLE_SECONDS = 30;
+    private static final int PAGE = 50;
+    private static final int CONNECTIONS = 100;
+    private static final int HEAD_BYTES = 8_192;
+    private static final long SECOND_NANOS = TimeUnit.SECONDS.toNanos(1);
+    private static final long IDLE_SECONDS = 30;
 
     /** A host as the list shows it, which trails what it is. */
-    private record Listed(Listable host, boolean draining) { }
+    private record Listed(Listable host, boolean draining) {}
 
     private final EventLoop loop;
     private final long lagMillis;
@@ -49,8 +52,18 @@
         this.loop = loop;
         this.lagMillis = lagMillis;
         this.ratePerSecond = ratePerSecond;
-        server = new ClientServer(loop, Transport.TCP, new GatewayClock(), new ClientServer.Bounds(CONNECTIONS,
-                TimeUnit.SECONDS.toNanos(2), TimeUnit.SECONDS.toNanos(IDLE_SECONDS), HEAD_BYTES, HEAD_BYTES, "/-/none"), this);
+        server = new ClientServer(
+                loop,
+                Transport.TCP,
+                new GatewayClock(),
+                new ClientServer.Bounds(
+                        CONNECTIONS,
+                        TimeUnit.SECONDS.toNanos(2),
+                        TimeUnit.SECONDS.toNanos(IDLE_SECONDS),
+                        HEAD_BYTES,
+                        HEAD_BYTES,
+                        "/-/none"),
+                this);
     }
 
     /** Starts to listen; the future fails where the address can't be had. */
@@ -77,7 +90,9 @@
 
     /** What a host tells has changed. */
     public void changed() {
-        List<Listed> now = hosts.values().stream().map(host -> new Listed(host, host.isDraining())).toList();
+        List<Listed> now = hosts.values().stream()
+                .map(host -> new Listed(host, host.isDraining()))
+                .toList();
         loop.schedule(() -> shown = now, lagMillis, TimeUnit.MILLISECONDS);
     }
 
@@ -100,8 +115,10 @@
         Listable host = listed.host();
         StandInHost.Nature nature = host.nature();
         return "{\"id\":\"" + nature.id() + "\",\"svc\":\"" + nature.service() + "\",\"addr\":\""
-                + host.address().getAddress().getHostAddress() + ":" + host.address().getPort() + "\",\"az\":\"" + nature.zone()
-                + "\",\"rev\":\"v1\",\"slots\":" + nature.slots() + ",\"status\":\"" + (listed.draining() ? "draining" : "ready")
+                + host.address().getAddress().getHostAddress() + ":"
+                + host.address().getPort() + "\",\"az\":\"" + nature.zone()
+                + "\",\"rev\":\"v1\",\"slots\":" + nature.slots() + ",\"status\":\""
+                + (listed.draining() ? "draining" : "ready")
                 + "\",\"warmupMs\":" + host.warmupLeftMillis() + "}";
     }
 
@@ -123,11 +140,19 @@
         }
         answered++;
         int from = cursor(uri);
-        List<String> page = shown.stream().skip(from).limit(PAGE).map(StandInPlatform::entry).toList();
+        List<String> page = shown.stream()
+                .skip(from)
+                .limit(PAGE)
+                .map(StandInPlatform::entry)
+                .toList();
         String next = from + PAGE < shown.size() ? "\"p-" + (from + PAGE) + "\"" : "null";
-        reply.write(HttpResponseStatus.OK, new DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, "application/json"),
-                Unpooled.copiedBuffer("{\"hosts\":[" + String.join(",", page) + "],\"nextCursor\":" + next + "}",
-                        StandardCharsets.UTF_8), 0);
+        reply.write(
+                HttpResponseStatus.OK,
+                new DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, "application/json"),
+                Unpooled.copiedBuffer(
+                        "{\"hosts\":[" + String.join(",", page) + "],\"nextCursor\":" + next + "}",
+                        StandardCharsets.UTF_8),
+                0);
     }
 
     private static int cursor(QueryStringDecoder uri) throws BadRequest {
