--- a/src/main/java/tinworks/store/CoreStore.java
+++ b/src/main/java/tinworks/store/CoreStore.java
@@ -7,6 +7,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.NavigableSet;
 import java.util.TreeSet;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -32,10 +33,12 @@
  *
  * <p>Records, all big-endian behind a CRC-32C of the rest (4 bytes). {@code meta/identity}: id (8). {@code meta/hard}:
  * term (8), vote (8). {@code meta/snapshot}: index (8), term (8), length (4) and bytes of the voters, the state.
- * {@code log}, by index: term (8), kind (1), body. {@code meta/sum}: a sum over the keys and checksums of all others (4).
+ * {@code log}, by index: term (8), kind (1), body. {@code meta/sum}: a sum over the keys and checksums of all others
+ * (4).
  *
- * <p>Files: {@code state.mv}, or with a number, {@code state-3.mv}, once it was written anew as it had grown: a file is only
- * ever added to. {@code founding.mv} is a store whose making was cut short, {@code damaged-...mv} one that was set aside.
+ * <p>Files: {@code state.mv}, or with a number, {@code state-3.mv}, once it was written anew as it had grown: a file is
+ * only ever added to. {@code founding.mv} is a store whose making was cut short, {@code damaged-...mv} one that was set
+ * aside.
  */
 public final class CoreStore implements AutoCloseable {
     /** A store whose contents can't be trusted. */
@@ -47,9 +50,13 @@
         }
     }
 
-    private static final String FOUNDING = "founding.mv", ASIDE = "damaged-";
+    private static final String FOUNDING = "founding.mv";
+    private static final String ASIDE = "damaged-";
     private static final Pattern STATE = Pattern.compile("state(?:-([0-9]{1,9}))?[.]mv");
-    private static final String IDENTITY = "identity", HARD = "hard", SNAPSHOT = "snapshot", SUM = "sum";
+    private static final String IDENTITY = "identity";
+    private static final String HARD = "hard";
+    private static final String SNAPSHOT = "snapshot";
+    private static final String SUM = "sum";
     private static final Entry.Kind[] KINDS = Entry.Kind.values();
     private static final int CACHE_MB = 1;
     private static final long SPARE_BYTES = 16 << 20;
@@ -81,9 +88,11 @@
     private final long spareBytes;
     /** The number of the file that is in use; -1 before the store is founded. */
     private int number = -1;
+
     private Records records;
     /** Over the keys and checksums of all records, in any order. */
     private int sum;
+
     private long liveBytes;
     private long renewAt;
 
@@ -99,7 +108,8 @@
 
     /**
      * Opens the store in a folder, and reads and syncs all of it; there may be none yet. A file that can't be read as a
-     * store is {@link Damaged}; a disk that can't be read or synced is an {@link IOException}, and nothing is said of the store.
+     * store is {@link Damaged}; a disk that can't be read or synced is an {@link IOException}, and nothing is said of
+     * the store.
      */
     public static CoreStore open(Folder folder) throws IOException, Damaged {
         return open(folder, SPARE_BYTES);
@@ -122,9 +132,9 @@
     }
 
     /**
-     * Renames a damaged store, so that nothing is lost and an empty one can be made; returns the file's new name. A file that
-     * is renamed may be lost by itself with the power, so a mark is made and synced first: it keeps the folder from looking
-     * {@link #untouched}.
+     * Renames a damaged store, so that nothing is lost and an empty one can be made; returns the file's new name. A
+     * file that is renamed may be lost by itself with the power, so a mark is made and synced first: it keeps the
+     * folder from looking {@link #untouched}.
      */
     public static String setAside(Folder folder, String date) throws IOException {
         List<String> files = folder.files();
@@ -160,12 +170,12 @@
     }
 
     /**
-     * Opens what is there. Of two files the older one counts, as nothing is acknowledged in a newer one before the older
-     * is gone for good; without any, a founding that was cut short before its name was sure is finished.
+     * Opens what is there. Of two files the older one counts, as nothing is acknowledged in a newer one before the
+     * older is gone for good; without any, a founding that was cut short before its name was sure is finished.
      */
     private void find() throws IOException, Damaged {
         List<String> files = folder.files();
-        TreeSet<Integer> numbers = numbers(files);
+        NavigableSet<Integer> numbers = numbers(files);
         if (numbers.isEmpty() && files.contains(FOUNDING) && isWhole(FOUNDING)) {
             folder.move(FOUNDING, name(0));
             numbers.add(0);
@@ -198,8 +208,8 @@
         }
     }
 
-    private static TreeSet<Integer> numbers(List<String> files) {
-        TreeSet<Integer> numbers = new TreeSet<>();
+    private static NavigableSet<Integer> numbers(List<String> files) {
+        NavigableSet<Integer> numbers = new TreeSet<>();
         for (String file : files) {
             Matcher matcher = STATE.matcher(file);
             if (matcher.matches()) {
@@ -217,15 +227,27 @@
         MVStore store = null;
         try {
             // Commits happen where they are asked for alone: a thread of the library's would sync at times of its own.
-            store = new MVStore.Builder().fileName(OrderedFile.path(folder.path(file))).autoCommitDisabled()
-                    .autoCommitBufferSize(0).cacheSize(CACHE_MB).open();
+            store = new MVStore.Builder()
+                    .fileName(OrderedFile.path(folder.path(file)))
+                    .autoCommitDisabled()
+                    .autoCommitBufferSize(0)
+                    .cacheSize(CACHE_MB)
+                    .open();
             // Nothing in a file is ever overwritten, so that what was synced stays; the time of day decides nothing.
             store.getFileStore().setReuseSpace(false);
             store.setRetentionTime(-1);
-            return new Records(store, store.openMap("log", new MVMap.Builder<Long, byte[]>()
-                    .keyType(LongDataType.INSTANCE).valueType(ByteArrayDataType.INSTANCE)),
-                    store.openMap("meta", new MVMap.Builder<String, byte[]>().keyType(StringDataType.INSTANCE)
-                    .valueType(ByteArrayDataType.INSTANCE)));
+            return new Records(
+                    store,
+                    store.openMap(
+                            "log",
+                            new MVMap.Builder<Long, byte[]>()
+                                    .keyType(LongDataType.INSTANCE)
+                                    .valueType(ByteArrayDataType.INSTANCE)),
+                    store.openMap(
+                            "meta",
+                            new MVMap.Builder<String, byte[]>()
+                                    .keyType(StringDataType.INSTANCE)
+                                    .valueType(ByteArrayDataType.INSTANCE)));
         } catch (RuntimeException | AssertionError e) {
             if (store != null) {
                 store.closeImmediately();
@@ -234,7 +256,10 @@
         }
     }
 
-    /** What became of reading a file: the disk's fault, or the file's. An {@link Error} is neither, but for MVStore's asserts. */
+    /**
+     * What became of reading a file: the disk's fault, or the file's. An {@link Error} is neither, but for MVStore's
+     * asserts.
+     */
     private static Damaged unreadable(Throwable e) throws IOException {
         IOException disk = null;
         for (Throwable cause = e; cause != null; cause = cause.getCause()) {
@@ -294,7 +319,7 @@
             HardState hard = hard();
             Snapshot snapshot = snapshot();
             List<Entry> entries = new ArrayList<>();
-            for (Cursor<Long, byte[]> each = records.log.cursor(null); each.hasNext();) {
+            for (Cursor<Long, byte[]> each = records.log.cursor(null); each.hasNext(); ) {
                 long index = each.next();
                 if (index > snapshot.index()) {
                     entries.add(entry(index, each.getValue()));
@@ -320,12 +345,12 @@
         try {
             sum = 0;
             liveBytes = 0;
-            for (Cursor<Long, byte[]> each = records.log.cursor(null); each.hasNext();) {
+            for (Cursor<Long, byte[]> each = records.log.cursor(null); each.hasNext(); ) {
                 long index = each.next();
                 unsealed(each.getValue(), "entry " + index);
                 count(Long.toString(index), null, each.getValue());
             }
-            for (Cursor<String, byte[]> each = records.meta.cursor(null); each.hasNext();) {
+            for (Cursor<String, byte[]> each = records.meta.cursor(null); each.hasNext(); ) {
                 String name = each.next();
                 unsealed(each.getValue(), name);
                 if (!name.equals(SUM)) {
@@ -362,7 +387,8 @@
 
     /**
      * Writes what an output asks for and returns when it is on the disk. A disk that refuses it ends as an
-     * {@link IllegalStateException} or {@link MVStoreException}, and the store must be opened again; an {@link Error} stays one.
+     * {@link IllegalStateException} or {@link MVStoreException}, and the store must be opened again; an {@link Error}
+     * stays one.
      */
     public void write(Output output) {
         if (number < 0 || records.store.isClosed()) {
@@ -376,12 +402,18 @@
                 writeSnapshot(output.snapshot());
             }
             if (output.cutFrom() > 0) {
-                for (Long last = records.log.lastKey(); last != null && last >= output.cutFrom(); last = records.log.lastKey()) {
+                for (Long last = records.log.lastKey();
+                        last != null && last >= output.cutFrom();
+                        last = records.log.lastKey()) {
                     removeEntry(last);
                 }
                 for (Entry entry : output.entries()) {
-                    putEntry(entry.index(), sealed(record(Long.BYTES + 1 + entry.body().length)
-                            .putLong(entry.term()).put((byte) entry.kind().ordinal()).put(entry.body())));
+                    putEntry(
+                            entry.index(),
+                            sealed(record(Long.BYTES + 1 + entry.body().length)
+                                    .putLong(entry.term())
+                                    .put((byte) entry.kind().ordinal())
+                                    .put(entry.body())));
                 }
             }
             sync();
@@ -437,7 +469,7 @@
         boolean done = false;
         try {
             long waiting = 0;
-            for (Cursor<Long, byte[]> each = records.log.cursor(null); each.hasNext();) {
+            for (Cursor<Long, byte[]> each = records.log.cursor(null); each.hasNext(); ) {
                 made.log.put(each.next(), each.getValue());
                 waiting += each.getValue().length;
                 if (waiting > COPY_BYTES) {
@@ -446,7 +478,7 @@
                 }
             }
             made.commit();
-            for (Cursor<String, byte[]> each = records.meta.cursor(null); each.hasNext();) {
+            for (Cursor<String, byte[]> each = records.meta.cursor(null); each.hasNext(); ) {
                 made.meta.put(each.next(), each.getValue());
             }
             made.sync();
@@ -466,10 +498,17 @@
 
     private void writeSnapshot(Snapshot snapshot) {
         byte[] members = Members.write(snapshot.members());
-        putMeta(SNAPSHOT, sealed(record(2 * Long.BYTES + Integer.BYTES + members.length + snapshot.state().length)
-                .putLong(snapshot.index()).putLong(snapshot.term()).putInt(members.length).put(members)
-                .put(snapshot.state())));
-        for (Long first = records.log.firstKey(); first != null && first <= snapshot.index(); first = records.log.firstKey()) {
+        putMeta(
+                SNAPSHOT,
+                sealed(record(2 * Long.BYTES + Integer.BYTES + members.length + snapshot.state().length)
+                        .putLong(snapshot.index())
+                        .putLong(snapshot.term())
+                        .putInt(members.length)
+                        .put(members)
+                        .put(snapshot.state())));
+        for (Long first = records.log.firstKey();
+                first != null && first <= snapshot.index();
+                first = records.log.firstKey()) {
             removeEntry(first);
         }
     }
@@ -554,6 +593,7 @@
     }
 
     /** The record, full to its end, with its checksum. */
+    @SuppressWarnings("ByteBufferBackingArray") // record() allocates each of them, whole and without an offset.
     private static byte[] sealed(ByteBuffer record) {
         CRC32C sum = new CRC32C();
         sum.update(record.array(), Integer.BYTES, record.capacity() - Integer.BYTES);
--- a/src/main/java/tinworks/store/Folder.java
+++ b/src/main/java/tinworks/store/Folder.java
@@ -4,8 +4,8 @@
 import java.util.List;
 
 /**
- * The folder that a store lives in. A file that was made, renamed or removed is only sure to be so after a loss of power
- * once the folder has been synced.
+ * The folder that a store lives in. A file that was made, renamed or removed is only sure to be so after a loss of
+ * power once the folder has been synced.
  */
 public interface Folder {
     /** Makes the folder where there is none; once this returns it outlasts a loss of power. */
--- a/src/main/java/tinworks/store/OrderedFile.java
+++ b/src/main/java/tinworks/store/OrderedFile.java
@@ -13,16 +13,23 @@
 import org.h2.store.fs.FilePathWrapper;
 
 /**
- * A file of MVStore's, written in an order that no loss of power can turn round. MVStore takes a chunk for whole that has
- * a head and a footer, whatever lies between. So a chunk is written up to its footer and synced, and the footer after that:
- * a chunk that has one is whole, and so is all that was written before it. The file's header names a chunk, and is written
- * once that is synced. Public as MVStore makes instances of it.
+ * A file of MVStore's, written in an order that no loss of power can turn round. MVStore takes a chunk for whole that
+ * has a head and a footer, whatever lies between. So a chunk is written up to its footer and synced, and the footer
+ * after that: a chunk that has one is whole, and so is all that was written before it. The file's header names a chunk,
+ * and is written once that is synced. Public as MVStore makes instances of it.
  */
 public final class OrderedFile extends FilePathWrapper {
     /** What stands before a file's path. */
     static final String SCHEME = "ordered";
-    private static final int FOOTER = 128, BLOCK = 4096, HEADER = 2 * BLOCK, RADIX = 16;
-    /** As MVStore reads it, which passes over what is no more than blank at the end: of a torn footer that is whole enough. */
+
+    private static final int FOOTER = 128;
+    private static final int BLOCK = 4096;
+    private static final int HEADER = 2 * BLOCK;
+    private static final int RADIX = 16;
+    /**
+     * As MVStore reads it, which passes over what is no more than blank at the end: of a torn footer that is whole
+     * enough.
+     */
     private static final Pattern FOOTER_TEXT = Pattern.compile(
             "(chunk:[0-9a-f]{1,8},len:[0-9a-f]{1,8},version:([0-9a-f]{1,15})),fletcher:([0-9a-f]{1,8})[\\x00-\\x20]*");
 
@@ -36,11 +43,11 @@
     }
 
     /** Where a chunk ends, and its version; 0 both where there is none. */
-    private record Footer(long end, long version) { }
+    private record Footer(long end, long version) {}
 
     /**
-     * The version of the last chunk that was ever whole, by its footer, 0 where there is none. As a file is only added to,
-     * this is the newest one; where MVStore opens an older one, the newest has been damaged since.
+     * The version of the last chunk that was ever whole, by its footer, 0 where there is none. As a file is only added
+     * to, this is the newest one; where MVStore opens an older one, the newest has been damaged since.
      */
     static long newestVersion(String path) throws IOException {
         try (FileChannel file = FilePath.get(path).open("r")) {
@@ -52,12 +59,13 @@
         ByteBuffer footer = ByteBuffer.allocate(FOOTER);
         for (long end = file.size() / BLOCK * BLOCK; end > HEADER; end -= BLOCK) {
             footer.clear();
-            for (int count = 0; footer.hasRemaining() && count >= 0;) {
+            for (int count = 0; footer.hasRemaining() && count >= 0; ) {
                 count = file.read(footer, end - FOOTER + footer.position());
             }
             Matcher matcher = FOOTER_TEXT.matcher(new String(footer.array(), StandardCharsets.ISO_8859_1));
-            if (matcher.matches() && DataUtils.getFletcher32(footer.array(), 0, matcher.end(1))
-                    == Integer.parseUnsignedInt(matcher.group(3), RADIX)) {
+            if (matcher.matches()
+                    && DataUtils.getFletcher32(footer.array(), 0, matcher.end(1))
+                            == Integer.parseUnsignedInt(matcher.group(3), RADIX)) {
                 return new Footer(end, Long.parseUnsignedLong(matcher.group(2), RADIX));
             }
         }
@@ -81,6 +89,7 @@
             this.file = file;
         }
 
+        @SuppressWarnings("UnsynchronizedOverridesSynchronized") // Guarded otherwise: no shared position is moved.
         @Override
         public int write(ByteBuffer from, long position) throws IOException {
             int length = from.remaining();
@@ -101,6 +110,7 @@
             }
         }
 
+        @SuppressWarnings("UnsynchronizedOverridesSynchronized") // Guarded otherwise: no shared position is moved.
         @Override
         public int read(ByteBuffer into, long position) throws IOException {
             return file.read(into, position);
@@ -150,7 +160,8 @@
             FileLock lock = file.tryLock(position, size, shared);
             long end = lock == null ? 0 : lastFooter(file).end;
             if (end > 0 && end < file.size()) {
-                // What a torn write left may hold part of a footer, which must not come to stand behind another chunk's head.
+                // What a torn write left may hold part of a footer, which must not come to stand behind another chunk's
+                // head.
                 file.truncate(end);
                 file.force(true);
             }
--- a/src/test/java/tinworks/channel/HostHistoryTest.java
+++ b/src/test/java/tinworks/channel/HostHistoryTest.java
@@ -11,9 +11,17 @@
 import org.junit.jupiter.api.Test;
 import tinworks.channel.HostList.Host;
 
+/** Changes of the list of hosts lead from one version to a later one. */
 class HostHistoryTest {
     private static Host host(int number, boolean draining) {
-        return new Host(String.format("i-%08x", number), "slot-lookup", "10.128.0." + number % 250 + ":8080", "shah-alam", 3, draining, 0);
+        return new Host(
+                String.format("i-%08x", number),
+                "slot-lookup",
+                "10.128.0." + number % 250 + ":8080",
+                "shah-alam",
+                3,
+                draining,
+                0);
     }
 
     private static HostList list(long term, long count, int from, int to) {
@@ -40,7 +48,8 @@
             history.advance(all.get(all.size() - 1));
         }
         for (HostList held : all.subList(0, all.size() - 1)) {
-            HostChange change = assertInstanceOf(Signal.HostsChanged.class, history.since(held.version())).change();
+            HostChange change = assertInstanceOf(Signal.HostsChanged.class, history.since(held.version()))
+                    .change();
             assertEquals(history.newest(), change.appliedTo(held));
         }
     }
@@ -54,10 +63,15 @@
         assertEquals(new Signal.Hosts(history.newest()), history.since(HostListVersion.NONE));
         assertEquals(new Signal.Hosts(history.newest()), history.since(new HostListVersion(1, 1)));
         assertEquals(new Signal.Hosts(history.newest()), history.since(new HostListVersion(9, 9)));
-        assertThrows(IllegalArgumentException.class, () -> HostChange.between(list(1, 1, 0, 2), list(1, 2, 0, 3)).appliedTo(list(1, 3, 0, 2)));
+        assertThrows(
+                IllegalArgumentException.class,
+                () -> HostChange.between(list(1, 1, 0, 2), list(1, 2, 0, 3)).appliedTo(list(1, 3, 0, 2)));
     }
 
-    /** Held in CI: a changed host costs its own size, however many there are, and an announcement no more for more edges. */
+    /**
+     * Held in CI: a changed host costs its own size, however many there are, and an announcement no more for more
+     * edges.
+     */
     @Test
     void aChangedHostCostsItsOwnSizeAndAnAnnouncementTheSameForAnyNumberOfEdges() {
         for (int hosts : new int[] {30, 250, 2_000}) {
@@ -71,8 +85,20 @@
             assertTrue(bytes < 200, bytes + " bytes for one host of " + hosts);
         }
         for (int edges : new int[] {4, 16, 64, 256}) {
-            int bytes = SignalCodec.write(new Signal.Announce(7, 9, new HostListVersion(3, 4), true, true,
-                    List.of("10.0.0.1:7540", "10.1.0.1:7540", "10.2.0.1:7540", "10.3.0.1:7540", "10.4.0.1:7540"), edges)).remaining();
+            int bytes = SignalCodec.write(new Signal.Announce(
+                            7,
+                            9,
+                            new HostListVersion(3, 4),
+                            true,
+                            true,
+                            List.of(
+                                    "10.0.0.1:7540",
+                                    "10.1.0.1:7540",
+                                    "10.2.0.1:7540",
+                                    "10.3.0.1:7540",
+                                    "10.4.0.1:7540"),
+                            edges))
+                    .remaining();
             assertTrue(bytes < 150, bytes + " bytes at " + edges + " edges");
         }
     }
--- a/src/test/java/tinworks/channel/SignalCodecTest.java
+++ b/src/test/java/tinworks/channel/SignalCodecTest.java
@@ -14,22 +14,37 @@
 import tinworks.raft.Message;
 import tinworks.raft.Snapshot;
 
+/** Signals between processes are read as they were written, and damaged bytes are refused. */
 class SignalCodecTest {
     private static final Member MEMBER = new Member(-5, "10.1.0.9:7540");
     private static final List<Signal> ALL = List.of(
-            new Signal.Hello(Part.EDGE, 7, "", "edge-1", "zone"), new Signal.Ping(), new Signal.Join(MEMBER),
+            new Signal.Hello(Part.EDGE, 7, "", "edge-1", "zone"),
+            new Signal.Ping(),
+            new Signal.Join(MEMBER),
             new Signal.Announce(7, 9, new HostListVersion(3, 4), true, false, List.of("a:1", "b:1"), 69),
-            new Signal.PullConfiguration(8), new Signal.ConfigurationBody(9, new byte[] {1, 2}),
-            new Signal.ConfigurationChanged(8, 9, new byte[] {1, 2}), new Signal.PullHosts(new HostListVersion(1, 1)),
-            new Signal.Hosts(new HostList(new HostListVersion(1, 2),
+            new Signal.PullConfiguration(8),
+            new Signal.ConfigurationBody(9, new byte[] {1, 2}),
+            new Signal.ConfigurationChanged(8, 9, new byte[] {1, 2}),
+            new Signal.PullHosts(new HostListVersion(1, 1)),
+            new Signal.Hosts(new HostList(
+                    new HostListVersion(1, 2),
                     List.of(new HostList.Host("i-1", "svc", "10.0.0.1:80", "z", 3, true, 900)))),
-            new Signal.HostsChanged(new HostChange(new HostListVersion(1, 2), new HostListVersion(2, 1),
-                    List.of(new HostList.Host("i-1", "svc", "10.0.0.1:80", "z", 3, true, 900)), List.of("i-2"))),
-            new Signal.Leave(7), new Signal.Call(3, false, new byte[] {5}), new Signal.CallAnswer(3, 412, new byte[] {6}),
-            agreement(new Message.VoteRequest(4, true, 5, 6, false)), agreement(new Message.VoteReply(4, false, true)),
-            agreement(new Message.Append(4, 1, 2, 3, 4, List.of(new Entry(2, 4, Entry.Kind.COMMAND, new byte[] {8})), 7, 9)),
-            agreement(new Message.AppendReply(4, true, 5, 6, 7)), agreement(new Message.HandOver(4)),
-            agreement(new Message.Install(4, new Snapshot.Label(9, 3, List.of(MEMBER), 7, -1), 5, new byte[] {1, 2}, 6, 2)),
+            new Signal.HostsChanged(new HostChange(
+                    new HostListVersion(1, 2),
+                    new HostListVersion(2, 1),
+                    List.of(new HostList.Host("i-1", "svc", "10.0.0.1:80", "z", 3, true, 900)),
+                    List.of("i-2"))),
+            new Signal.Leave(7),
+            new Signal.Call(3, false, new byte[] {5}),
+            new Signal.CallAnswer(3, 412, new byte[] {6}),
+            agreement(new Message.VoteRequest(4, true, 5, 6, false)),
+            agreement(new Message.VoteReply(4, false, true)),
+            agreement(new Message.Append(
+                    4, 1, 2, 3, 4, List.of(new Entry(2, 4, Entry.Kind.COMMAND, new byte[] {8})), 7, 9)),
+            agreement(new Message.AppendReply(4, true, 5, 6, 7)),
+            agreement(new Message.HandOver(4)),
+            agreement(new Message.Install(
+                    4, new Snapshot.Label(9, 3, List.of(MEMBER), 7, -1), 5, new byte[] {1, 2}, 6, 2)),
             agreement(new Message.InstallReply(4, 9, 5, 6, 2)));
 
     private static Signal agreement(Message message) {
--- a/src/test/java/tinworks/channel/SimulatedNetwork.java
+++ b/src/test/java/tinworks/channel/SimulatedNetwork.java
@@ -24,7 +24,9 @@
  * before. A cut is silent and may hold in one direction alone. Every signal travels as {@link SignalCodec}'s bytes.
  */
 public final class SimulatedNetwork {
-    private static final int DELAY_MICROS = 1_400, JITTER_MICROS = 600, FAST_BYTES_PER_MILLI = 125_000;
+    private static final int DELAY_MICROS = 1_400;
+    private static final int JITTER_MICROS = 600;
+    private static final int FAST_BYTES_PER_MILLI = 125_000;
     private static final long RETRANSMIT_MICROS = 400_000;
 
     private final World world;
@@ -35,7 +37,7 @@
     private final Set<Connection> connections = new LinkedHashSet<>();
     private long slowBytesPerMilli = FAST_BYTES_PER_MILLI;
 
-    private record Listening(Machine machine, long life, Hello own, Conversation.Listener listener) { }
+    private record Listening(Machine machine, long life, Hello own, Conversation.Listener listener) {}
 
     /** A network without anyone on it. */
     public SimulatedNetwork(World world) {
@@ -104,12 +106,13 @@
     }
 
     /** The connections that a process dials. */
-    public SimulatedLinks links(Machine machine, Map<String, Machine> machines, Hello own, Conversation.Listener listener) {
+    public SimulatedLinks links(
+            Machine machine, Map<String, Machine> machines, Hello own, Conversation.Listener listener) {
         return new SimulatedLinks(machine, machines, own, listener);
     }
 
     private long delay() {
-        return DELAY_MICROS + world.random().nextInt(JITTER_MICROS);
+        return (long) DELAY_MICROS + world.random().nextInt(JITTER_MICROS);
     }
 
     // ---- connections
@@ -124,7 +127,7 @@
         private End end;
 
         /** Null bytes end the connection. */
-        private record Frame(long due, byte[] bytes) { }
+        private record Frame(long due, byte[] bytes) {}
 
         Pipe(Connection connection, Machine from, Machine to) {
             this.connection = connection;
@@ -183,7 +186,7 @@
         }
 
         boolean between(Machine one, Machine other) {
-            return there.from == one && there.to == other || there.from == other && there.to == one;
+            return (there.from == one && there.to == other) || (there.from == other && there.to == one);
         }
 
         void reset() {
@@ -341,7 +344,8 @@
         private final SplittableRandom random;
         private final Map<String, Link> links = new LinkedHashMap<>();
 
-        private SimulatedLinks(Machine machine, Map<String, Machine> machines, Hello own, Conversation.Listener listener) {
+        private SimulatedLinks(
+                Machine machine, Map<String, Machine> machines, Hello own, Conversation.Listener listener) {
             this.machine = machine;
             this.machines = machines;
             this.own = own;
@@ -411,7 +415,7 @@
                         return;
                     }
                     Connection connection = new Connection(machine, far);
-                    End accepted = new End(far, false, there.own, there.listener, connection, () -> { });
+                    End accepted = new End(far, false, there.own, there.listener, connection, () -> {});
                     End dialling = new End(machine, true, own, listener, connection, this::again);
                     long back = delay();
                     // What the far side says comes behind its consent.
--- a/src/test/java/tinworks/ci/KnownRedTest.java
+++ b/src/test/java/tinworks/ci/KnownRedTest.java
@@ -19,17 +19,31 @@
 /** What {@code .ci/known-red} makes of lists and of reports as Surefire writes them. */
 @Timeout(value = 30, unit = TimeUnit.SECONDS)
 class KnownRedTest {
-    private static final String GOOD = "<testcase name=\"good\" classname=\"a.OneTest\" time=\"0.1\"/>\n",
-            BAD = "<testcase name=\"bad\" classname=\"a.OneTest\" time=\"0.1\">\n"
-                    + "<failure message=\"1 &lt; 2\" type=\"x.Y\"><![CDATA[x.Y:\n\tat a.B]]></failure>\n</testcase>\n",
-            ROUNDS = "<testcase name=\"rounds(int)[1]\" classname=\"a.OneTest\">\n<error type=\"x.Y\"/>\n</testcase>\n"
-                    + "<testcase name=\"rounds(int)[2]\" classname=\"a.OneTest\"/>\n",
-            LOUD = "<testcase name=\"loud\" classname=\"a.OneTest\">\n<system-out><![CDATA[</testcase>\n"
-                    + "<testcase name=\"ghost\" classname=\"a.OneTest\"><failure type=\"x\"/>]]></system-out>\n</testcase>\n",
-            LINE = "a.OneTest#bad | the cause | issue 19\n", ROUNDS_LINE = "a.OneTest#rounds | fails by chance | issue 19\n";
+    private static final String GOOD = "<testcase name=\"good\" classname=\"a.OneTest\" time=\"0.1\"/>\n";
+    private static final String BAD = """
+            <testcase name="bad" classname="a.OneTest" time="0.1">
+            <failure message="1 &lt; 2" type="x.Y"><![CDATA[x.Y:
+            \tat a.B]]></failure>
+            </testcase>
+            """;
+    private static final String ROUNDS = """
+            <testcase name="rounds(int)[1]" classname="a.OneTest">
+            <error type="x.Y"/>
+            </testcase>
+            <testcase name="rounds(int)[2]" classname="a.OneTest"/>
+            """;
+    private static final String LOUD = """
+            <testcase name="loud" classname="a.OneTest">
+            <system-out><![CDATA[</testcase>
+            <testcase name="ghost" classname="a.OneTest"><failure type="x"/>]]></system-out>
+            </testcase>
+            """;
+    private static final String LINE = "a.OneTest#bad | the cause | issue 19\n";
+    private static final String ROUNDS_LINE = "a.OneTest#rounds | fails by chance | issue 19\n";
 
     @TempDir
     private Path folder;
+
     private String said;
 
     @BeforeEach
@@ -40,7 +54,10 @@
     }
 
     private int run(List<String> more, String list) throws IOException, InterruptedException {
-        List<String> command = new ArrayList<>(List.of("bash", ".ci/known-red", Files.writeString(folder.resolve("list"), list).toString()));
+        List<String> command = new ArrayList<>(List.of(
+                "bash",
+                ".ci/known-red",
+                Files.writeString(folder.resolve("list"), list).toString()));
         command.addAll(more);
         Process process = new ProcessBuilder(command).redirectErrorStream(true).start();
         said = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
@@ -52,17 +69,30 @@
     }
 
     private int judged(String list, String cases) throws IOException, InterruptedException {
-        Files.writeString(folder.resolve("reports/TEST-a.OneTest.xml"),
-                "<?xml version=\"1.0\" encoding=\"UTF-8\"?>\n<testsuite name=\"a.OneTest\">\n" + cases + "</testsuite>");
-        return run(List.of(folder.resolve("reports").toString(), folder.resolve("src").toString()), list);
+        Files.writeString(
+                folder.resolve("reports/TEST-a.OneTest.xml"),
+                "<?xml version=\"1.0\" encoding=\"UTF-8\"?>\n<testsuite name=\"a.OneTest\">\n" + cases
+                        + "</testsuite>");
+        return run(
+                List.of(
+                        folder.resolve("reports").toString(),
+                        folder.resolve("src").toString()),
+                list);
     }
 
     @Test
     void linesOfTheFormAreTakenUpToThree() throws Exception {
         assertEquals(0, checked(""));
         assertEquals(0, checked(LINE + ROUNDS_LINE + "a.TwoTest#x | slow: 3 s, not 2 | issue 7"), said);
-        for (String wrong : List.of("\n", "# a comment\n", "a.OneTest | no method | issue 19\n", "a.OneTest#bad | the cause\n",
-                "a.OneTest#bad |  | issue 19\n", "a.OneTest#bad | the cause | 19\n", "a.*#bad | the cause | issue 19\n", LINE + LINE,
+        for (String wrong : List.of(
+                "\n",
+                "# a comment\n",
+                "a.OneTest | no method | issue 19\n",
+                "a.OneTest#bad | the cause\n",
+                "a.OneTest#bad |  | issue 19\n",
+                "a.OneTest#bad | the cause | 19\n",
+                "a.*#bad | the cause | issue 19\n",
+                LINE + LINE,
                 LINE + ROUNDS_LINE + "a.OneTest#x | c | issue 1\na.OneTest#y | c | issue 1\n")) {
             assertEquals(1, checked(wrong), wrong);
             assertTrue(said.startsWith("KNOWN-RED: line "), said);
@@ -78,7 +108,9 @@
         assertEquals("KNOWN-RED: passed over: a.OneTest#bad | the cause | issue 19\n", said);
         assertEquals(1, judged(LINE, BAD + ROUNDS), "another one fails as well");
         assertEquals(0, judged(LINE + ROUNDS_LINE, BAD + ROUNDS), said);
-        assertEquals(1, judged(LINE, BAD + "<testcase name=\"\" classname=\"a.OneTest\">\n<error type=\"x\"/>\n</testcase>\n"),
+        assertEquals(
+                1,
+                judged(LINE, BAD + "<testcase name=\"\" classname=\"a.OneTest\">\n<error type=\"x\"/>\n</testcase>\n"),
                 "the whole class failed");
     }
 
@@ -95,7 +127,13 @@
 
     @Test
     void aRunThatWasBrokenOffIsNotTaken() throws Exception {
-        assertEquals(1, run(List.of(folder.resolve("reports").toString(), folder.resolve("src").toString()), LINE));
+        assertEquals(
+                1,
+                run(
+                        List.of(
+                                folder.resolve("reports").toString(),
+                                folder.resolve("src").toString()),
+                        LINE));
         assertTrue(said.contains("no reports"), said);
         Files.writeString(folder.resolve("src/a/TwoTest.java"), "");
         assertEquals(1, judged(LINE, BAD));
--- a/src/test/java/tinworks/cli/CommandLineToolTest.java
+++ b/src/test/java/tinworks/cli/CommandLineToolTest.java
@@ -27,13 +27,16 @@
 import tinworks.standin.StandInHost;
 import tinworks.store.CoreStore;
 
+/** The commands, their output and their exit codes. */
 class CommandLineToolTest {
-    private static final String SETTINGS = "{\"node\":\"core-1\",\"az\":\"z\",\"ip\":\"10.1.0.9\",\"listen\":{\"ctl\":\"10.1.0.9:8544\"},"
-            + "\"portRange\":[7540,7555],\"seeds\":[\"10.1.0.9:8544\"],\"bootstrap\":true,\"limits\":{\"nofile\":4096},"
-            + "\"datadir\":\"/data\",\"survive\":{\"nodes\":1},\"bounds\":{\"graceS\":6},\"provider\":{\"addr\":\"10.2.0.1:80\"}}";
+    private static final String SETTINGS =
+            "{\"node\":\"core-1\",\"az\":\"z\",\"ip\":\"10.1.0.9\",\"listen\":{\"ctl\":\"10.1.0.9:8544\"},"
+                    + "\"portRange\":[7540,7555],\"seeds\":[\"10.1.0.9:8544\"],\"bootstrap\":true,\"limits\":{\"nofile\":4096},"
+                    + "\"datadir\":\"/data\",\"survive\":{\"nodes\":1},\"bounds\":{\"graceS\":6},\"provider\":{\"addr\":\"10.2.0.1:80\"}}";
 
     @TempDir
     private Path folder;
+
     private final StringWriter out = new StringWriter();
     private final StringWriter err = new StringWriter();
 
@@ -77,8 +80,17 @@
         CoreStore store = CoreStore.open(disk);
         store.found(5, HardState.NONE, Snapshot.NONE);
         byte[] command = ConfigurationHistory.command(0, 3, "{\"rev\":3}".getBytes(StandardCharsets.UTF_8));
-        store.write(new Output(1, new HardState(1, 5), null, 1, List.of(new Entry(1, 1, Entry.Kind.COMMAND, command)), 1,
-                List.of(), null, List.of(), List.of()));
+        store.write(new Output(
+                1,
+                new HardState(1, 5),
+                null,
+                1,
+                List.of(new Entry(1, 1, Entry.Kind.COMMAND, command)),
+                1,
+                List.of(),
+                null,
+                List.of(),
+                List.of()));
         store.close();
         assertEquals(0, run("state", "verify", disk.toString()), err.toString());
         assertTrue(out.toString().contains("1 entries, configuration 3"), out.toString());
@@ -91,15 +103,33 @@
     void loadReportsWhatAServerAnswered() throws Exception {
         MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         EventLoop loop = group.next();
-        StandInHost host = NodeProcess.call(loop, () -> new StandInHost(loop,
-                new StandInHost.Nature("i-1", "s", "z", 50, 50, 2, 1, 0), 1, new Ledger()));
-        NodeProcess.call(loop, () -> host.listen(new InetSocketAddress("127.0.0.1", 0))).syncUninterruptibly();
+        StandInHost host = NodeProcess.call(
+                loop,
+                () -> new StandInHost(loop, new StandInHost.Nature("i-1", "s", "z", 50, 50, 2, 1, 0), 1, new Ledger()));
+        NodeProcess.call(loop, () -> host.listen(new InetSocketAddress("127.0.0.1", 0)))
+                .syncUninterruptibly();
         Path json = folder.resolve("figures.json");
         Path csv = folder.resolve("seconds.csv");
         String address = "127.0.0.1:" + host.address().getPort();
         try {
-            assertEquals(0, run("load", address, "--host", "x.example", "--prefix", "/p/", "--rate", "100", "--for", "1",
-                    "--json", json.toString(), "--csv", csv.toString()), err.toString());
+            assertEquals(
+                    0,
+                    run(
+                            "load",
+                            address,
+                            "--host",
+                            "x.example",
+                            "--prefix",
+                            "/p/",
+                            "--rate",
+                            "100",
+                            "--for",
+                            "1",
+                            "--json",
+                            json.toString(),
+                            "--csv",
+                            csv.toString()),
+                    err.toString());
         } finally {
             group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly(5_000);
         }
--- a/src/test/java/tinworks/config/ConfigurationSchemaTest.java
+++ b/src/test/java/tinworks/config/ConfigurationSchemaTest.java
@@ -18,12 +18,15 @@
 
 /** The schema that is shipped says the same as the reader, as far as a schema can. */
 class ConfigurationSchemaTest {
-    private static final String VALID = "{\"rev\":7,\"routes\":[{\"name\":\"a\",\"domain\":\"x.example\",\"prefix\":\"/p/\",\"type\":\"idem\","
-            + "\"timeoutMs\":1200,\"targetMs\":300,\"prio\":2,\"split\":[{\"svc\":\"s\",\"weight\":90},{\"svc\":\"t\",\"weight\":0.5}],"
-            + "\"tries\":2},{\"name\":\"b\",\"domain\":\"y.example\",\"prefix\":\"/\",\"type\":\"mutating\",\"timeoutMs\":1500,\"svc\":\"t\"}],"
-            + "\"svcs\":[{\"name\":\"s\",\"check\":\"/h\",\"maxconn\":120,\"proto\":\"h1\",\"tls\":false},{\"name\":\"t\"}],"
-            + "\"limits\":{\"hdrBytes\":16384,\"bodyMaxBytes\":0,\"hdrMs\":3000,\"idleMs\":15000}}";
-    private static final String[] VALUES = {"null", "-1", "0", "1", "1.5", "\"\"", "\"idem\"", "\"s\"", "[]", "{}", "true", "99999999999"};
+    private static final String VALID =
+            "{\"rev\":7,\"routes\":[{\"name\":\"a\",\"domain\":\"x.example\",\"prefix\":\"/p/\",\"type\":\"idem\","
+                    + "\"timeoutMs\":1200,\"targetMs\":300,\"prio\":2,\"split\":[{\"svc\":\"s\",\"weight\":90},{\"svc\":\"t\",\"weight\":0.5}],"
+                    + "\"tries\":2},{\"name\":\"b\",\"domain\":\"y.example\",\"prefix\":\"/\",\"type\":\"mutating\",\"timeoutMs\":1500,\"svc\":\"t\"}],"
+                    + "\"svcs\":[{\"name\":\"s\",\"check\":\"/h\",\"maxconn\":120,\"proto\":\"h1\",\"tls\":false},{\"name\":\"t\"}],"
+                    + "\"limits\":{\"hdrBytes\":16384,\"bodyMaxBytes\":0,\"hdrMs\":3000,\"idleMs\":15000}}";
+    private static final String[] VALUES = {
+        "null", "-1", "0", "1", "1.5", "\"\"", "\"idem\"", "\"s\"", "[]", "{}", "true", "99999999999"
+    };
 
     private final JsonSchema schema;
 
@@ -54,10 +57,22 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"\"rev\":7|\"rev\":0", "\"rev\":7|\"rev\":\"7\"", "\"prefix\":\"/p/\"|\"prefix\":\"p\"", "\"type\":\"idem\"|\"type\":\"odd\"",
-        "\"timeoutMs\":1200,|", "\"weight\":90|\"weight\":-1", "\"tries\":2|\"tries\":0", "\"svc\":\"t\"}],\"svcs\"|\"svc\":7}],\"svcs\"",
-        "\"proto\":\"h1\"|\"proto\":\"h2\"", "\"tls\":false|\"tls\":true", "\"maxconn\":120|\"maxconn\":0", "\"hdrBytes\":16384|\"hdrBytes\":1",
-        "\"name\":\"t\"}]|\"name\":\"\"}]"})
+    @ValueSource(
+            strings = {
+                "\"rev\":7|\"rev\":0",
+                "\"rev\":7|\"rev\":\"7\"",
+                "\"prefix\":\"/p/\"|\"prefix\":\"p\"",
+                "\"type\":\"idem\"|\"type\":\"odd\"",
+                "\"timeoutMs\":1200,|",
+                "\"weight\":90|\"weight\":-1",
+                "\"tries\":2|\"tries\":0",
+                "\"svc\":\"t\"}],\"svcs\"|\"svc\":7}],\"svcs\"",
+                "\"proto\":\"h1\"|\"proto\":\"h2\"",
+                "\"tls\":false|\"tls\":true",
+                "\"maxconn\":120|\"maxconn\":0",
+                "\"hdrBytes\":16384|\"hdrBytes\":1",
+                "\"name\":\"t\"}]|\"name\":\"\"}]"
+            })
     void bothRefuseWhatIsWrongInOneField(String change) {
         String[] parts = change.split("\\|", 2);
         assertTrue(VALID.contains(parts[0]));
@@ -66,7 +81,10 @@
         assertFalse(schemaTakes(changed));
     }
 
-    /** Values put in place of others at any place; what only the reader can know is left out by keeping names of services. */
+    /**
+     * Values put in place of others at any place; what only the reader can know is left out by keeping names of
+     * services.
+     */
     @Test
     void theyAgreeOnAnyFieldWithAnyValue() {
         SplittableRandom random = new SplittableRandom(5);
--- a/src/test/java/tinworks/config/ConfigurationTest.java
+++ b/src/test/java/tinworks/config/ConfigurationTest.java
@@ -13,11 +13,13 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import tinworks.config.ConfigurationHistory.Verdict;
 
+/** The operator's configuration is read, and an invalid one is refused with its reason. */
 class ConfigurationTest {
-    private static final String VALID = "{'rev':7,'routes':[{'name':'a','domain':'X.example','prefix':'/p/','type':'idem',"
-            + "'timeoutMs':1200,'targetMs':300,'prio':2,'split':[{'svc':'s','weight':90},{'svc':'t','weight':0}],'tries':2},"
-            + "{'name':'b','domain':'y.example','prefix':'/q/','type':'mutating','timeoutMs':1500,'svc':'t'}],"
-            + "'svcs':[{'name':'s','check':'/healthz','maxconn':120,'proto':'h1','tls':false},{'name':'t'}]}";
+    private static final String VALID =
+            "{'rev':7,'routes':[{'name':'a','domain':'X.example','prefix':'/p/','type':'idem',"
+                    + "'timeoutMs':1200,'targetMs':300,'prio':2,'split':[{'svc':'s','weight':90},{'svc':'t','weight':0}],'tries':2},"
+                    + "{'name':'b','domain':'y.example','prefix':'/q/','type':'mutating','timeoutMs':1500,'svc':'t'}],"
+                    + "'svcs':[{'name':'s','check':'/healthz','maxconn':120,'proto':'h1','tls':false},{'name':'t'}]}";
 
     private static Configuration read(String json) throws InvalidConfiguration {
         return ConfigurationReader.read(json.replace('\'', '"').getBytes(StandardCharsets.UTF_8));
@@ -34,29 +36,35 @@
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "'rev':7          | 'rev':0            | rev",
-        "'svc':'t'}]      | 'svc':'u'}]        | routes[1].svc",
-        "'weight':90      | 'weight':0         | routes[0].split",
-        "'weight':90      | 'weight':-1        | routes[0].split[0].weight",
-        "'timeoutMs':1500 | 'timeoutMs':0      | routes[1].timeoutMs",
-        "'timeoutMs':1500 | 'timeoutMs':'soon' | routes[1].timeoutMs",
-        "y.example        | x.EXAMPLE          | ",
-        "'prefix':'/q/'   | 'prefix':'q'       | routes[1].prefix",
-        "'type':'idem'    | 'type':'odd'       | routes[0].type",
-        "{'name':'t'}     | {'name':'s'}       | svcs[1].name",
-        "{'name':'t'}     | {'name':'u'}       | routes[0].split[1].svc",
-        "'tries':2        | 'tries':0          | routes[0].tries",
-        "'svcs':[         | 'svcs':5,'odd':[   | svcs",
-    })
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "'rev':7          | 'rev':0            | rev",
+                "'svc':'t'}]      | 'svc':'u'}]        | routes[1].svc",
+                "'weight':90      | 'weight':0         | routes[0].split",
+                "'weight':90      | 'weight':-1        | routes[0].split[0].weight",
+                "'timeoutMs':1500 | 'timeoutMs':0      | routes[1].timeoutMs",
+                "'timeoutMs':1500 | 'timeoutMs':'soon' | routes[1].timeoutMs",
+                "y.example        | x.EXAMPLE          | ",
+                "'prefix':'/q/'   | 'prefix':'q'       | routes[1].prefix",
+                "'type':'idem'    | 'type':'odd'       | routes[0].type",
+                "{'name':'t'}     | {'name':'s'}       | svcs[1].name",
+                "{'name':'t'}     | {'name':'u'}       | routes[0].split[1].svc",
+                "'tries':2        | 'tries':0          | routes[0].tries",
+                "'svcs':[         | 'svcs':5,'odd':[   | svcs",
+            })
     void namesTheFieldThatIsWrong(String quotedFrom, String quotedTo, String where) throws InvalidConfiguration {
         String changed = VALID.replace(quotedFrom.trim(), quotedTo.trim());
         if (where == null) {
             read(changed);
-            InvalidConfiguration e = assertThrows(InvalidConfiguration.class, () -> read(changed.replace("/q/", "/p/")));
+            InvalidConfiguration e =
+                    assertThrows(InvalidConfiguration.class, () -> read(changed.replace("/q/", "/p/")));
             assertEquals("routes[1].prefix", e.where());
         } else {
-            assertEquals(where, assertThrows(InvalidConfiguration.class, () -> read(changed)).where());
+            assertEquals(
+                    where,
+                    assertThrows(InvalidConfiguration.class, () -> read(changed))
+                            .where());
         }
     }
 
@@ -83,10 +91,18 @@
 
     @Test
     void whatStandsTwiceCountsAsItStandsLast() throws InvalidConfiguration {
-        assertEquals(9, read(VALID.replace("{'rev':7,", "{'rev':'x','routes':[5],'svcs':[{}],'rev':8,").replace("'svcs'", "'rev':9,'svcs'"))
-                .rev());
-        assertEquals("routes", assertThrows(InvalidConfiguration.class, () -> read(VALID.replace("]}]}", "]}],'routes':5}")
-                .replace("'t'}]}", "'t'}],'routes':5}"))).where());
+        assertEquals(
+                9,
+                read(VALID.replace("{'rev':7,", "{'rev':'x','routes':[5],'svcs':[{}],'rev':8,")
+                                .replace("'svcs'", "'rev':9,'svcs'"))
+                        .rev());
+        assertEquals(
+                "routes",
+                assertThrows(
+                                InvalidConfiguration.class,
+                                () -> read(VALID.replace("]}]}", "]}],'routes':5}")
+                                        .replace("'t'}]}", "'t'}],'routes':5}")))
+                        .where());
     }
 
     /** The bytes come back, and the command's size is that of the packed body. */
@@ -94,7 +110,9 @@
     void aLongConfigurationIsKeptPackedAndShownAsItWasSent() {
         StringBuilder text = new StringBuilder("{\"rev\":4,\"routes\":[");
         for (int i = 0; i < 3_000; i++) {
-            text.append("{\"name\":\"r-").append(Integer.toString(i * 7919, 36)).append("\",\"type\":\"idem\",\"timeoutMs\":2500},\n");
+            text.append("{\"name\":\"r-")
+                    .append(Integer.toString(i * 7919, 36))
+                    .append("\",\"type\":\"idem\",\"timeoutMs\":2500},\n");
         }
         byte[] sent = text.toString().getBytes(StandardCharsets.UTF_8);
         byte[] command = ConfigurationHistory.command(0, 4, sent);
@@ -159,7 +177,10 @@
     @Test
     void aRepeatIsKnownAfterADayOfChanges() {
         assertEquals(0, refusedOfADay(new ConfigurationHistory()));
-        assertEquals(4_600 - 256, refusedOfADay(new ConfigurationHistory(new TakenVersions(256))), "with too short a memory");
+        assertEquals(
+                4_600 - 256,
+                refusedOfADay(new ConfigurationHistory(new TakenVersions(256))),
+                "with too short a memory");
     }
 
     @Test
--- a/src/test/java/tinworks/config/ForgetfulHistory.java
+++ b/src/test/java/tinworks/config/ForgetfulHistory.java
@@ -4,7 +4,7 @@
 public final class ForgetfulHistory {
     private static final int MOST = 4;
 
-    private ForgetfulHistory() { }
+    private ForgetfulHistory() {}
 
     /** A history that knows nothing yet. */
     public static ConfigurationHistory make() {
--- a/src/test/java/tinworks/config/PackedTest.java
+++ b/src/test/java/tinworks/config/PackedTest.java
@@ -11,6 +11,7 @@
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 
+/** Deflated bodies are read back whole, and their size is bounded. */
 class PackedTest {
     private static final int MOST = 1 << 20;
 
@@ -18,9 +19,13 @@
         StringBuilder json = new StringBuilder("{\"rev\":7,\"routes\":[");
         SplittableRandom random = new SplittableRandom(2);
         for (int i = 0; i < count; i++) {
-            json.append(i == 0 ? "" : ",").append("{\"name\":\"r-").append(Long.toString(random.nextLong(1L << 32), 36))
-                    .append("\",\"domain\":\"jepu9.example\",\"prefix\":\"/").append(Long.toString(random.nextLong(1L << 30), 36))
-                    .append("/\",\"type\":\"idem\",\"timeoutMs\":2500,\"targetMs\":600,\"prio\":2,\"svc\":\"huvo11a\",\"tries\":2}");
+            json.append(i == 0 ? "" : ",")
+                    .append("{\"name\":\"r-")
+                    .append(Long.toString(random.nextLong(1L << 32), 36))
+                    .append("\",\"domain\":\"jepu9.example\",\"prefix\":\"/")
+                    .append(Long.toString(random.nextLong(1L << 30), 36))
+                    .append(
+                            "/\",\"type\":\"idem\",\"timeoutMs\":2500,\"targetMs\":600,\"prio\":2,\"svc\":\"huvo11a\",\"tries\":2}");
         }
         return json.append("]}").toString().getBytes(StandardCharsets.UTF_8);
     }
@@ -31,7 +36,9 @@
             byte[] whole = routes(count);
             byte[] packed = Packed.pack(whole);
             assertArrayEquals(whole, Packed.unpack(packed, MOST));
-            assertTrue(count < 1_000 || packed.length * 6 < whole.length, whole.length + " bytes, packed " + packed.length);
+            assertTrue(
+                    count < 1_000 || packed.length * 6 < whole.length,
+                    whole.length + " bytes, packed " + packed.length);
         }
         assertEquals(0, Packed.unpack(Packed.pack(new byte[0]), MOST).length);
     }
--- a/src/test/java/tinworks/control/ConfigurationFeedTest.java
+++ b/src/test/java/tinworks/control/ConfigurationFeedTest.java
@@ -33,19 +33,24 @@
     }
 
     private static String route(int number, int timeout, String service) {
-        return "{\"name\":\"r-" + number + "\",\"domain\":\"jepu" + number % 9 + ".example\",\"prefix\":\"/lepu/" + number
-                + "/\",\"type\":\"idem\",\"timeoutMs\":" + timeout + ",\"targetMs\":600,\"prio\":2,\"split\":[{\"svc\":\"" + service
+        return "{\"name\":\"r-" + number + "\",\"domain\":\"jepu" + number % 9 + ".example\",\"prefix\":\"/lepu/"
+                + number
+                + "/\",\"type\":\"idem\",\"timeoutMs\":" + timeout
+                + ",\"targetMs\":600,\"prio\":2,\"split\":[{\"svc\":\"" + service
                 + "\",\"weight\":90},{\"svc\":\"fixed\",\"weight\":10.5}],\"tries\":2}";
     }
 
     private static byte[] json(long rev, List<String> routes, List<String> services, int idleMs) {
-        return ("{\"rev\":" + rev + ",\"routes\":[" + String.join(",", routes) + "],\"svcs\":[" + String.join(",", services)
-                + "],\"limits\":{\"idleMs\":" + idleMs + "}}").getBytes(StandardCharsets.UTF_8);
+        return ("{\"rev\":" + rev + ",\"routes\":[" + String.join(",", routes) + "],\"svcs\":["
+                        + String.join(",", services) + "],\"limits\":{\"idleMs\":" + idleMs + "}}")
+                .getBytes(StandardCharsets.UTF_8);
     }
 
     private Configuration take(byte[] json) throws Exception {
         Configuration read = ConfigurationReader.read(json);
-        assertEquals(ConfigurationHistory.Verdict.TAKEN, history.apply(ConfigurationHistory.command(history.rev(), read.rev(), json)));
+        assertEquals(
+                ConfigurationHistory.Verdict.TAKEN,
+                history.apply(ConfigurationHistory.command(history.rev(), read.rev(), json)));
         feed.follow(history);
         return read;
     }
@@ -64,7 +69,8 @@
             return ConfigurationCodec.read(Packed.unpack(body.packed(), MOST));
         }
         Signal.ConfigurationChanged changed = assertInstanceOf(Signal.ConfigurationChanged.class, told);
-        return ConfigurationCodec.readChange(Packed.unpack(changed.packed(), MOST)).appliedTo(held);
+        return ConfigurationCodec.readChange(Packed.unpack(changed.packed(), MOST))
+                .appliedTo(held);
     }
 
     @Test
--- a/src/test/java/tinworks/control/CoreMachineTest.java
+++ b/src/test/java/tinworks/control/CoreMachineTest.java
@@ -34,7 +34,10 @@
         }
 
         Announce last() {
-            return (Announce) heard.stream().filter(Announce.class::isInstance).reduce((a, b) -> b).orElseThrow();
+            return (Announce) heard.stream()
+                    .filter(Announce.class::isInstance)
+                    .reduce((a, b) -> b)
+                    .orElseThrow();
         }
 
         @Override
@@ -70,7 +73,8 @@
     private Node settled() {
         Node leader = network.ready(3_000);
         network.run(network.now + 1_000);
-        network.nodes.forEach(node -> assertTrue(node.machine.fresh(), node.hello().node()));
+        network.nodes.forEach(
+                node -> assertTrue(node.machine.fresh(), node.hello().node()));
         assertTrue(leader.machine.leads());
         return leader;
     }
@@ -97,7 +101,8 @@
     @Test
     void aFollowerThatIsCutOffIsNotFresh() {
         Node leader = settled();
-        Node follower = network.nodes.stream().filter(n -> n != leader).findFirst().orElseThrow();
+        Node follower =
+                network.nodes.stream().filter(n -> n != leader).findFirst().orElseThrow();
         network.cutOff(follower);
         network.run(network.now + LEASE_MILLIS);
         assertFalse(follower.machine.fresh());
@@ -118,7 +123,9 @@
         assertTrue(next != null && next != leader && next.machine.leads());
         int heard = edge.heard.size();
         leader.thaw();
-        edge.heard.subList(heard, edge.heard.size()).stream().filter(Announce.class::isInstance).map(Announce.class::cast)
+        edge.heard.subList(heard, edge.heard.size()).stream()
+                .filter(Announce.class::isInstance)
+                .map(Announce.class::cast)
                 .forEach(s -> assertFalse(s.leads() || s.fresh(), s.toString()));
         assertTrue(leader.machine.hosts().version().is(HostListVersion.NONE), "a list from before");
         network.run(network.now + 1_000);
@@ -156,20 +163,26 @@
         leader.machine.calls().replace(List.of("0"), Operators.configuration(3, "a"), answers::add);
         leader.machine.calls().show(answers::add);
         network.run(network.now + 1_000);
-        assertEquals(List.of(200, 412, 200, 503, 503), answers.stream().map(CallAnswer::status).toList(),
+        assertEquals(
+                List.of(200, 412, 200, 503, 503),
+                answers.stream().map(CallAnswer::status).toList(),
                 "what was taken is confirmed, nothing is refused, nothing is shown");
     }
 
     @Test
     void anAnswerCountsOnlyFromWhomTheCallWasPassedTo() {
         assertEquals(List.of(), answersFromAnother(CoreMachine::new));
-        assertEquals(1, answersFromAnother((self, stored, disk, around) -> new CoreMachine(self, stored, disk, around,
-                (machine, clock) -> new OperatorCalls(machine, clock) {
-                    @Override
-                    boolean isAsked(Conversation passedTo, Conversation from) {
-                        return true;
-                    }
-                })).size(), "matched by the number alone");
+        assertEquals(
+                1,
+                answersFromAnother((self, stored, disk, around) -> new CoreMachine(
+                                self, stored, disk, around, (machine, clock) -> new OperatorCalls(machine, clock) {
+                                    @Override
+                                    boolean isAsked(Conversation passedTo, Conversation from) {
+                                        return true;
+                                    }
+                                }))
+                        .size(),
+                "matched by the number alone");
     }
 
     /** What a caller is told when somebody else answers a call of the same number. */
@@ -207,6 +220,8 @@
         node.machine.received(later, new Announce(6, 0, HostListVersion.NONE, true, true, List.of("n:1"), 0));
         node.machine.received(old, new Announce(5, 0, HostListVersion.NONE, true, true, List.of("o:1"), 0));
         node.machine.opened(later);
-        assertTrue(later.last().cores().contains("n:1") && !later.last().cores().contains("o:1"), later.last().toString());
+        assertTrue(
+                later.last().cores().contains("n:1") && !later.last().cores().contains("o:1"),
+                later.last().toString());
     }
 }
--- a/src/test/java/tinworks/control/CoreNetwork.java
+++ b/src/test/java/tinworks/control/CoreNetwork.java
@@ -30,8 +30,9 @@
 import tinworks.raft.Stored;
 
 /**
- * Core machines on a simulated network, with simulated disks and one steady clock, all chance from one seed. Machines are cut
- * off, frozen, killed and started again; the machines, their agreement and the operator's calls are the production classes.
+ * Core machines on a simulated network, with simulated disks and one steady clock, all chance from one seed. Machines
+ * are cut off, frozen, killed and started again; the machines, their agreement and the operator's calls are the
+ * production classes.
  */
 final class CoreNetwork {
     /** A machine as the test wants it, sound or flawed. */
@@ -45,16 +46,18 @@
     final List<Node> nodes = new ArrayList<>();
     private final Maker maker;
     private final List<Member> voters = new ArrayList<>();
-    private final PriorityQueue<Event> events = new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparing(Event::order));
-    private final Map<Set<Process>, Long> cuts = new HashMap<>();
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparing(Event::order));
+    private final Map<Set<SimulatedProcess>, Long> cuts = new HashMap<>();
     long now = 1_000;
     /** Whether leaders fetch a list of hosts. */
     boolean listed;
     /** Told of each announcement as it is sent. */
-    BiConsumer<Node, Announce> announced = (node, announcement) -> { };
+    BiConsumer<Node, Announce> announced = (node, announcement) -> {};
+
     private long order;
 
-    private record Event(long at, long order, Runnable work) { }
+    private record Event(long at, long order, Runnable work) {}
 
     CoreNetwork(long seed, int machines, Maker maker) {
         random = new SplittableRandom(seed);
@@ -81,12 +84,14 @@
 
     /** The machine that leads the highest term, null where none does. */
     Node leader() {
-        return nodes.stream().filter(n -> n.up() && n.raft().ready())
-                .max(Comparator.comparingLong(n -> n.raft().term())).orElse(null);
+        return nodes.stream()
+                .filter(n -> n.up() && n.raft().ready())
+                .max(Comparator.comparingLong(n -> n.raft().term()))
+                .orElse(null);
     }
 
     Node ready(long within) {
-        for (long until = now + within; now < until;) {
+        for (long until = now + within; now < until; ) {
             run(now + 10);
             if (leader() != null) {
                 return leader();
@@ -95,8 +100,8 @@
         throw new AssertionError("no leader within " + within + " ms");
     }
 
-    void cut(Process one, Process other) {
-        Set<Process> pair = Set.of(one, other);
+    void cut(SimulatedProcess one, SimulatedProcess other) {
+        Set<SimulatedProcess> pair = Set.of(one, other);
         long at = now;
         if (cuts.putIfAbsent(pair, at) == null) {
             later(SILENCE_MILLIS, () -> {
@@ -116,12 +121,12 @@
         cuts.clear();
     }
 
-    private boolean isCut(Process one, Process other) {
+    private boolean isCut(SimulatedProcess one, SimulatedProcess other) {
         return cuts.containsKey(Set.of(one, other));
     }
 
     /** One process: its connections, and what waits for it while it is frozen. */
-    abstract class Process implements Links {
+    abstract class SimulatedProcess implements Links {
         final Map<String, End> dialled = new HashMap<>();
         final Set<End> ends = new LinkedHashSet<>();
         final ArrayDeque<Runnable> frozenWork = new ArrayDeque<>();
@@ -173,7 +178,9 @@
             for (String address : wanted) {
                 End known = dialled.get(address);
                 if (known == null || known.closed) {
-                    nodes.stream().filter(n -> n.hello().address().equals(address) && n != this).findFirst()
+                    nodes.stream()
+                            .filter(n -> n.hello().address().equals(address) && n != this)
+                            .findFirst()
                             .ifPresent(n -> dial(address, n));
                 }
             }
@@ -199,7 +206,7 @@
             return open;
         }
 
-        final void dropped(Process far) {
+        final void dropped(SimulatedProcess far) {
             List.copyOf(ends).stream().filter(e -> e.far.owner == far).forEach(e -> e.close("silent"));
         }
 
@@ -218,7 +225,7 @@
 
     /** One side of a connection. */
     private final class End implements Conversation {
-        final Process owner;
+        final SimulatedProcess owner;
         private final Hello peer;
         private final boolean dialled;
         private final long itsLife;
@@ -227,7 +234,7 @@
         private boolean closed;
         private long lastArrival;
 
-        End(Process owner, Hello peer, boolean dialled) {
+        End(SimulatedProcess owner, Hello peer, boolean dialled) {
             this.owner = owner;
             this.peer = peer;
             this.dialled = dialled;
@@ -307,7 +314,7 @@
     }
 
     /** A core machine with its disk. */
-    final class Node extends Process implements CoreMachine.Environment, Disk {
+    final class Node extends SimulatedProcess implements CoreMachine.Environment, Disk {
         private final Member member;
         private final ArrayDeque<Output> unsynced = new ArrayDeque<>();
         private Stored synced;
@@ -426,7 +433,7 @@
     }
 
     /** An edge that starts now; it follows the core machines as the production class does. */
-    final class Edge extends Process implements CoreFollower.Owner {
+    final class Edge extends SimulatedProcess implements CoreFollower.Owner {
         private final Hello hello = new Hello(Part.EDGE, 1_000 + order, "", "edge", "z");
         private final Runnable changed;
         final CoreFollower core;
@@ -495,7 +502,7 @@
         HardState hard = output.hard() != null ? output.hard() : before.hard();
         Snapshot snapshot = output.snapshot() != null ? output.snapshot() : before.snapshot();
         List<tinworks.raft.Entry> entries = new ArrayList<>(before.entries());
-        entries.removeIf(e -> e.index() <= snapshot.index() || output.cutFrom() > 0 && e.index() >= output.cutFrom());
+        entries.removeIf(e -> e.index() <= snapshot.index() || (output.cutFrom() > 0 && e.index() >= output.cutFrom()));
         entries.addAll(output.entries());
         return new Stored(hard, snapshot, entries);
     }
--- a/src/test/java/tinworks/control/CoreTest.java
+++ b/src/test/java/tinworks/control/CoreTest.java
@@ -13,6 +13,7 @@
 import tinworks.store.CoreStore;
 import tinworks.store.SimulatedDisk;
 
+/** How a core machine finds out who it is, and what it does with a damaged store. */
 class CoreTest {
     private static final long LARGEST_FIRST_ID = 1L + 0xffff_ffffL;
 
@@ -25,8 +26,20 @@
     }
 
     private static BootSettings settings(int machine, boolean bootstrap) {
-        return new BootSettings("core-" + machine, "z", null, null, null, new InetSocketAddress("10.1.0." + machine, 7540),
-                List.of("10.1.0.1:7540", "10.1.0.2:7540", "10.1.0.3:7540"), bootstrap, 800, null, 1, 6_000, null);
+        return new BootSettings(
+                "core-" + machine,
+                "z",
+                null,
+                null,
+                null,
+                new InetSocketAddress("10.1.0." + machine, 7540),
+                List.of("10.1.0.1:7540", "10.1.0.2:7540", "10.1.0.3:7540"),
+                bootstrap,
+                800,
+                null,
+                1,
+                6_000,
+                null);
     }
 
     /** Starts a machine on its disk; who it is, or 0 where the disk gave out. */
@@ -57,14 +70,18 @@
             boolean bootstrap = after % 2 == 0;
             long id = start(disk, settings(1, bootstrap));
             assertTrue(before == 0 || id == before, "an identity that was told of is gone after operation " + after);
-            assertTrue(id == first || !bootstrap && voters(disk).isEmpty() && id > LARGEST_FIRST_ID, "operation " + after);
+            assertTrue(
+                    id == first || (!bootstrap && voters(disk).isEmpty() && id > LARGEST_FIRST_ID),
+                    "operation " + after);
             assertEquals(id == first ? 3 : 0, voters(disk).size());
             founded += before == first ? 1 : 0;
         }
         assertTrue(founded > 0 && founded < 60, founded + " founded before power went");
     }
 
-    /** It may have voted under its old id, so it may not take it again: with most voters gone so, there is no leader. */
+    /**
+     * It may have voted under its old id, so it may not take it again: with most voters gone so, there is no leader.
+     */
     @Test
     void aMachineWhoseStoreWasSetAsideIsNoVoterWhateverItsSettingsSay() throws Exception {
         for (int machine = 1; machine <= 3; machine++) {
@@ -79,7 +96,11 @@
             assertEquals(List.of(), voters(disk));
             disk.powerLoss();
             assertEquals(id, start(disk, settings(machine, true)), "who it became is gone with the power");
-            assertEquals(1, disk.files().stream().filter(file -> file.startsWith("damaged-")).count());
+            assertEquals(
+                    1,
+                    disk.files().stream()
+                            .filter(file -> file.startsWith("damaged-"))
+                            .count());
         }
     }
 
--- a/src/test/java/tinworks/control/DiskThreadTest.java
+++ b/src/test/java/tinworks/control/DiskThreadTest.java
@@ -24,10 +24,12 @@
 import tinworks.raft.Snapshot;
 import tinworks.store.CoreStore;
 
+/** Writes run in order on the thread of the disk. */
 @Timeout(value = 30, unit = TimeUnit.SECONDS)
 class DiskThreadTest {
     @TempDir
     private Path folder;
+
     private final BlockingQueue<Throwable> uncaught = new LinkedBlockingQueue<>();
     private final List<String> lines = Collections.synchronizedList(new ArrayList<>());
     private final BlockingQueue<String> written = new LinkedBlockingQueue<>();
@@ -52,29 +54,49 @@
 
     /** An output that fails where its first entry is looked at, at each write anew. */
     private static Output failing(Supplier<Entry> entry) {
-        return new Output(1, null, null, 1, new AbstractList<>() {
-            @Override
-            public Entry get(int index) {
-                return entry.get();
-            }
+        return new Output(
+                1,
+                null,
+                null,
+                1,
+                new AbstractList<>() {
+                    @Override
+                    public Entry get(int index) {
+                        return entry.get();
+                    }
 
-            @Override
-            public int size() {
-                return 1;
-            }
-        }, 1, List.of(), null, List.of(), List.of());
+                    @Override
+                    public int size() {
+                        return 1;
+                    }
+                },
+                1,
+                List.of(),
+                null,
+                List.of(),
+                List.of());
     }
 
     @Test
     void anErrorIsNotTakenForAFullDiskWhetherBareOrInAnException() throws Exception {
-        disk.write(failing(() -> {
-            throw new OutOfMemoryError("bare");
-        }), () -> written.add("never"));
-        assertEquals("bare", assertInstanceOf(OutOfMemoryError.class, uncaught.poll(10, TimeUnit.SECONDS)).getMessage());
-        disk.write(failing(() -> {
-            throw new IllegalStateException("as the store tells it", new OutOfMemoryError("wrapped"));
-        }), () -> written.add("never"));
-        assertEquals("wrapped", assertInstanceOf(OutOfMemoryError.class, uncaught.poll(10, TimeUnit.SECONDS)).getMessage());
+        disk.write(
+                failing(() -> {
+                    throw new OutOfMemoryError("bare");
+                }),
+                () -> written.add("never"));
+        assertEquals(
+                "bare",
+                assertInstanceOf(OutOfMemoryError.class, uncaught.poll(10, TimeUnit.SECONDS))
+                        .getMessage());
+        disk.write(
+                failing(() -> {
+                    throw new IllegalStateException("as the store tells it", new OutOfMemoryError("wrapped"));
+                }),
+                () -> written.add("never"));
+        assertEquals(
+                "wrapped",
+                assertInstanceOf(OutOfMemoryError.class, uncaught.poll(10, TimeUnit.SECONDS))
+                        .getMessage());
         assertEquals(List.of(), lines, "nothing is tried again");
         assertTrue(written.isEmpty());
     }
@@ -82,12 +104,14 @@
     @Test
     void aDiskThatFailsForAWhileIsTriedAgain() throws Exception {
         int[] times = {0};
-        disk.write(failing(() -> {
-            if (++times[0] == 1) {
-                throw new IllegalStateException("disk full");
-            }
-            return new Entry(1, 1, Entry.Kind.LEAD, new byte[0]);
-        }), () -> written.add("written"));
+        disk.write(
+                failing(() -> {
+                    if (++times[0] == 1) {
+                        throw new IllegalStateException("disk full");
+                    }
+                    return new Entry(1, 1, Entry.Kind.LEAD, new byte[0]);
+                }),
+                () -> written.add("written"));
         assertEquals("written", written.poll(10, TimeUnit.SECONDS));
         assertEquals(1, lines.size());
         assertTrue(uncaught.isEmpty());
--- a/src/test/java/tinworks/control/HistoryCheck.java
+++ b/src/test/java/tinworks/control/HistoryCheck.java
@@ -31,6 +31,7 @@
     private final TreeMap<Long, Long> shownUpTo = new TreeMap<>();
     /** Acknowledged numbers by the time of their acknowledgement; both rise. */
     private final TreeMap<Long, Long> acked = new TreeMap<>();
+
     int acknowledged;
     int refused;
     int shows;
@@ -60,7 +61,8 @@
             throw new Broken("REFUSED IN FORCE: " + where + " has the invalid " + order);
         }
         if (order.refusedAt >= 0) {
-            throw new Broken("REFUSED IN FORCE: " + where + " has " + order + ", which was refused with " + order.refusedWith);
+            throw new Broken(
+                    "REFUSED IN FORCE: " + where + " has " + order + ", which was refused with " + order.refusedWith);
         }
         Order same = inForceByRev.putIfAbsent(order.rev, order);
         if (same != null) {
@@ -100,13 +102,17 @@
         }
         Order base = inForceByRev.get(order.base);
         if (order.base > 0 && (base == null || base.inForceAt >= triedAt)) {
-            // It may have come before the one that it builds on; an earlier try of it that is still under way may yet be taken.
+            // It may have come before the one that it builds on; an earlier try of it that is still under way may yet
+            // be taken.
             order.early = true;
             return;
         }
-        boolean passed = !order.valid || order.rev <= order.base || !inForceByRev.tailMap(order.base, false).isEmpty();
+        boolean passed = !order.valid
+                || order.rev <= order.base
+                || !inForceByRev.tailMap(order.base, false).isEmpty();
         if (!passed) {
-            throw new Broken("PROPER ORDER REFUSED: " + order + " with " + status + ", though nothing newer than its base is in force");
+            throw new Broken("PROPER ORDER REFUSED: " + order + " with " + status
+                    + ", though nothing newer than its base is in force");
         }
         if (order.refusedAt < 0) {
             order.refusedAt = now;
@@ -121,7 +127,8 @@
         long rev = order == null ? 0 : order.rev;
         long owed = Math.max(ackedBy(askedAt - 1), shownBy(askedAt - 1));
         if (rev < owed) {
-            throw new Broken("OLD SHOWN: " + where + " showed " + rev + " to one who asked after " + owed + " was known");
+            throw new Broken(
+                    "OLD SHOWN: " + where + " showed " + rev + " to one who asked after " + owed + " was known");
         }
         if (order != null) {
             inForce(order, "what " + where + " showed", now);
--- a/src/test/java/tinworks/control/LogMemoryTest.java
+++ b/src/test/java/tinworks/control/LogMemoryTest.java
@@ -21,7 +21,10 @@
 import tinworks.raft.Snapshot;
 import tinworks.raft.Stored;
 
-/** What a core machine's log and its operators' calls take of the memory, with a disk that keeps up and with one that stalls. */
+/**
+ * What a core machine's log and its operators' calls take of the memory, with a disk that keeps up and with one that
+ * stalls.
+ */
 class LogMemoryTest {
     private static final List<Member> ALONE = List.of(new Member(1, "10.0.0.1:7"));
 
@@ -35,8 +38,11 @@
         private long snapshotBytes;
 
         Machine() {
-            core = new CoreMachine(new CoreMachine.Identity(1, "10.0.0.1:7", 0),
-                    new Stored(HardState.NONE, new Snapshot(0, 0, ALONE, new byte[0]), List.of()), this::write, this);
+            core = new CoreMachine(
+                    new CoreMachine.Identity(1, "10.0.0.1:7", 0),
+                    new Stored(HardState.NONE, new Snapshot(0, 0, ALONE, new byte[0]), List.of()),
+                    this::write,
+                    this);
             while (!core.agreement().raft().ready()) {
                 tick();
             }
@@ -75,13 +81,13 @@
         }
 
         @Override
-        public void fetchList(boolean wanted) { }
+        public void fetchList(boolean wanted) {}
 
         @Override
-        public void log(String line) { }
+        public void log(String line) {}
 
         @Override
-        public void want(Collection<String> addresses) { }
+        public void want(Collection<String> addresses) {}
 
         @Override
         public List<Conversation> open() {
@@ -93,7 +99,8 @@
     private static byte[] body(long rev, int bytes) {
         byte[] random = new byte[bytes / 2];
         new SplittableRandom(rev).nextBytes(random);
-        return ("{\"rev\":" + rev + ",\"routes\":[],\"svcs\":[],\"note\":\"" + HexFormat.of().formatHex(random) + "\"}")
+        return ("{\"rev\":" + rev + ",\"routes\":[],\"svcs\":[],\"note\":\""
+                        + HexFormat.of().formatHex(random) + "\"}")
                 .getBytes(StandardCharsets.UTF_8);
     }
 
@@ -115,7 +122,9 @@
         }
         assertTrue(most <= Agreement.MOST_BYTES + 2 * packed, most + " bytes of log");
         assertTrue(machine.snapshots * 4 <= changes, machine.snapshots + " snapshots for " + changes + " changes");
-        assertTrue(machine.snapshotBytes < changes * packed / 3, "more is written for snapshots than a third of the changes");
+        assertTrue(
+                machine.snapshotBytes < changes * packed / 3,
+                "more is written for snapshots than a third of the changes");
         assertEquals(changes, machine.core.agreement().history().rev());
     }
 
@@ -129,7 +138,9 @@
         assertTrue(machine.snapshots <= 5, machine.snapshots + " snapshots");
     }
 
-    /** Eight at once on a disk that stalls: what finds no room is told so at once, and the rest when its time is over. */
+    /**
+     * Eight at once on a disk that stalls: what finds no room is told so at once, and the rest when its time is over.
+     */
     @Test
     void callsThatPileUpOnAStalledDiskAreBoundedAndToldToComeBack() {
         Machine machine = new Machine();
@@ -141,14 +152,19 @@
             all.add(send(machine, 0, body));
             held += all.get(all.size() - 1).isEmpty() ? ConfigurationHistory.command(0, rev, body).length : 0;
         }
-        long atOnce = all.stream().filter(answers -> !answers.isEmpty() && answers.get(0).status() == OperatorCalls.UNCLEAR).count();
+        long atOnce = all.stream()
+                .filter(answers -> !answers.isEmpty() && answers.get(0).status() == OperatorCalls.UNCLEAR)
+                .count();
         assertTrue(atOnce > 0 && atOnce < 8, atOnce + " told at once");
         assertTrue(held <= OperatorCalls.MOST_HELD, held + " bytes held");
-        assertTrue(machine.core.agreement().raft().bytes(Long.MAX_VALUE) <= 2 * OperatorCalls.LONGEST_COMMAND, "written ahead");
+        assertTrue(
+                machine.core.agreement().raft().bytes(Long.MAX_VALUE) <= 2 * OperatorCalls.LONGEST_COMMAND,
+                "written ahead");
         for (int i = 0; i < 40; i++) {
             machine.tick();
         }
-        assertTrue(all.stream().allMatch(answers -> answers.size() == 1 && answers.get(0).status() == OperatorCalls.UNCLEAR));
+        assertTrue(all.stream()
+                .allMatch(answers -> answers.size() == 1 && answers.get(0).status() == OperatorCalls.UNCLEAR));
         machine.stalls = false;
         while (!machine.stalled.isEmpty()) {
             machine.stalled.poll().run();
--- a/src/test/java/tinworks/control/MutantDaysTest.java
+++ b/src/test/java/tinworks/control/MutantDaysTest.java
@@ -9,7 +9,10 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import tinworks.control.SimulatedDay.Settings;
 
-/** Each guard that is taken out is found out by simulated days, by the rule that it keeps; with it the days break nothing. */
+/**
+ * Each guard that is taken out is found out by simulated days, by the rule that it keeps; with it the days break
+ * nothing.
+ */
 @ExtendWith(Quietly.class)
 class MutantDaysTest {
     @ParameterizedTest
--- a/src/test/java/tinworks/control/Operators.java
+++ b/src/test/java/tinworks/control/Operators.java
@@ -16,20 +16,24 @@
 import tinworks.config.ConfigurationHistory.Verdict;
 
 /**
- * Operators who send orders as the pages say: up to eight at once, to any machine, again as it was after a second without a
- * clear answer. Answers are lost on their way. What the core has said, whether or not it was heard, is checked at the end.
+ * Operators who send orders as the pages say: up to eight at once, to any machine, again as it was after a second
+ * without a clear answer. Answers are lost on their way. What the core has said, whether or not it was heard, is
+ * checked at the end.
  */
 final class Operators {
     private static final Pattern REV = Pattern.compile("\"rev\":(\\d+)");
-    private static final int MOST = 8, PATIENCE_MILLIS = 1_000;
+    private static final int MOST = 8;
+    private static final int PATIENCE_MILLIS = 1_000;
 
     private final CoreNetwork network;
     private final List<Order> orders = new ArrayList<>();
     /** The newest version that anybody was told of, by the time from which that was so. */
     private final TreeMap<Long, Long> told = new TreeMap<>(Map.of(0L, 0L));
+
     private final double lost;
     /** The newest version that operators have heard of. */
     private long known;
+
     private int open;
     int acknowledged;
     int refused;
@@ -62,7 +66,8 @@
     }
 
     static byte[] configuration(long rev, String tag) {
-        return ("{\"rev\":" + rev + ",\"routes\":[],\"svcs\":[{\"name\":\"" + tag + "\"}]}").getBytes(StandardCharsets.UTF_8);
+        return ("{\"rev\":" + rev + ",\"routes\":[],\"svcs\":[{\"name\":\"" + tag + "\"}]}")
+                .getBytes(StandardCharsets.UTF_8);
     }
 
     static long rev(CallAnswer answer) {
@@ -70,7 +75,10 @@
         return rev.find() ? Long.parseLong(rev.group(1)) : 0;
     }
 
-    /** Sends an order, unless eight are under way: on the newest known version, an older one, or one that is only ordered yet. */
+    /**
+     * Sends an order, unless eight are under way: on the newest known version, an older one, or one that is only
+     * ordered yet.
+     */
     void order() {
         if (open < MOST) {
             open++;
@@ -91,16 +99,18 @@
     private void send(Order order) {
         CoreNetwork.Node node = any();
         boolean[] over = {false};
-        node.work(1 + network.random.nextInt(4), () -> node.machine.calls().replace(List.of(Long.toString(order.base)), order.body, answer -> {
-            judge(order, answer);
-            boolean heard = network.random.nextDouble() >= lost;
-            network.later(1 + network.random.nextInt(4), () -> {
-                if (heard && !over[0]) {
-                    over[0] = true;
-                    heard(order, answer);
-                }
-            });
-        }));
+        node.work(
+                1 + network.random.nextInt(4),
+                () -> node.machine.calls().replace(List.of(Long.toString(order.base)), order.body, answer -> {
+                    judge(order, answer);
+                    boolean heard = network.random.nextDouble() >= lost;
+                    network.later(1 + network.random.nextInt(4), () -> {
+                        if (heard && !over[0]) {
+                            over[0] = true;
+                            heard(order, answer);
+                        }
+                    });
+                }));
         network.later(PATIENCE_MILLIS, () -> {
             if (!over[0]) {
                 over[0] = true;
@@ -147,14 +157,16 @@
     void show() {
         CoreNetwork.Node node = any();
         long before = newestTold(network.now);
-        node.work(1, () -> node.machine.calls().show(answer -> {
-            if (answer.status() != OperatorCalls.UNCLEAR) {
-                long rev = answer.status() == OperatorCalls.OK ? rev(answer) : 0;
-                assertTrue(rev >= before, "shown " + rev + " after " + before);
-                tell(rev);
-                known = Math.max(known, rev);
-            }
-        }));
+        node.work(
+                1,
+                () -> node.machine.calls().show(answer -> {
+                    if (answer.status() != OperatorCalls.UNCLEAR) {
+                        long rev = answer.status() == OperatorCalls.OK ? rev(answer) : 0;
+                        assertTrue(rev >= before, "shown " + rev + " after " + before);
+                        tell(rev);
+                        known = Math.max(known, rev);
+                    }
+                }));
     }
 
     /** All that was said against what is in the log of a machine that is up to date. */
@@ -162,7 +174,8 @@
         List<Long> bases = new ArrayList<>();
         for (Order order : orders) {
             byte[] command = ConfigurationHistory.command(order.base, order.rev, order.body);
-            boolean isTaken = order.rev <= history.rev() && history.judge(order.base, order.rev, command) == Verdict.TAKEN;
+            boolean isTaken =
+                    order.rev <= history.rev() && history.judge(order.base, order.rev, command) == Verdict.TAKEN;
             assertTrue(isTaken || !order.taken, "acknowledged and gone: " + order);
             assertFalse(isTaken && order.refused, "in force though it was refused: " + order);
             assertFalse(isTaken && bases.contains(order.base), "two on one base: " + order);
--- a/src/test/java/tinworks/control/Order.java
+++ b/src/test/java/tinworks/control/Order.java
@@ -4,13 +4,18 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
-/** A change of the configuration that an operator sends, and what came of it. Times are the world's milliseconds, -1 for never. */
+/**
+ * A change of the configuration that an operator sends, and what came of it. Times are the world's milliseconds, -1 for
+ * never.
+ */
 final class Order {
-    private static final Pattern REV = Pattern.compile("\"rev\":(\\d+)"), NAME = Pattern.compile("\"name\":\"o(\\d+)\"");
+    private static final Pattern REV = Pattern.compile("\"rev\":(\\d+)");
+    private static final Pattern NAME = Pattern.compile("\"name\":\"o(\\d+)\"");
 
     final int number;
     /** The number of the version that it builds on; of two orders under one number it can't tell which. */
     final long base;
+
     final long rev;
     final byte[] body;
     final boolean valid;
@@ -20,6 +25,7 @@
     int refusedWith;
     /** Refused while the one that it builds on wasn't in force. */
     boolean early;
+
     long inForceAt = -1;
     /** Since when it could have been acknowledged in one calm stretch. */
     long owedSince = -1;
@@ -31,9 +37,16 @@
         this.valid = valid;
         StringBuilder json = new StringBuilder("{\"rev\":" + rev + ",\"routes\":[");
         for (int i = 0; i < 6; i++) {
-            json.append(i == 0 ? "" : ",").append("{\"name\":\"").append(i == 0 ? "o" + number : "r" + i)
-                    .append("\",\"domain\":\"a.example\",\"prefix\":\"/").append(i).append("/\",\"type\":\"idem\",\"timeoutMs\":")
-                    .append(i == 1 ? 1_000 + number % 100 : 1_200).append(",\"svc\":\"").append(valid ? "s" : "none").append("\"}");
+            json.append(i == 0 ? "" : ",")
+                    .append("{\"name\":\"")
+                    .append(i == 0 ? "o" + number : "r" + i)
+                    .append("\",\"domain\":\"a.example\",\"prefix\":\"/")
+                    .append(i)
+                    .append("/\",\"type\":\"idem\",\"timeoutMs\":")
+                    .append(i == 1 ? 1_000 + number % 100 : 1_200)
+                    .append(",\"svc\":\"")
+                    .append(valid ? "s" : "none")
+                    .append("\"}");
         }
         body = json.append("],\"svcs\":[{\"name\":\"s\"}]}").toString().getBytes(StandardCharsets.UTF_8);
     }
--- a/src/test/java/tinworks/control/OrdersTest.java
+++ b/src/test/java/tinworks/control/OrdersTest.java
@@ -13,14 +13,16 @@
 import tinworks.channel.HostList;
 import tinworks.channel.Signal.Announce;
 import tinworks.channel.Signal.CallAnswer;
-import tinworks.config.ConfigurationHistory.Verdict;
 import tinworks.config.ConfigurationHistory;
+import tinworks.config.ConfigurationHistory.Verdict;
 import tinworks.control.CoreNetwork.Node;
 import tinworks.raft.Raft;
 
 /** Orders that race, repeat and lose their answers while machines are cut off, frozen and killed. */
 class OrdersTest {
-    private static final int RUNS = 200, LEASE_MILLIS = 450, WAY_MILLIS = 10;
+    private static final int RUNS = 200;
+    private static final int LEASE_MILLIS = 450;
+    private static final int WAY_MILLIS = 10;
 
     private static List<CallAnswer> replace(Node node, long base, byte[] body) {
         List<CallAnswer> answers = new ArrayList<>();
@@ -34,7 +36,10 @@
     }
 
     private static Node other(CoreNetwork network, Node... than) {
-        return network.nodes.stream().filter(n -> !List.of(than).contains(n)).findFirst().orElseThrow();
+        return network.nodes.stream()
+                .filter(n -> !List.of(than).contains(n))
+                .findFirst()
+                .orElseThrow();
     }
 
     @Test
@@ -107,8 +112,12 @@
             Node led = network.ready(3_000);
             assertTrue(led.raft().commit() > first);
             assertEquals(3, led.machine.agreement().history().rev());
-            long confirmed = again.stream().filter(a -> !a.isEmpty() && a.get(0).status() == 200).count();
-            long refused = again.stream().filter(a -> !a.isEmpty() && a.get(0).status() == 412).count();
+            long confirmed = again.stream()
+                    .filter(a -> !a.isEmpty() && a.get(0).status() == 200)
+                    .count();
+            long refused = again.stream()
+                    .filter(a -> !a.isEmpty() && a.get(0).status() == 412)
+                    .count();
             assertTrue(confirmed > 0 && refused > 0, confirmed + " confirmed, " + refused + " refused");
         }
     }
@@ -144,7 +153,10 @@
         Node next = null;
         while (next == null) {
             network.run(network.now + 1);
-            next = network.nodes.stream().filter(n -> n.up() && n.raft().role() == Raft.Role.LEADER).findFirst().orElse(null);
+            next = network.nodes.stream()
+                    .filter(n -> n.up() && n.raft().role() == Raft.Role.LEADER)
+                    .findFirst()
+                    .orElse(null);
         }
         List<CallAnswer> shown = new ArrayList<>();
         network.cut(next, other(network, next, old));
@@ -161,16 +173,18 @@
     /** Who says that it leads is alone in that, and who says that it is fresh is behind by less than a lease. */
     private static void check(CoreNetwork network, Operators operators, Node node, Announce s) {
         if (s.leads()) {
-            network.nodes.forEach(n -> assertTrue(n == node || !n.up() || !n.raft().ready() || n.raft().term() < s.term(),
+            network.nodes.forEach(n -> assertTrue(
+                    n == node || !n.up() || !n.raft().ready() || n.raft().term() < s.term(),
                     node.hello().node() + " leads beside " + n.hello().node()));
         }
         long told = operators.newestTold(network.now - LEASE_MILLIS);
-        assertTrue(!s.fresh() || s.rev() >= told, node.hello().node() + " is fresh with " + s.rev() + " behind " + told);
+        assertTrue(
+                !s.fresh() || s.rev() >= told, node.hello().node() + " is fresh with " + s.rev() + " behind " + told);
     }
 
     /**
-     * An edge that starts now goes into service only with what was the newest less than a lease ago, but for the way to it, and
-     * of two lists takes the one that was fetched later.
+     * An edge that starts now goes into service only with what was the newest less than a lease ago, but for the way to
+     * it, and of two lists takes the one that was fetched later.
      */
     private static CoreNetwork.Edge edge(CoreNetwork network, Operators operators) {
         CoreNetwork.Edge[] edge = {null};
@@ -218,16 +232,20 @@
         network.run(network.now + 6_000);
         ConfigurationHistory newest = network.ready(3_000).machine.agreement().history();
         operators.check(newest);
-        edges.forEach(edge -> assertTrue(edge.core.rev() == newest.rev() && edge.core.upToDate()
-                && !edge.core.list().hosts().isEmpty(), edge.core.rev() + " at an edge, not " + newest.rev()));
+        edges.forEach(edge -> assertTrue(
+                edge.core.rev() == newest.rev()
+                        && edge.core.upToDate()
+                        && !edge.core.list().hosts().isEmpty(),
+                edge.core.rev() + " at an edge, not " + newest.rev()));
         return operators;
     }
 
     private static void trouble(CoreNetwork network) {
         Node leader = network.leader();
-        Node node = leader != null && network.random.nextBoolean() ? leader
+        Node node = leader != null && network.random.nextBoolean()
+                ? leader
                 : network.nodes.get(network.random.nextInt(network.nodes.size()));
-        long millis = 100 + network.random.nextInt(2_000);
+        long millis = 100L + network.random.nextInt(2_000);
         switch (network.random.nextInt(4)) {
             case 0 -> {
                 network.cutOff(node);
@@ -264,7 +282,9 @@
                 throw new AssertionError("seed " + seed + ": " + e.getMessage(), e);
             }
         }
-        assertTrue(acknowledged > 10 * runs && refused > 10 * runs, acknowledged + " acknowledged, " + refused + " refused");
+        assertTrue(
+                acknowledged > 10 * runs && refused > 10 * runs,
+                acknowledged + " acknowledged, " + refused + " refused");
     }
 
     private static CoreNetwork.Maker with(BiFunction<CoreMachine, LongSupplier, OperatorCalls> handled) {
@@ -307,7 +327,8 @@
         assertCaught((self, stored, disk, around) -> new CoreMachine(self, stored, disk, around) {
             @Override
             boolean fresh() {
-                return agreement().raft().role() == Raft.Role.LEADER || agreement().raft().leader() != 0;
+                return agreement().raft().role() == Raft.Role.LEADER
+                        || agreement().raft().leader() != 0;
             }
         });
     }
--- a/src/test/java/tinworks/control/ScriptedDaysTest.java
+++ b/src/test/java/tinworks/control/ScriptedDaysTest.java
@@ -8,10 +8,13 @@
 import tinworks.control.SimulatedDay.Closing;
 import tinworks.control.SimulatedDay.Settings;
 
-/** Days that bring about what operators have met with systems of this kind, and those that simulated days have found. */
+/**
+ * Days that bring about what operators have met with systems of this kind, and those that simulated days have found.
+ */
 @ExtendWith(Quietly.class)
 class ScriptedDaysTest {
-    private static final long OFTEN = 300, VERY_OFTEN = 40;
+    private static final long OFTEN = 300;
+    private static final long VERY_OFTEN = 40;
 
     private static void play(int machines, long pause, String script, Closing closing) {
         for (long seed = 1; seed <= 3; seed++) {
@@ -19,11 +22,16 @@
         }
     }
 
-    /** 1: a machine that was cut off hands out nothing old, refuses nothing, and confirms nothing; edges start at it. */
+    /**
+     * 1: a machine that was cut off hands out nothing old, refuses nothing, and confirms nothing; edges start at it.
+     */
     @ParameterizedTest
     @CsvSource({"3, 0", "3, 1", "3, 2", "4, 0", "4, 1", "5, 2"})
     void theLeaderIsCutOffForTwentySeconds(int machines, int way) {
-        play(machines, OFTEN, "5000 cut_seeds leader 20000 " + way + "\n6000 races operators 0 20\n10000 races operators 0 20",
+        play(
+                machines,
+                OFTEN,
+                "5000 cut_seeds leader 20000 " + way + "\n6000 races operators 0 20\n10000 races operators 0 20",
                 Closing.NONE);
     }
 
@@ -83,7 +91,8 @@
     @ParameterizedTest
     @ValueSource(ints = {3, 4})
     void callsArePassedOnOverBrokenConnections(int machines) {
-        StringBuilder script = new StringBuilder("4500 changes operators 0 200\n6000 freeze leader 1400 0\n12500 freeze other 1400 0\n");
+        StringBuilder script = new StringBuilder(
+                "4500 changes operators 0 200\n6000 freeze leader 1400 0\n12500 freeze other 1400 0\n");
         for (int at = 5_000; at < 20_000; at += 700) {
             script.append(at).append(" reset other 0 2\n");
         }
@@ -106,6 +115,8 @@
         "23,  NONE,                ''",
     })
     void foundOnceBreaksNothing(long seed, Closing closing, String script) {
-        SimulatedDay.play(Settings.of(seed).with(Trouble.script(script.replace(';', '\n'))).with(closing));
+        SimulatedDay.play(Settings.of(seed)
+                .with(Trouble.script(script.replace(';', '\n')))
+                .with(closing));
     }
 }
--- a/src/test/java/tinworks/control/Shrink.java
+++ b/src/test/java/tinworks/control/Shrink.java
@@ -6,7 +6,7 @@
 
 /** Finds fewer troubles that break the same rule. */
 final class Shrink {
-    private Shrink() { }
+    private Shrink() {}
 
     /** The rule that a day breaks, null where it breaks none. */
     static String broken(Settings settings) {
@@ -25,7 +25,7 @@
             least = least.with(SimulatedDay.Closing.NONE);
         }
         for (int part = Math.max(1, least.troubles().size() / 2); part >= 1; part /= 2) {
-            for (int from = 0; from < least.troubles().size();) {
+            for (int from = 0; from < least.troubles().size(); ) {
                 List<Trouble> fewer = new ArrayList<>(least.troubles());
                 fewer.subList(from, Math.min(fewer.size(), from + part)).clear();
                 if (rule.equals(broken(least.with(fewer)))) {
@@ -48,7 +48,7 @@
         } catch (HistoryCheck.Broken e) {
             again = e.getMessage();
         }
-        return broken.getMessage() + "\n  seed " + settings.seed() + ", shrunk from " + settings.troubles().size()
-                + " troubles: " + again + "\n" + least.script() + "\n";
+        return broken.getMessage() + "\n  seed " + settings.seed() + ", shrunk from "
+                + settings.troubles().size() + " troubles: " + again + "\n" + least.script() + "\n";
     }
 }
--- a/src/test/java/tinworks/control/SimulatedCore.java
+++ b/src/test/java/tinworks/control/SimulatedCore.java
@@ -29,7 +29,9 @@
 
 /** A core machine of the simulation: the production {@link CoreMachine} with a simulated clock, network and disk. */
 final class SimulatedCore implements CoreMachine.Environment {
-    private static final long RETRY_MICROS = 200_000, START_AGAIN_MICROS = 500_000, POLL_MILLIS = 1_000;
+    private static final long RETRY_MICROS = 200_000;
+    private static final long START_AGAIN_MICROS = 500_000;
+    private static final long POLL_MILLIS = 1_000;
 
     /** What a simulated core machine needs of the day round it. */
     interface Around {
@@ -70,10 +72,20 @@
     long lostUntil;
     /** The version that the checker last saw in force here, in this life. */
     long seenRev;
+
     Raft.Role seenRole;
 
-    SimulatedCore(World world, SimulatedNetwork network, Map<String, Machine> machines, String name, String address, int losses,
-                  long syncMicros, boolean onFiles, Flaw flaw, Around around) {
+    SimulatedCore(
+            World world,
+            SimulatedNetwork network,
+            Map<String, Machine> machines,
+            String name,
+            String address,
+            int losses,
+            long syncMicros,
+            boolean onFiles,
+            Flaw flaw,
+            Around around) {
         this.world = world;
         this.network = network;
         this.machines = machines;
@@ -86,7 +98,9 @@
         machine = new Machine(world, address, () -> around.worked(this));
         machines.put(address, machine);
         long seed = random.nextLong();
-        store = onFiles ? new SimulatedStore.Files(seed, flaw != Flaw.FOLDER_NOT_SYNCED) : new SimulatedStore.Memory(seed);
+        store = onFiles
+                ? new SimulatedStore.Files(seed, flaw != Flaw.FOLDER_NOT_SYNCED)
+                : new SimulatedStore.Memory(seed);
     }
 
     // ---- its lives
@@ -97,7 +111,8 @@
         seenRev = 0;
         fetching = false;
         // Above all ids of a first start.
-        long newId = flaw == Flaw.IDENTITY_KEPT && knownId != 0 ? knownId : (random.nextLong() | 1L << 62) & Long.MAX_VALUE;
+        long newId =
+                flaw == Flaw.IDENTITY_KEPT && knownId != 0 ? knownId : (random.nextLong() | 1L << 62) & Long.MAX_VALUE;
         SimulatedStore.Found found = store.open(machine.address(), bootstrap, seeds, newId);
         if (found == null) {
             // The process ends and is started again.
@@ -228,10 +243,14 @@
     void replace(long base, byte[] body, Consumer<CallAnswer> told) {
         take(told, answer -> {
             core.calls().replace(List.of(Long.toString(base)), body, answer);
-            if (flaw == Flaw.EARLY_VERDICT && leads() && core.agreement().history().rev() == base && open.contains(told)) {
+            if (flaw == Flaw.EARLY_VERDICT
+                    && leads()
+                    && core.agreement().history().rev() == base
+                    && open.contains(told)) {
                 String text = new String(body, StandardCharsets.UTF_8);
                 long rev = Order.revOf(text);
-                answer.accept(new CallAnswer(0, OperatorCalls.OK, ("{\"rev\":" + rev + "}\n").getBytes(StandardCharsets.UTF_8)));
+                answer.accept(new CallAnswer(
+                        0, OperatorCalls.OK, ("{\"rev\":" + rev + "}\n").getBytes(StandardCharsets.UTF_8)));
             }
         });
     }
@@ -276,19 +295,21 @@
     }
 
     private void fetch(long run) {
-        long took = 3_000 + random.nextInt(10_000);
+        long took = 3_000L + random.nextInt(10_000);
         long life = machine.life();
         List<HostList.Host> list = around.platform();
-        world.later(took, () -> machine.arrive(life, () -> {
-            if (fetching && run == fetches) {
-                core.listed(list);
-                machine.schedule(POLL_MILLIS, () -> {
+        world.later(
+                took,
+                () -> machine.arrive(life, () -> {
                     if (fetching && run == fetches) {
-                        fetch(run);
+                        core.listed(list);
+                        machine.schedule(POLL_MILLIS, () -> {
+                            if (fetching && run == fetches) {
+                                fetch(run);
+                            }
+                        });
                     }
-                });
-            }
-        }));
+                }));
     }
 
     @Override
@@ -304,7 +325,7 @@
         private final ArrayDeque<Write> writes = new ArrayDeque<>();
         private boolean busy;
 
-        private record Write(Output output, Runnable done) { }
+        private record Write(Output output, Runnable done) {}
 
         Writer(long life) {
             this.life = life;
@@ -315,7 +336,7 @@
             if (flaw == Flaw.SYNC_SKIPPED) {
                 // Said to be on the disk at once, and there a good while later.
                 world.later(0, () -> machine.arrive(life, done));
-                writes.add(new Write(output, () -> { }));
+                writes.add(new Write(output, () -> {}));
             } else {
                 writes.add(new Write(output, done));
             }
@@ -410,7 +431,9 @@
             try {
                 for (int i = 0; i < parts.length; i++) {
                     types[i] = parts[i].getType();
-                    values[i] = parts[i].getName().equals("fresh") ? Boolean.TRUE : parts[i].getAccessor().invoke(said);
+                    values[i] = parts[i].getName().equals("fresh")
+                            ? true
+                            : parts[i].getAccessor().invoke(said);
                 }
                 return Signal.Announce.class.getConstructor(types).newInstance(values);
             } catch (ReflectiveOperationException e) {
--- a/src/test/java/tinworks/control/SimulatedDay.java
+++ b/src/test/java/tinworks/control/SimulatedDay.java
@@ -26,7 +26,13 @@
  */
 final class SimulatedDay implements SimulatedCore.Around {
     /** What strikes at the end, right after one more change was acknowledged. */
-    enum Closing { NONE, POWER_ALL, KILL_ALL, WIPE_SOME, WIPE_SOME_POWER_ALL }
+    enum Closing {
+        NONE,
+        POWER_ALL,
+        KILL_ALL,
+        WIPE_SOME,
+        WIPE_SOME_POWER_ALL
+    }
 
     /**
      * All that a day is made from.
@@ -35,8 +41,19 @@
      * @param pauseMillis between two changes, in the mean
      * @param millis when troubles and changes end
      */
-    record Settings(long seed, int machines, int losses, int edges, long applyMillis, boolean onFiles, long syncMicros,
-                    long pauseMillis, long millis, List<Trouble> troubles, Closing closing, Flaw flaw) {
+    record Settings(
+            long seed,
+            int machines,
+            int losses,
+            int edges,
+            long applyMillis,
+            boolean onFiles,
+            long syncMicros,
+            long pauseMillis,
+            long millis,
+            List<Trouble> troubles,
+            Closing closing,
+            Flaw flaw) {
         /** What a seed stands for. */
         static Settings of(long seed) {
             SplittableRandom random = new SplittableRandom(seed);
@@ -46,33 +63,104 @@
             long millis = 14_000 + random.nextLong(14_000);
             long pause = random.nextInt(8) == 0 ? 60 : 200 + random.nextLong(1_500);
             Closing closing = random.nextInt(3) == 0 ? Closing.NONE : Closing.values()[1 + random.nextInt(4)];
-            return new Settings(seed, machines, machines == 5 ? 2 : 1, edges, random.nextBoolean() ? 3_000 : 2_000,
-                    random.nextInt(10) == 0, random.nextBoolean() ? 1_000 : 5_000, pause, millis,
-                    Trouble.draw(random, FIRST_TROUBLE, millis, machines, edges), closing, Flaw.NONE);
+            return new Settings(
+                    seed,
+                    machines,
+                    machines == 5 ? 2 : 1,
+                    edges,
+                    random.nextBoolean() ? 3_000 : 2_000,
+                    random.nextInt(10) == 0,
+                    random.nextBoolean() ? 1_000 : 5_000,
+                    pause,
+                    millis,
+                    Trouble.draw(random, FIRST_TROUBLE, millis, machines, edges),
+                    closing,
+                    Flaw.NONE);
         }
 
         /** A day of a script; the seed decides the rest. */
         static Settings scripted(long seed, int machines, boolean onFiles, long pause, String script, Closing closing) {
             List<Trouble> troubles = Trouble.script(script);
-            long millis = troubles.stream().mapToLong(t -> t.at() + t.lasts()).max().orElse(FIRST_TROUBLE) + 6_000;
-            return new Settings(seed, machines, machines == 5 ? 2 : 1, 3, 3_000, onFiles, 1_000, pause, millis, troubles, closing, Flaw.NONE);
+            long millis =
+                    troubles.stream().mapToLong(t -> t.at() + t.lasts()).max().orElse(FIRST_TROUBLE) + 6_000;
+            return new Settings(
+                    seed,
+                    machines,
+                    machines == 5 ? 2 : 1,
+                    3,
+                    3_000,
+                    onFiles,
+                    1_000,
+                    pause,
+                    millis,
+                    troubles,
+                    closing,
+                    Flaw.NONE);
         }
 
         Settings with(List<Trouble> others) {
-            return new Settings(seed, machines, losses, edges, applyMillis, onFiles, syncMicros, pauseMillis, millis, others, closing, flaw);
+            return new Settings(
+                    seed,
+                    machines,
+                    losses,
+                    edges,
+                    applyMillis,
+                    onFiles,
+                    syncMicros,
+                    pauseMillis,
+                    millis,
+                    others,
+                    closing,
+                    flaw);
         }
 
         Settings with(Closing other) {
-            return new Settings(seed, machines, losses, edges, applyMillis, onFiles, syncMicros, pauseMillis, millis, troubles, other, flaw);
+            return new Settings(
+                    seed,
+                    machines,
+                    losses,
+                    edges,
+                    applyMillis,
+                    onFiles,
+                    syncMicros,
+                    pauseMillis,
+                    millis,
+                    troubles,
+                    other,
+                    flaw);
         }
 
         Settings with(Flaw other) {
             Settings day = other == Flaw.FOLDER_NOT_SYNCED ? onFiles(true) : this;
-            return new Settings(seed, machines, losses, edges, applyMillis, day.onFiles, syncMicros, pauseMillis, millis, troubles, closing, other);
+            return new Settings(
+                    seed,
+                    machines,
+                    losses,
+                    edges,
+                    applyMillis,
+                    day.onFiles,
+                    syncMicros,
+                    pauseMillis,
+                    millis,
+                    troubles,
+                    closing,
+                    other);
         }
 
         Settings onFiles(boolean other) {
-            return new Settings(seed, machines, losses, edges, applyMillis, other, syncMicros, pauseMillis, millis, troubles, closing, flaw);
+            return new Settings(
+                    seed,
+                    machines,
+                    losses,
+                    edges,
+                    applyMillis,
+                    other,
+                    syncMicros,
+                    pauseMillis,
+                    millis,
+                    troubles,
+                    closing,
+                    flaw);
         }
 
         /** As a test can hold it. */
@@ -84,14 +172,31 @@
     }
 
     /** What a day came to. */
-    record Result(long events, Map<Trouble.Kind, Integer> troubles, int orders, int acknowledged, int refused, int tries,
-                  int repeats, int races, int shows) { }
+    record Result(
+            long events,
+            Map<Trouble.Kind, Integer> troubles,
+            int orders,
+            int acknowledged,
+            int refused,
+            int tries,
+            int repeats,
+            int races,
+            int shows) {}
 
     static final long FIRST_TROUBLE = 4_000;
-    static final long CONTACT = 4_000, ACK = 5_000, SYNC = 4_000, RECOVER = 15_000;
-    private static final long LAG = 3_000, LISTING = 500, CHECK = 100, TURN = 300, LONGEST_WAIT = 60_000, FIRST_ORDER = 1_000;
+    static final long CONTACT = 4_000;
+    static final long ACK = 5_000;
+    static final long SYNC = 4_000;
+    static final long RECOVER = 15_000;
+    private static final long LAG = 3_000;
+    private static final long LISTING = 500;
+    private static final long CHECK = 100;
+    private static final long TURN = 300;
+    private static final long LONGEST_WAIT = 60_000;
+    private static final long FIRST_ORDER = 1_000;
     private static final long GONE_MICROS = 3_000_000;
-    private static final int SEEDS = 3, SLOW_BYTES_PER_MILLI = 40;
+    private static final int SEEDS = 3;
+    private static final int SLOW_BYTES_PER_MILLI = 40;
 
     private final Settings settings;
     private final World world;
@@ -137,8 +242,16 @@
             broken.initCause(e);
             throw broken;
         }
-        return new Result(day.world.events(), day.counts, day.check.orders.size(), day.check.acknowledged, day.check.refused,
-                day.operators.tries, day.operators.repeats, day.operators.races, day.check.shows);
+        return new Result(
+                day.world.events(),
+                day.counts,
+                day.check.orders.size(),
+                day.check.acknowledged,
+                day.check.refused,
+                day.operators.tries,
+                day.operators.repeats,
+                day.operators.races,
+                day.check.shows);
     }
 
     private void run() {
@@ -183,21 +296,32 @@
 
     private SimulatedCore add(String name) {
         String address = "10.0.0." + name.substring(1) + ":7000";
-        SimulatedCore core = new SimulatedCore(world, network, machines, name, address, settings.losses, settings.syncMicros,
-                settings.onFiles, settings.flaw, this);
+        SimulatedCore core = new SimulatedCore(
+                world,
+                network,
+                machines,
+                name,
+                address,
+                settings.losses,
+                settings.syncMicros,
+                settings.onFiles,
+                settings.flaw,
+                this);
         cores.put(name, core);
         return core;
     }
 
     private void changePlatform() {
         platformChanges++;
-        platform = List.of(new HostList.Host("h" + platformChanges, "s", "10.1.0.1:80", "z", 3, false, 0),
+        platform = List.of(
+                new HostList.Host("h" + platformChanges, "s", "10.1.0.1:80", "z", 3, false, 0),
                 new HostList.Host("same", "s", "10.1.0.2:80", "z", 3, platformChanges % 2 == 0, 0));
         world.later(1_000 * (1_000 + random.nextLong(4_000)), this::changePlatform);
     }
 
     private void list() {
-        List<SimulatedCore> up = cores.values().stream().filter(c -> c.running() && !c.gone).toList();
+        List<SimulatedCore> up =
+                cores.values().stream().filter(c -> c.running() && !c.gone).toList();
         // A list without anyone tells nobody anything: the last one stays.
         listings.add(up.isEmpty() ? listings.peekLast() : up);
         if (listings.size() > LAG / LISTING) {
@@ -258,10 +382,14 @@
 
     private SimulatedCore find(String who) {
         List<SimulatedCore> may = cores.values().stream()
-                .filter(c -> c.running() && !c.gone && troubled.getOrDefault(c, 0) == 0).toList();
+                .filter(c -> c.running() && !c.gone && troubled.getOrDefault(c, 0) == 0)
+                .toList();
         SimulatedCore leader = null;
         for (SimulatedCore core : may) {
-            if (core.leads() && (leader == null || core.core().agreement().raft().term() > leader.core().agreement().raft().term())) {
+            if (core.leads()
+                    && (leader == null
+                            || core.core().agreement().raft().term()
+                                    > leader.core().agreement().raft().term())) {
                 leader = core;
             }
         }
@@ -336,7 +464,9 @@
             }
             case CUT_SEEDS -> {
                 cut(core, t.lasts(), (int) t.x());
-                world.later(t.lasts() * 750, () -> edges.values().forEach(e -> startEdge(e, 100, List.of(core.machine.address()))));
+                world.later(
+                        t.lasts() * 750,
+                        () -> edges.values().forEach(e -> startEdge(e, 100, List.of(core.machine.address()))));
             }
             case REPLACE -> replace(core, t.x());
             case LOSE -> lose(core, t.x());
@@ -397,7 +527,8 @@
 
     private void cut(SimulatedCore core, long millis, int way) {
         beginTrouble(core);
-        List<SimulatedCore> others = cores.values().stream().filter(c -> c != core && !c.gone).toList();
+        List<SimulatedCore> others =
+                cores.values().stream().filter(c -> c != core && !c.gone).toList();
         for (SimulatedCore other : others) {
             if (way != 2) {
                 network.cut(other.machine, core.machine);
@@ -515,7 +646,9 @@
         world.later(downMillis * 1_000, () -> {
             List<String> seeds = new ArrayList<>(first);
             List<String> others = seeds.size() < SEEDS && random.nextBoolean() ? List.of() : seeds();
-            others.stream().filter(s -> !seeds.contains(s) && seeds.size() < SEEDS).forEach(seeds::add);
+            others.stream()
+                    .filter(s -> !seeds.contains(s) && seeds.size() < SEEDS)
+                    .forEach(seeds::add);
             edge.start(seeds);
         });
     }
@@ -613,7 +746,8 @@
         if (raft.role() == Raft.Role.LEADER) {
             SimulatedCore before = leaders.putIfAbsent(raft.term(), core);
             if (before != null && before != core) {
-                throw new HistoryCheck.Broken("TWO LEADERS: " + before.name + " and " + core.name + " in term " + raft.term());
+                throw new HistoryCheck.Broken(
+                        "TWO LEADERS: " + before.name + " and " + core.name + " in term " + raft.term());
             }
         }
         long rev = core.core().agreement().history().rev();
@@ -622,7 +756,8 @@
                 throw new HistoryCheck.Broken("WENT BACK: " + core.name + " from " + core.seenRev + " to " + rev);
             }
             core.seenRev = rev;
-            check.inForce(check.order(Order.numberOf(core.core().agreement().history().body())), core.name, world.millis());
+            check.inForce(
+                    check.order(Order.numberOf(core.core().agreement().history().body())), core.name, world.millis());
         }
     }
 
@@ -638,7 +773,8 @@
                 served.put(edge, rev);
                 if (rev != 0) {
                     if (rev < before) {
-                        throw new HistoryCheck.Broken("EDGE WENT BACK: " + edge.name + " from " + before + " to " + rev);
+                        throw new HistoryCheck.Broken(
+                                "EDGE WENT BACK: " + edge.name + " from " + before + " to " + rev);
                     }
                     check.inForce(check.order(edge.order()), edge.name, world.millis());
                 }
@@ -648,15 +784,17 @@
 
     private void checkReady(SimulatedEdge edge, long owed) {
         if (edge.machine.running() && !edge.cutSinceStart && edge.ready() && edge.rev() < owed) {
-            throw new HistoryCheck.Broken("READY BUT OLD: " + edge.name + " serves " + edge.rev() + " at " + world.millis()
-                    + " where " + owed + " was acknowledged");
+            throw new HistoryCheck.Broken("READY BUT OLD: " + edge.name + " serves " + edge.rev() + " at "
+                    + world.millis() + " where " + owed + " was acknowledged");
         }
     }
 
     /** The core is settled, as the page has it. */
     private boolean calm() {
         long now = world.millis();
-        long out = cores.values().stream().filter(c -> !c.gone && (troubled.getOrDefault(c, 0) > 0 || !c.running())).count();
+        long out = cores.values().stream()
+                .filter(c -> !c.gone && (troubled.getOrDefault(c, 0) > 0 || !c.running()))
+                .count();
         return slowed == 0 && now - lastEvent >= contact && out <= settings.losses;
     }
 
@@ -689,7 +827,8 @@
             } else if (order.owedSince < 0) {
                 order.owedSince = now;
             } else if (now - order.owedSince > ACK) {
-                throw new HistoryCheck.Broken("NOT ACKNOWLEDGED: " + order + " of " + order.sentAt + " isn't by " + now);
+                throw new HistoryCheck.Broken(
+                        "NOT ACKNOWLEDGED: " + order + " of " + order.sentAt + " isn't by " + now);
             }
         }
     }
@@ -711,7 +850,8 @@
     }
 
     private boolean quiet() {
-        return cores.values().stream().noneMatch(c -> troubled.getOrDefault(c, 0) > 0) && edges.values().stream().noneMatch(e -> e.cut);
+        return cores.values().stream().noneMatch(c -> troubled.getOrDefault(c, 0) > 0)
+                && edges.values().stream().noneMatch(e -> e.cut);
     }
 
     /** The closing fault comes when as many as may be lost are there to be lost. */
@@ -780,7 +920,8 @@
         operators.show(answered -> shown[0] = answered);
         world.run(world.millis() + (settings.closing == Closing.NONE ? CONTACT : RECOVER));
         if (shown[0] == null || shown[0] != check.newest()) {
-            throw new HistoryCheck.Broken("LOST: " + shown[0] + " is shown at the end, and " + check.newest() + " was in force");
+            throw new HistoryCheck.Broken(
+                    "LOST: " + shown[0] + " is shown at the end, and " + check.newest() + " was in force");
         }
         for (Order order : check.orders) {
             if (order.ackedAt >= 0 && order.inForceAt < 0) {
--- a/src/test/java/tinworks/control/SimulatedEdge.java
+++ b/src/test/java/tinworks/control/SimulatedEdge.java
@@ -15,9 +15,13 @@
 import tinworks.simulation.Machine;
 import tinworks.simulation.World;
 
-/** An edge of the simulation, as far as it follows the core: the production {@link CoreFollower}, ready as EdgeNode says. */
+/**
+ * An edge of the simulation, as far as it follows the core: the production {@link CoreFollower}, ready as EdgeNode
+ * says.
+ */
 final class SimulatedEdge implements CoreFollower.Owner {
-    private static final long TICK_MILLIS = 250, PLAIN_START_MILLIS = 3_000;
+    private static final long TICK_MILLIS = 250;
+    private static final long PLAIN_START_MILLIS = 3_000;
 
     final Machine machine;
     final String name;
@@ -32,11 +36,17 @@
     private long startedAt;
     /** The world's milliseconds of its last trouble's end. */
     long troubledAt;
+
     boolean cut;
     boolean cutSinceStart;
 
-    SimulatedEdge(World world, SimulatedNetwork network, Map<String, Machine> machines, String name,
-                  Function<CoreFollower.Owner, CoreFollower> maker, Runnable observer) {
+    SimulatedEdge(
+            World world,
+            SimulatedNetwork network,
+            Map<String, Machine> machines,
+            String name,
+            Function<CoreFollower.Owner, CoreFollower> maker,
+            Runnable observer) {
         this.world = world;
         this.network = network;
         this.machines = machines;
@@ -53,7 +63,8 @@
         startedAt = millis();
         cutSinceStart = cut;
         follower = maker.apply(this);
-        links = network.links(machine, machines, new Hello(Part.EDGE, random.nextLong() & Long.MAX_VALUE, "", name, "z"), follower);
+        links = network.links(
+                machine, machines, new Hello(Part.EDGE, random.nextLong() & Long.MAX_VALUE, "", name, "z"), follower);
         tick();
     }
 
@@ -70,7 +81,9 @@
     /** As EdgeNode has it. */
     boolean ready() {
         boolean waited = millis() - startedAt > PLAIN_START_MILLIS;
-        return follower.configuration() != null && !follower.list().hosts().isEmpty() && (follower.upToDate() || waited);
+        return follower.configuration() != null
+                && !follower.list().hosts().isEmpty()
+                && (follower.upToDate() || waited);
     }
 
     long rev() {
@@ -79,9 +92,14 @@
 
     /** Which order it serves by, -1 for none. */
     int order() {
-        return follower.configuration() == null ? -1
-                : Integer.parseInt(follower.configuration().routes().stream().map(Configuration.Route::name)
-                        .filter(n -> n.startsWith("o")).findFirst().orElseThrow().substring(1));
+        return follower.configuration() == null
+                ? -1
+                : Integer.parseInt(follower.configuration().routes().stream()
+                        .map(Configuration.Route::name)
+                        .filter(n -> n.startsWith("o"))
+                        .findFirst()
+                        .orElseThrow()
+                        .substring(1));
     }
 
     /** The core machines that it is linked with. */
@@ -103,13 +121,15 @@
     @Override
     public void read(long rev, Callable<Configuration> version) {
         long life = machine.life();
-        world.later(1_000 + random.nextInt(20_000), () -> machine.arrive(life, () -> {
-            try {
-                follower.use(version.call());
-            } catch (Exception e) {
-                throw new HistoryCheck.Broken("an edge can't read the version " + rev + ": " + e);
-            }
-        }));
+        world.later(
+                1_000 + random.nextInt(20_000),
+                () -> machine.arrive(life, () -> {
+                    try {
+                        follower.use(version.call());
+                    } catch (Exception e) {
+                        throw new HistoryCheck.Broken("an edge can't read the version " + rev + ": " + e);
+                    }
+                }));
     }
 
     @Override
--- a/src/test/java/tinworks/control/SimulatedOperators.java
+++ b/src/test/java/tinworks/control/SimulatedOperators.java
@@ -10,13 +10,19 @@
 import tinworks.simulation.World;
 
 /**
- * Those who call the core: they choose among the machines of a list that lags, go on to another after a failure, a 5xx or
- * a second of silence with a pause that grows, and send an order that has no clear answer again as it was.
+ * Those who call the core: they choose among the machines of a list that lags, go on to another after a failure, a 5xx
+ * or a second of silence with a pause that grows, and send an order that has no clear answer again as it was.
  */
 final class SimulatedOperators {
-    private static final long SILENCE_MICROS = 1_000_000, FIRST_PAUSE = 100_000, LONGEST_PAUSE = 1_000_000;
-    private static final int MOST_UNDER_WAY = 8, LOST_ANSWERS = 10, MOST_LOST = 2;
-    private static final int CONFLICT = 412, INVALID = 400, NOT_FOUND = 404;
+    private static final long SILENCE_MICROS = 1_000_000;
+    private static final long FIRST_PAUSE = 100_000;
+    private static final long LONGEST_PAUSE = 1_000_000;
+    private static final int MOST_UNDER_WAY = 8;
+    private static final int LOST_ANSWERS = 10;
+    private static final int MOST_LOST = 2;
+    private static final int CONFLICT = 412;
+    private static final int INVALID = 400;
+    private static final int NOT_FOUND = 404;
 
     private final World world;
     private final SplittableRandom random;
@@ -24,6 +30,7 @@
     private final Supplier<List<SimulatedCore>> listed;
     /** Told when an order is sent for the first time. */
     private final Runnable sent;
+
     private int underWay;
     private long meanPauseMillis;
     private boolean ordering;
@@ -126,7 +133,9 @@
                     world.later(random.nextLong(4_000_000), () -> repeat(order));
                 }
             } else {
-                world.later(pause / 2 + random.nextLong(pause), () -> attempt(order, Math.min(LONGEST_PAUSE, 2 * pause), lost));
+                world.later(
+                        pause / 2 + random.nextLong(pause),
+                        () -> attempt(order, Math.min(LONGEST_PAUSE, 2 * pause), lost));
             }
         });
     }
@@ -160,7 +169,7 @@
 
     private void nextShow() {
         world.later(1_000 * (50 + random.nextLong(1_500)), () -> {
-            show(answered -> { });
+            show(answered -> {});
             nextShow();
         });
     }
@@ -169,18 +178,20 @@
     void show(Consumer<Order> told) {
         long askedAt = world.millis();
         String[] where = new String[1];
-        call((core, answer) -> {
-            where[0] = core.name;
-            core.show(answer);
-        }, answer -> {
-            if (answer != null && (answer.status() == OperatorCalls.OK || answer.status() == NOT_FOUND)) {
-                Order shown = answer.status() == NOT_FOUND ? null : check.order(Order.numberOf(answer.body()));
-                check.shown(shown, askedAt, where[0], world.millis());
-                told.accept(shown);
-            } else {
-                world.later(200_000 + random.nextLong(300_000), () -> show(told));
-            }
-        });
+        call(
+                (core, answer) -> {
+                    where[0] = core.name;
+                    core.show(answer);
+                },
+                answer -> {
+                    if (answer != null && (answer.status() == OperatorCalls.OK || answer.status() == NOT_FOUND)) {
+                        Order shown = answer.status() == NOT_FOUND ? null : check.order(Order.numberOf(answer.body()));
+                        check.shown(shown, askedAt, where[0], world.millis());
+                        told.accept(shown);
+                    } else {
+                        world.later(200_000 + random.nextLong(300_000), () -> show(told));
+                    }
+                });
     }
 
     // ---- the wire
@@ -212,12 +223,13 @@
                 world.later(delay(), () -> once.accept(null));
                 return;
             }
-            core.machine.arrive(core.machine.life(),
+            core.machine.arrive(
+                    core.machine.life(),
                     () -> asked.of(core, answer -> world.later(delay(), () -> once.accept(answer))));
         });
     }
 
     private long delay() {
-        return 3_000 + random.nextInt(1_000);
+        return 3_000L + random.nextInt(1_000);
     }
 }
--- a/src/test/java/tinworks/control/SimulatedStore.java
+++ b/src/test/java/tinworks/control/SimulatedStore.java
@@ -19,9 +19,12 @@
 /** The disk of a simulated core machine, and what a start of the process finds on it. */
 interface SimulatedStore {
     /** Who the machine is, and what it has agreed to. */
-    record Found(long id, Stored stored) { }
+    record Found(long id, Stored stored) {}
 
-    /** What {@link Core} does first; {@code newId} is for a machine whose disk is empty. Null where the disk takes nothing now. */
+    /**
+     * What {@link Core} does first; {@code newId} is for a machine whose disk is empty. Null where the disk takes
+     * nothing now.
+     */
     Found open(String address, boolean bootstrap, List<String> seeds, long newId);
 
     /** Writes and syncs; false where the disk takes nothing now. */
@@ -39,7 +42,9 @@
     /** From now on the disk takes nothing, or takes all again. */
     void full(boolean full);
 
-    /** A fast one: whole outputs in memory, where what is synced is kept and the write that was going on is or isn't. */
+    /**
+     * A fast one: whole outputs in memory, where what is synced is kept and the write that was going on is or isn't.
+     */
     final class Memory implements SimulatedStore {
         private final SplittableRandom random;
         private long id;
@@ -98,7 +103,8 @@
             HardState hard = output.hard() != null ? output.hard() : before.hard();
             Snapshot snapshot = output.snapshot() != null ? output.snapshot() : before.snapshot();
             List<Entry> entries = new ArrayList<>(before.entries());
-            entries.removeIf(e -> e.index() <= snapshot.index() || output.cutFrom() > 0 && e.index() >= output.cutFrom());
+            entries.removeIf(
+                    e -> e.index() <= snapshot.index() || (output.cutFrom() > 0 && e.index() >= output.cutFrom()));
             entries.addAll(output.entries());
             return new Stored(hard, snapshot, entries);
         }
@@ -190,8 +196,8 @@
 
         /** The folder, but its syncs do nothing. */
         private static Folder unsynced(Folder folder) {
-            return (Folder) Proxy.newProxyInstance(Folder.class.getClassLoader(), new Class<?>[] {Folder.class},
-                    (proxy, method, arguments) -> {
+            return (Folder) Proxy.newProxyInstance(
+                    Folder.class.getClassLoader(), new Class<?>[] {Folder.class}, (proxy, method, arguments) -> {
                         try {
                             return method.getName().equals("sync") ? null : method.invoke(folder, arguments);
                         } catch (InvocationTargetException e) {
--- a/src/test/java/tinworks/control/SimulationTest.java
+++ b/src/test/java/tinworks/control/SimulationTest.java
@@ -21,7 +21,9 @@
  */
 @ExtendWith(Quietly.class)
 class SimulationTest {
-    private static final int DAYS = Integer.getInteger("tinworks.simulation.days", 1_000), THREADS = 4, MOST_FAILURES = 5;
+    private static final int DAYS = Integer.getInteger("tinworks.simulation.days", 1_000);
+    private static final int THREADS = 4;
+    private static final int MOST_FAILURES = 5;
     private static final long SEED = Long.getLong("tinworks.simulation.seed", 1);
 
     @Test
@@ -48,7 +50,8 @@
             counts.add(day.get());
         }
         threads.shutdown();
-        System.out.println(counts + " in " + (System.nanoTime() - began) / 1_000_000_000 + " s, " + failures.size() + " failures");
+        System.out.println(
+                counts + " in " + (System.nanoTime() - began) / 1_000_000_000 + " s, " + failures.size() + " failures");
         failures.forEach(System.out::println);
         Assertions.assertEquals(List.of(), failures);
     }
@@ -56,7 +59,15 @@
     /** What all days came to. */
     private static final class Counts {
         private final Map<Trouble.Kind, Integer> troubles = new EnumMap<>(Trouble.Kind.class);
-        private long days, events, orders, acknowledged, refused, tries, repeats, races, shows;
+        private long days;
+        private long events;
+        private long orders;
+        private long acknowledged;
+        private long refused;
+        private long tries;
+        private long repeats;
+        private long races;
+        private long shows;
 
         void add(Result day) {
             if (day == null) {
--- a/src/test/java/tinworks/control/Trouble.java
+++ b/src/test/java/tinworks/control/Trouble.java
@@ -65,8 +65,12 @@
 
     static Trouble parse(String line) {
         String[] parts = line.trim().split("\\s+");
-        return new Trouble(Long.parseLong(parts[0]), Kind.valueOf(parts[1].toUpperCase(Locale.ROOT)), parts[2],
-                Long.parseLong(parts[3]), Long.parseLong(parts[4]));
+        return new Trouble(
+                Long.parseLong(parts[0]),
+                Kind.valueOf(parts[1].toUpperCase(Locale.ROOT)),
+                parts[2],
+                Long.parseLong(parts[3]),
+                Long.parseLong(parts[4]));
     }
 
     static List<Trouble> script(String text) {
@@ -91,19 +95,31 @@
             default -> "m" + (1 + random.nextInt(machines));
         };
         return switch (kind) {
-            case KILL, POWER, WIPE -> new Trouble(at, kind, who, 200 + random.nextLong(random.nextInt(3) == 0 ? 9_000 : 2_000), 0);
+            case KILL, POWER, WIPE ->
+                new Trouble(at, kind, who, 200 + random.nextLong(random.nextInt(3) == 0 ? 9_000 : 2_000), 0);
             case ALL -> new Trouble(at, kind, "all", 200 + random.nextLong(2_000), random.nextInt(2));
             case FREEZE -> new Trouble(at, kind, who, 100 + random.nextLong(8_000), 0);
             case SLOW -> new Trouble(at, kind, who, 1_000 + random.nextLong(6_000), 2_000 + random.nextLong(30_000));
-            case CUT, CUT_BOTH, CUT_SEEDS -> new Trouble(at, kind, who, 500 + random.nextLong(random.nextInt(3) == 0 ? 20_000 : 6_000),
-                    random.nextInt(3));
+            case CUT, CUT_BOTH, CUT_SEEDS ->
+                new Trouble(
+                        at,
+                        kind,
+                        who,
+                        500 + random.nextLong(random.nextInt(3) == 0 ? 20_000 : 6_000),
+                        random.nextInt(3));
             case RESET -> new Trouble(at, kind, who, 0, 1 + random.nextInt(machines));
             case REPLACE, LOSE -> new Trouble(at, kind, who, 0, 500 + random.nextLong(2_000));
             case AFTER_ACK -> new Trouble(at, kind, "acker", 500 + random.nextLong(3_000), random.nextInt(3));
-            case AFTER_SEND, WIPE_AFTER_SEND -> new Trouble(at, kind, random.nextBoolean() ? "leader" : "any",
-                    500 + random.nextLong(3_000), 5 + random.nextLong(random.nextBoolean() ? 40 : 395));
+            case AFTER_SEND, WIPE_AFTER_SEND ->
+                new Trouble(
+                        at,
+                        kind,
+                        random.nextBoolean() ? "leader" : "any",
+                        500 + random.nextLong(3_000),
+                        5 + random.nextLong(random.nextBoolean() ? 40 : 395));
             case STALL, FULL -> new Trouble(at, kind, who, 300 + random.nextLong(5_000), 0);
-            case EDGE_START, EDGE_CUT -> new Trouble(at, kind, "e" + (1 + random.nextInt(edges)), 500 + random.nextLong(8_000), 0);
+            case EDGE_START, EDGE_CUT ->
+                new Trouble(at, kind, "e" + (1 + random.nextInt(edges)), 500 + random.nextLong(8_000), 0);
             case RACES -> new Trouble(at, kind, "operators", 0, 1 + random.nextInt(10));
             case CHANGES -> new Trouble(at, kind, "operators", 0, 5 + random.nextInt(60));
         };
--- a/src/test/java/tinworks/control/VoterPlanTest.java
+++ b/src/test/java/tinworks/control/VoterPlanTest.java
@@ -10,9 +10,14 @@
 import tinworks.control.VoterPlan.Seen;
 import tinworks.raft.Member;
 
+/** Which machines the leader makes voters. */
 class VoterPlanTest {
-    private static final Member A = new Member(1, "a"), B = new Member(2, "b"), C = new Member(3, "c"), D = new Member(4, "d"),
-            E = new Member(5, "e"), C2 = new Member(9, "c");
+    private static final Member A = new Member(1, "a");
+    private static final Member B = new Member(2, "b");
+    private static final Member C = new Member(3, "c");
+    private static final Member D = new Member(4, "d");
+    private static final Member E = new Member(5, "e");
+    private static final Member C2 = new Member(9, "c");
     private final VoterPlan plan = new VoterPlan(1);
     private long now = 100_000;
 
@@ -41,7 +46,10 @@
         assertEquals(Optional.of(List.of(A, B, D)), next(List.of(A, B, C), alive(B), leaving(C), alive(D)));
         assertEquals(Optional.empty(), next(List.of(A, B, C), alive(B), leaving(C), behind(D)));
         assertEquals(Optional.empty(), next(List.of(A, B, C), alive(B), leaving(C)));
-        assertEquals(Optional.empty(), next(List.of(A, B, C), alive(B), silent(C), leaving(D)), "no voter that is about to end");
+        assertEquals(
+                Optional.empty(),
+                next(List.of(A, B, C), alive(B), silent(C), leaving(D)),
+                "no voter that is about to end");
     }
 
     @Test
@@ -60,7 +68,10 @@
         assertEquals(Optional.empty(), next(List.of(A, B, C), alive(B), silent(C)));
         assertEquals(Optional.empty(), next(List.of(A, B, C), alive(B), silent(C), behind(D)));
         assertEquals(Optional.empty(), next(List.of(A, B, C), silent(B), silent(C), alive(D)), "two can't commit it");
-        assertEquals(Optional.empty(), next(List.of(A, B, C), silent(B), silent(C), alive(D), alive(E)), "nor can one of three");
+        assertEquals(
+                Optional.empty(),
+                next(List.of(A, B, C), silent(B), silent(C), alive(D), alive(E)),
+                "nor can one of three");
     }
 
     @Test
@@ -68,15 +79,28 @@
         Seen before = new Seen(C, true, 500, false);
         assertEquals(Optional.empty(), next(List.of(A, B, C), alive(B), before, behind(C2)), "three stay three");
         assertEquals(Optional.of(List.of(A, B, C2)), next(List.of(A, B, C), alive(B), before, alive(C2)));
-        assertEquals(Optional.of(List.of(A, B, D)), next(List.of(A, B, C), alive(B), before, behind(C2), alive(D)), "the fourth has it");
-        assertEquals(Optional.of(List.of(A, B, C2)), next(List.of(A, B, C), alive(B), before, alive(D), alive(C2)), "its own place first");
+        assertEquals(
+                Optional.of(List.of(A, B, D)),
+                next(List.of(A, B, C), alive(B), before, behind(C2), alive(D)),
+                "the fourth has it");
+        assertEquals(
+                Optional.of(List.of(A, B, C2)),
+                next(List.of(A, B, C), alive(B), before, alive(D), alive(C2)),
+                "its own place first");
     }
 
     @Test
     void twoOfFiveChangePlacesAtOnce() {
-        Member f = new Member(6, "f"), g = new Member(7, "g");
-        assertEquals(Optional.of(List.of(A, f, C, g, E)), new VoterPlan(2).next(now, A.id(), List.of(A, B, C, D, E),
-                List.of(silent(B), alive(C), silent(D), alive(E), alive(f), alive(g))));
+        Member f = new Member(6, "f");
+        Member g = new Member(7, "g");
+        assertEquals(
+                Optional.of(List.of(A, f, C, g, E)),
+                new VoterPlan(2)
+                        .next(
+                                now,
+                                A.id(),
+                                List.of(A, B, C, D, E),
+                                List.of(silent(B), alive(C), silent(D), alive(E), alive(f), alive(g))));
     }
 
     /** The first start knows three seeds, and two losses of five are to be borne. */
@@ -84,8 +108,12 @@
     void threeSeedsBecomeFiveVotersAsTheOthersCatchUp() {
         VoterPlan five = new VoterPlan(2);
         List<Member> seeds = List.of(A, B, C);
-        assertEquals(Optional.of(List.of(A, B, C, D, E)), five.next(now, A.id(), seeds, List.of(alive(B), alive(C), alive(D), alive(E))));
-        assertEquals(Optional.of(List.of(A, B, C, D)), five.next(now, A.id(), seeds, List.of(alive(B), alive(C), alive(D), behind(E))));
+        assertEquals(
+                Optional.of(List.of(A, B, C, D, E)),
+                five.next(now, A.id(), seeds, List.of(alive(B), alive(C), alive(D), alive(E))));
+        assertEquals(
+                Optional.of(List.of(A, B, C, D)),
+                five.next(now, A.id(), seeds, List.of(alive(B), alive(C), alive(D), behind(E))));
     }
 
     /** Changes of voters within two minutes in which these machines are silent for 2.6 s of each 5 s, by turns. */
--- a/src/test/java/tinworks/demo/DemoTest.java
+++ b/src/test/java/tinworks/demo/DemoTest.java
@@ -12,15 +12,19 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
+/** The demo with real processes and faults. */
 class DemoTest {
     @Test
     @Timeout(value = 90, unit = TimeUnit.SECONDS)
     void aLeaderAndAnEdgeAreKilledAndNothingRunsTwice() throws IOException, InterruptedException {
         StringWriter said = new StringWriter();
-        List<Fault> faults = List.of(Fault.of("1:kill-leader"), Fault.of("1.5:kill-edge"), Fault.of("2:config"), Fault.of("2:drain-host"));
+        List<Fault> faults = List.of(
+                Fault.of("1:kill-leader"), Fault.of("1.5:kill-edge"), Fault.of("2:config"), Fault.of("2:drain-host"));
         long before = children();
-        try (Demo demo = new Demo(new Demo.Plan(3, 2, 3, 80, 5, 1, faults, List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
-                "-Xmx64m")), new PrintWriter(said, true))) {
+        try (Demo demo = new Demo(
+                new Demo.Plan(
+                        3, 2, 3, 80, 5, 1, faults, List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m")),
+                new PrintWriter(said, true))) {
             assertTrue(demo.play(), said.toString());
         }
         assertTrue(said.toString().contains("restarts: 2"), said.toString());
@@ -37,7 +41,9 @@
         ProcessCosts costs = new ProcessCosts();
         costs.add(ProcessHandle.current().pid());
         assertEquals(1, costs.processes());
-        double all = costs.meanMillis().values().stream().mapToDouble(Double::doubleValue).sum();
+        double all = costs.meanMillis().values().stream()
+                .mapToDouble(Double::doubleValue)
+                .sum();
         assertTrue(all > 100, "this process has run for longer: " + all);
         assertTrue(costs.meanMillis().get("compiler") > 0, costs.line("test"));
         costs.add(-1);
--- a/src/test/java/tinworks/demo/LargestBodiesTest.java
+++ b/src/test/java/tinworks/demo/LargestBodiesTest.java
@@ -24,28 +24,49 @@
 /** Real core machines on the heap of the deployment, and operators who send the longest bodies all at once. */
 class LargestBodiesTest {
     private static final int LONGEST = 8 << 20;
-    private static final List<String> OPTIONS = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx48m", "-Xmn2m", "-Xss256k",
-            "-XX:MaxDirectMemorySize=48m", "-XX:+ExitOnOutOfMemoryError");
+    private static final List<String> OPTIONS = List.of(
+            "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1",
+            "-Xmx48m",
+            "-Xmn2m",
+            "-Xss256k",
+            "-XX:MaxDirectMemorySize=48m",
+            "-XX:+ExitOnOutOfMemoryError");
 
     @TempDir
     private Path folder;
 
     /** As many routes as there is room for. */
     private static byte[] longest(long rev) {
-        StringBuilder text = new StringBuilder(LONGEST).append("{\"rev\":").append(rev).append(",\"svcs\":[{\"name\":\"huvo\"}],\"routes\":[");
+        StringBuilder text = new StringBuilder(LONGEST)
+                .append("{\"rev\":")
+                .append(rev)
+                .append(",\"svcs\":[{\"name\":\"huvo\"}],\"routes\":[");
         for (int i = 0; text.length() < LONGEST - 400; i++) {
-            text.append(i == 0 ? "" : ",").append("{\"name\":\"r-").append(Integer.toString(i * 7_919, 36)).append("\",\"domain\":\"jepu")
-                    .append(i % 97).append(".example\",\"prefix\":\"/lepu").append(Integer.toString(i * 104_729, 36))
-                    .append("/\",\"type\":\"idem\",\"timeoutMs\":2500,\"targetMs\":600,\"prio\":2,\"svc\":\"huvo\",\"tries\":2}");
+            text.append(i == 0 ? "" : ",")
+                    .append("{\"name\":\"r-")
+                    .append(Integer.toString(i * 7_919, 36))
+                    .append("\",\"domain\":\"jepu")
+                    .append(i % 97)
+                    .append(".example\",\"prefix\":\"/lepu")
+                    .append(Integer.toString(i * 104_729, 36))
+                    .append(
+                            "/\",\"type\":\"idem\",\"timeoutMs\":2500,\"targetMs\":600,\"prio\":2,\"svc\":\"huvo\",\"tries\":2}");
         }
         return text.append("]}").toString().getBytes(StandardCharsets.UTF_8);
     }
 
     private static String settings(int core, int ctl, int inner, Path disk) {
         String ip = "127.0.0." + (21 + core);
-        String seeds = String.join(",", Stream.of(21, 22, 23).map(last -> "\"127.0.0." + last + ":" + ctl + "\"").toList());
-        return "{\"node\":\"core-" + core + "\",\"az\":\"z\",\"ip\":\"" + ip + "\",\"listen\":{\"ctl\":\"" + ip + ":" + ctl + "\"},\"portRange\":["
-                + inner + "," + inner + "],\"seeds\":[" + seeds + "],\"bootstrap\":true,\"limits\":{\"nofile\":4096},\"datadir\":\"" + disk
+        String seeds = String.join(
+                ",",
+                Stream.of(21, 22, 23)
+                        .map(last -> "\"127.0.0." + last + ":" + ctl + "\"")
+                        .toList());
+        return "{\"node\":\"core-" + core + "\",\"az\":\"z\",\"ip\":\"" + ip + "\",\"listen\":{\"ctl\":\"" + ip + ":"
+                + ctl + "\"},\"portRange\":["
+                + inner + "," + inner + "],\"seeds\":[" + seeds
+                + "],\"bootstrap\":true,\"limits\":{\"nofile\":4096},\"datadir\":\"" + disk
                 + "\",\"survive\":{\"nodes\":1},\"bounds\":{\"graceS\":6},\"provider\":{\"addr\":\"127.0.0.1:1\"}}";
     }
 
@@ -53,8 +74,11 @@
     @Timeout(value = 200, unit = TimeUnit.SECONDS)
     void eightOfTheLongestAtOnceEndNoProcessAndOneIsTaken() throws Exception {
         List<Integer> ports = FreePorts.at("127.0.0.21", 2);
-        Operator operator = new Operator(Stream.of(21, 22, 23).map(last -> "127.0.0." + last + ":" + ports.get(0)).toList());
-        HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+        Operator operator = new Operator(Stream.of(21, 22, 23)
+                .map(last -> "127.0.0." + last + ":" + ports.get(0))
+                .toList());
+        HttpClient client =
+                HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
         try (Machines machines = new Machines(folder, OPTIONS)) {
             for (int i = 0; i < 3; i++) {
                 String settings = settings(i, ports.get(0), ports.get(1), machines.disk("core-" + i));
@@ -68,9 +92,14 @@
             for (int round = 0; round < 3; round++) {
                 List<CompletableFuture<Integer>> calls = new ArrayList<>();
                 for (int i = 0; i < 8; i++) {
-                    HttpRequest call = HttpRequest.newBuilder(URI.create("http://127.0.0.21:" + ports.get(0) + "/-/config/replace"))
-                            .header("Base-Rev", "1").timeout(Duration.ofSeconds(20)).POST(HttpRequest.BodyPublishers.ofByteArray(body)).build();
-                    calls.add(client.sendAsync(call, HttpResponse.BodyHandlers.ofString()).handle((answer, lost) -> lost != null ? 0 : answer.statusCode()));
+                    HttpRequest call = HttpRequest.newBuilder(
+                                    URI.create("http://127.0.0.21:" + ports.get(0) + "/-/config/replace"))
+                            .header("Base-Rev", "1")
+                            .timeout(Duration.ofSeconds(20))
+                            .POST(HttpRequest.BodyPublishers.ofByteArray(body))
+                            .build();
+                    calls.add(client.sendAsync(call, HttpResponse.BodyHandlers.ofString())
+                            .handle((answer, lost) -> lost != null ? 0 : answer.statusCode()));
                 }
                 calls.forEach(call -> statuses.add(call.join()));
             }
@@ -82,7 +111,11 @@
             assertEquals(0, machines.restarts());
             machines.kill("core-2");
             long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
-            while (machines.restarts() == 0 || !Json.read(operator.status(2).orElse("{}")).field("rev").text().equals("3")) {
+            while (machines.restarts() == 0
+                    || !Json.read(operator.status(2).orElse("{}"))
+                            .field("rev")
+                            .text()
+                            .equals("3")) {
                 assertTrue(System.nanoTime() < until, "started anew it has not read its store, or not caught up");
                 TimeUnit.MILLISECONDS.sleep(20);
             }
--- a/src/test/java/tinworks/deploy/ClassArchiveTest.java
+++ b/src/test/java/tinworks/deploy/ClassArchiveTest.java
@@ -20,9 +20,13 @@
     @Test
     void everyRoleMapsTheArchiveThatTheBuildMakesWhereItWasMade() throws IOException {
         List<String> lines = Files.readAllLines(DEPLOY);
-        Matcher made = ARCHIVE.matcher(lines.stream().filter(line -> line.startsWith("build")).findFirst().orElseThrow());
+        Matcher made = ARCHIVE.matcher(lines.stream()
+                .filter(line -> line.startsWith("build"))
+                .findFirst()
+                .orElseThrow());
         assertTrue(made.find());
-        List<String> roles = lines.stream().filter(line -> line.startsWith("run")).toList();
+        List<String> roles =
+                lines.stream().filter(line -> line.startsWith("run")).toList();
         assertEquals(2, roles.size());
         for (String run : roles) {
             Matcher used = ARCHIVE.matcher(run);
@@ -35,8 +39,10 @@
 
     @Test
     void theListNamesOnlyClassesThatThereAreAndBothRoles() throws IOException {
-        List<String> ours = Files.readAllLines(CLASSES).stream().filter(line -> line.startsWith("tinworks/"))
-                .map(line -> line.split(" ")[0]).toList();
+        List<String> ours = Files.readAllLines(CLASSES).stream()
+                .filter(line -> line.startsWith("tinworks/"))
+                .map(line -> line.split(" ")[0])
+                .toList();
         for (String name : ours) {
             assertTrue(Files.exists(Path.of("target/classes", name + ".class")), name + " is gone; make the list anew");
         }
--- a/src/test/java/tinworks/edge/AtMostOnceTest.java
+++ b/src/test/java/tinworks/edge/AtMostOnceTest.java
@@ -26,7 +26,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
-import tinworks.config.Configuration.Type;
+import tinworks.config.Configuration;
 import tinworks.edge.AtMostOnceWalk.Report;
 import tinworks.edge.EdgeFixture.Client;
 import tinworks.edge.EndingHost.Ending;
@@ -43,9 +43,14 @@
 
     @Test
     void eachEndingAtEachByte() throws Exception {
-        Report report = AtMostOnceWalk.walk(new EdgeStyle(1), AtMostOnceWalk.cases(Boolean.getBoolean("tinworks.walk.all"), one -> true));
-        System.out.println("at most once: " + report.played() + " cases, " + report.again() + " played again, " + report.byEnding());
-        assertEquals(List.of(), report.faults().subList(0, Math.min(20, report.faults().size())), () -> report.faults().size() + " faults");
+        Report report = AtMostOnceWalk.walk(
+                new EdgeStyle(1), AtMostOnceWalk.cases(Boolean.getBoolean("tinworks.walk.all"), one -> true));
+        System.out.println("at most once: " + report.played() + " cases, " + report.again() + " played again, "
+                + report.byEnding());
+        assertEquals(
+                List.of(),
+                report.faults().subList(0, Math.min(20, report.faults().size())),
+                () -> report.faults().size() + " faults");
     }
 
     /** A style without one of its guards, and the endings that show it. */
@@ -57,69 +62,106 @@
     }
 
     static Stream<Mutant> mutants() {
-        return Stream.of(new Mutant("any answer is the request's own", new EdgeStyle(1) {
-            @Override
-            public Whose whose(String request, HttpHeaders headers) {
-                return Whose.OWN;
-            }
-        }, EnumSet.of(Ending.STRAY, Ending.STRAY_PROMISE_ALONE, Ending.STRAY_MISDIRECTED_ALONE)),
-        new Mutant("an answer that names no request is its own", new EdgeStyle(1) {
-            @Override
-            public Whose whose(String request, HttpHeaders headers) {
-                Whose whose = super.whose(request, headers);
-                return whose == Whose.NOBODYS ? Whose.OWN : whose;
-            }
-        }, EnumSet.of(Ending.NOT_RUN_NOBODYS)),
-        new Mutant("a 429 or 503 proves that nothing ran", new EdgeStyle(1) {
-            @Override
-            public Outcome outcome(String request, HttpResponse head, boolean framed) {
-                int status = head.status().code();
-                return status == 429 || status == 503 ? Outcome.FULL : super.outcome(request, head, framed);
-            }
-        }, EnumSet.of(Ending.BUSY, Ending.TOO_MANY)),
-        new Mutant("Not-Run proves it beside any status", new EdgeStyle(1) {
-            @Override
-            public Outcome outcome(String request, HttpResponse head, boolean framed) {
-                return head.headers().contains("Not-Run") ? Outcome.FULL : super.outcome(request, head, framed);
-            }
-        }, EnumSet.of(Ending.NOT_RUN_200)),
-        new Mutant("a success needs no seal", new EdgeStyle(1) {
-            @Override
-            public Outcome outcome(String request, HttpResponse head, boolean framed) {
-                return head.status().code() == 200 && framed ? Outcome.SERVED : super.outcome(request, head, framed);
-            }
-        }, EnumSet.of(Ending.UNSEALED, Ending.ENCODED)),
-        new Mutant("a host's own 503, 429 and 408 are passed on", new EdgeStyle(1) {
-            @Override
-            public void failed(Reply reply, Answer last) {
-                if (last == null) {
-                    super.failed(reply, null);
-                } else {
-                    reply.write(last.head().status(), new DefaultHttpHeaders(), last.body().retain(), 0);
-                }
-            }
-        }, EnumSet.of(Ending.BUSY, Ending.TOO_MANY, Ending.TOO_LATE)),
-        new Mutant("what failed and may have run is refused", new EdgeStyle(1) {
-            @Override
-            public void failed(Reply reply, Answer last) {
-                refused(reply, 0);
-            }
-        }, EnumSet.of(Ending.RESET, Ending.CLOSE, Ending.SILENCE, Ending.REQUEST_CUT)));
+        return Stream.of(
+                new Mutant(
+                        "any answer is the request's own",
+                        new EdgeStyle(1) {
+                            @Override
+                            public Whose whose(String request, HttpHeaders headers) {
+                                return Whose.OWN;
+                            }
+                        },
+                        EnumSet.of(Ending.STRAY, Ending.STRAY_PROMISE_ALONE, Ending.STRAY_MISDIRECTED_ALONE)),
+                new Mutant(
+                        "an answer that names no request is its own",
+                        new EdgeStyle(1) {
+                            @Override
+                            public Whose whose(String request, HttpHeaders headers) {
+                                Whose whose = super.whose(request, headers);
+                                return whose == Whose.NOBODYS ? Whose.OWN : whose;
+                            }
+                        },
+                        EnumSet.of(Ending.NOT_RUN_NOBODYS)),
+                new Mutant(
+                        "a 429 or 503 proves that nothing ran",
+                        new EdgeStyle(1) {
+                            @Override
+                            public Outcome outcome(String request, HttpResponse head, boolean framed) {
+                                int status = head.status().code();
+                                return status == 429 || status == 503
+                                        ? Outcome.FULL
+                                        : super.outcome(request, head, framed);
+                            }
+                        },
+                        EnumSet.of(Ending.BUSY, Ending.TOO_MANY)),
+                new Mutant(
+                        "Not-Run proves it beside any status",
+                        new EdgeStyle(1) {
+                            @Override
+                            public Outcome outcome(String request, HttpResponse head, boolean framed) {
+                                return head.headers().contains("Not-Run")
+                                        ? Outcome.FULL
+                                        : super.outcome(request, head, framed);
+                            }
+                        },
+                        EnumSet.of(Ending.NOT_RUN_200)),
+                new Mutant(
+                        "a success needs no seal",
+                        new EdgeStyle(1) {
+                            @Override
+                            public Outcome outcome(String request, HttpResponse head, boolean framed) {
+                                return head.status().code() == 200 && framed
+                                        ? Outcome.SERVED
+                                        : super.outcome(request, head, framed);
+                            }
+                        },
+                        EnumSet.of(Ending.UNSEALED, Ending.ENCODED)),
+                new Mutant(
+                        "a host's own 503, 429 and 408 are passed on",
+                        new EdgeStyle(1) {
+                            @Override
+                            public void failed(Reply reply, Answer last) {
+                                if (last == null) {
+                                    super.failed(reply, null);
+                                } else {
+                                    reply.write(
+                                            last.head().status(),
+                                            new DefaultHttpHeaders(),
+                                            last.body().retain(),
+                                            0);
+                                }
+                            }
+                        },
+                        EnumSet.of(Ending.BUSY, Ending.TOO_MANY, Ending.TOO_LATE)),
+                new Mutant(
+                        "what failed and may have run is refused",
+                        new EdgeStyle(1) {
+                            @Override
+                            public void failed(Reply reply, Answer last) {
+                                refused(reply, 0);
+                            }
+                        },
+                        EnumSet.of(Ending.RESET, Ending.CLOSE, Ending.SILENCE, Ending.REQUEST_CUT)));
     }
 
     @ParameterizedTest
     @MethodSource("mutants")
     void withoutThisGuardTheWalkFails(Mutant mutant) throws Exception {
-        Report report = AtMostOnceWalk.walk(mutant.style, AtMostOnceWalk.cases(true,
-                one -> mutant.shownBy.contains(one.ending()) && one.position() % SOME == 0));
+        Report report = AtMostOnceWalk.walk(
+                mutant.style,
+                AtMostOnceWalk.cases(true, one -> mutant.shownBy.contains(one.ending()) && one.position() % SOME == 0));
         assertFalse(report.faults().isEmpty(), "not caught in " + report.played() + " cases");
         Set<Ending> caught = EnumSet.noneOf(Ending.class);
-        mutant.shownBy.stream().filter(ending -> report.faults().stream().anyMatch(fault -> fault.contains("ending=" + ending + ",")))
+        mutant.shownBy.stream()
+                .filter(ending -> report.faults().stream().anyMatch(fault -> fault.contains("ending=" + ending + ",")))
                 .forEach(caught::add);
         assertEquals(mutant.shownBy, caught, () -> "of " + report.faults());
     }
 
-    /** A host where no whole request can arrive: it refuses connections, leaves them unanswered, or resets amidst a long body. */
+    /**
+     * A host where no whole request can arrive: it refuses connections, leaves them unanswered, or resets amidst a long
+     * body.
+     */
     private static ServerSocket unreachable(String how, List<Socket> filling) throws IOException {
         ServerSocket listener = new ServerSocket();
         listener.setReceiveBufferSize(4_096);
@@ -156,12 +198,17 @@
 
     @ParameterizedTest
     @CsvSource({"refuses,MUTATING", "refuses,IDEM", "is silent,MUTATING", "is silent,IDEM", "resets amidst,MUTATING"})
-    void whatNeverArrivedWholeMayGoElsewhereAndIsRefusedWhereItCant(String how, Type type) throws Exception {
-        String body = how.equals("resets amidst") ? "0123456789abcdef".repeat(12 << 16) : type == Type.IDEM ? "" : "body";
+    void whatNeverArrivedWholeMayGoElsewhereAndIsRefusedWhereItCant(String how, Configuration.Type type)
+            throws Exception {
+        String body = how.equals("resets amidst")
+                ? "0123456789abcdef".repeat(12 << 16)
+                : type == Configuration.Type.IDEM ? "" : "body";
         Map<String, String> asked = new ConcurrentHashMap<>();
         List<Socket> filling = new ArrayList<>();
-        try (ServerSocket bad = unreachable(how, filling); EndingHost good = new EndingHost("good", asked, EndingHost.faults());
-                EdgeFixture edge = new EdgeFixture(new EdgeStyle(1)); Client client = edge.client()) {
+        try (ServerSocket bad = unreachable(how, filling);
+                EndingHost good = new EndingHost("good", asked, EndingHost.faults());
+                EdgeFixture edge = new EdgeFixture(new EdgeStyle(1));
+                Client client = edge.client()) {
             edge.host("bad", new InetSocketAddress("127.0.0.1", bad.getLocalPort()), true);
             edge.host("good", good.address(), true);
             edge.route("alone", type, 2, "bad");
@@ -179,13 +226,17 @@
         }
     }
 
-    /** What an address says of a host that is gone: another one is there now; the runs there, and the client's answer. */
+    /**
+     * What an address says of a host that is gone: another one is there now; the runs there, and the client's answer.
+     */
     private static String atAnotherHostsAddress(EdgeStyle style) throws Exception {
         Map<String, String> asked = new ConcurrentHashMap<>();
         asked.put("a", "POST /m/a?q=%20a HTTP/1.1|body");
-        try (EndingHost now = new EndingHost("now", asked, EndingHost.faults()); EdgeFixture edge = new EdgeFixture(style); Client client = edge.client()) {
+        try (EndingHost now = new EndingHost("now", asked, EndingHost.faults());
+                EdgeFixture edge = new EdgeFixture(style);
+                Client client = edge.client()) {
             edge.host("gone", now.address(), true);
-            edge.route("m", Type.MUTATING, 2, "gone");
+            edge.route("m", Configuration.Type.MUTATING, 2, "gone");
             client.write(EdgeFixture.request("a", "m", "body", 2_000, false));
             return client.read().status() + ", ran " + now.runs.getOrDefault("a", 0);
         }
@@ -194,26 +245,34 @@
     @Test
     void aRequestIsRunByNoOtherHostAtTheAddress() throws Exception {
         assertEquals("503, ran 0", atAnotherHostsAddress(new EdgeStyle(1)));
-        assertEquals("200, ran 1", atAnotherHostsAddress(new EdgeStyle(1) {
-            @Override
-            public FullHttpRequest forHost(FullHttpRequest request, String host, long timeoutNanos) {
-                FullHttpRequest sent = super.forHost(request, host, timeoutNanos);
-                sent.headers().remove("Want-Host");
-                return sent;
-            }
-        }), "without Want-Host it is");
+        assertEquals(
+                "200, ran 1",
+                atAnotherHostsAddress(new EdgeStyle(1) {
+                    @Override
+                    public FullHttpRequest forHost(FullHttpRequest request, String host, long timeoutNanos) {
+                        FullHttpRequest sent = super.forHost(request, host, timeoutNanos);
+                        sent.headers().remove("Want-Host");
+                        return sent;
+                    }
+                }),
+                "without Want-Host it is");
     }
 
-    /** The host forgets connections that rest without a word: the answer to what is asked once its connection has rested. */
-    private static int afterARest(EdgeStyle style, Type type) throws Exception {
+    /**
+     * The host forgets connections that rest without a word: the answer to what is asked once its connection has
+     * rested.
+     */
+    private static int afterARest(EdgeStyle style, Configuration.Type type) throws Exception {
         Map<String, String> asked = new ConcurrentHashMap<>();
-        try (EndingHost host = new EndingHost("h", asked, EndingHost.faults()); EdgeFixture edge = new EdgeFixture(style); Client client = edge.client()) {
+        try (EndingHost host = new EndingHost("h", asked, EndingHost.faults());
+                EdgeFixture edge = new EdgeFixture(style);
+                Client client = edge.client()) {
             host.forgets = true;
             edge.host("h", host.address(), true);
             edge.route("m", type, 2, "h");
             client.write(EdgeFixture.request("a", "m", "body", 5_000, false));
             assertEquals(200, client.read().status());
-            for (long end = System.nanoTime() + LONGER_THAN_RESTED_NANOS; System.nanoTime() < end;) {
+            for (long end = System.nanoTime() + LONGER_THAN_RESTED_NANOS; System.nanoTime() < end; ) {
                 LockSupport.parkNanos(end - System.nanoTime());
             }
             client.write(EdgeFixture.request("b", "m", "body", 5_000, false));
@@ -223,12 +282,17 @@
 
     @Test
     void whatMayNotRunTwiceGoesOnNoConnectionThatRested() throws Exception {
-        assertEquals(200, afterARest(new EdgeStyle(1), Type.MUTATING));
-        assertEquals(502, afterARest(new EdgeStyle(1) {
-            @Override
-            public long restedNanos(String requestClass) {
-                return Long.MAX_VALUE;
-            }
-        }, Type.MUTATING), "without the guard it meets a reset, and nobody knows whether it ran");
+        assertEquals(200, afterARest(new EdgeStyle(1), Configuration.Type.MUTATING));
+        assertEquals(
+                502,
+                afterARest(
+                        new EdgeStyle(1) {
+                            @Override
+                            public long restedNanos(String requestClass) {
+                                return Long.MAX_VALUE;
+                            }
+                        },
+                        Configuration.Type.MUTATING),
+                "without the guard it meets a reset, and nobody knows whether it ran");
     }
 }
--- a/src/test/java/tinworks/edge/AtMostOnceWalk.java
+++ b/src/test/java/tinworks/edge/AtMostOnceWalk.java
@@ -11,7 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Predicate;
-import tinworks.config.Configuration.Type;
+import tinworks.config.Configuration;
 import tinworks.edge.EdgeFixture.Client;
 import tinworks.edge.EdgeFixture.Message;
 import tinworks.edge.EndingHost.Ending;
@@ -20,17 +20,23 @@
 
 /**
  * Walks through the table of docs/design/at-most-once.md: each ending at each byte, for both kinds of requests, on a
- * connection's first use and on a later one, with a request sent ahead behind it and others between, by several clients.
+ * connection's first use and on a later one, with a request sent ahead behind it and others between, by several
+ * clients.
  */
 final class AtMostOnceWalk {
     /** One cell of the table at one byte. */
-    record Case(Ending ending, int position, boolean mutating, boolean reused) { }
+    record Case(Ending ending, int position, boolean mutating, boolean reused) {}
 
     /** What was played, how often again as it had not come about, and what broke a rule. */
-    record Report(int played, int again, Map<Ending, Integer> byEnding, List<String> faults) { }
+    record Report(int played, int again, Map<Ending, Integer> byEnding, List<String> faults) {}
 
-    private static final long SEED = 20_261_202, SHORT_MILLIS = 80, LONG_MILLIS = 10_000;
-    private static final int WORKERS = 16, MOST_AGAIN = 30, FRESH_EVERY = 8, KINDS = 4;
+    private static final long SEED = 20_261_202;
+    private static final long SHORT_MILLIS = 80;
+    private static final long LONG_MILLIS = 10_000;
+    private static final int WORKERS = 16;
+    private static final int MOST_AGAIN = 30;
+    private static final int FRESH_EVERY = 8;
+    private static final int KINDS = 4;
 
     private final EdgeFixture edge;
     private final List<String> faults = EndingHost.faults();
@@ -43,8 +49,8 @@
     }
 
     /**
-     * Each ending at each byte. Where all is sent, in two parts, each byte is played for one kind and use in turn; else, or
-     * where {@code all} are wanted, for both kinds and both uses.
+     * Each ending at each byte. Where all is sent, in two parts, each byte is played for one kind and use in turn;
+     * else, or where {@code all} are wanted, for both kinds and both uses.
      */
     static List<Case> cases(boolean all, Predicate<Case> wanted) {
         List<Case> cases = new ArrayList<>();
@@ -85,7 +91,8 @@
     }
 
     private void work(int number, List<Case> cases) {
-        try (EndingHost a = new EndingHost("a" + number, asked, faults); EndingHost b = new EndingHost("b" + number, asked, faults);
+        try (EndingHost a = new EndingHost("a" + number, asked, faults);
+                EndingHost b = new EndingHost("b" + number, asked, faults);
                 Worker worker = new Worker(number, a, b)) {
             for (Case one : cases) {
                 int tries = 0;
@@ -99,7 +106,8 @@
             }
             worker.judgeAll();
         } catch (IOException | InterruptedException | RuntimeException e) {
-            faults.add("worker " + number + ": " + e + " at " + (e.getStackTrace().length > 0 ? List.of(e.getStackTrace()) : ""));
+            faults.add("worker " + number + ": " + e + " at "
+                    + (e.getStackTrace().length > 0 ? List.of(e.getStackTrace()) : ""));
         }
     }
 
@@ -113,6 +121,7 @@
         private int played;
         /** Answers that promise that a request never runs, by its id. */
         private final Map<String, Integer> promised = new TreeMap<>();
+
         private final List<String> mutatingIds = new ArrayList<>();
 
         Worker(int number, EndingHost... hosts) throws IOException {
@@ -123,7 +132,7 @@
             between = edge.client();
             for (EndingHost host : hosts) {
                 edge.host(host.id(), host.address(), true);
-                edge.route("warm-" + host.id(), Type.IDEM, 2, host.id());
+                edge.route("warm-" + host.id(), Configuration.Type.IDEM, 2, host.id());
             }
         }
 
@@ -147,7 +156,7 @@
                     own(answer, id, "a plain request");
                     return host.last;
                 }
-                edge.route("warm-" + host.id(), Type.IDEM, 2, host.id());
+                edge.route("warm-" + host.id(), Configuration.Type.IDEM, 2, host.id());
                 again(answer);
             }
             faults.add("a host in good order was not reached");
@@ -174,9 +183,14 @@
             }
             String route = (one.mutating ? "mutating-" : "idem-") + number;
             String plain = "plain-" + number;
-            edge.route(route, one.mutating ? Type.MUTATING : Type.IDEM, 2, hosts[0].id(), hosts[1].id());
+            edge.route(
+                    route,
+                    one.mutating ? Configuration.Type.MUTATING : Configuration.Type.IDEM,
+                    2,
+                    hosts[0].id(),
+                    hosts[1].id());
             if (++played % FRESH_EVERY == 1) {
-                edge.route(plain, Type.IDEM, 2, hosts[0].id(), hosts[1].id());
+                edge.route(plain, Configuration.Type.IDEM, 2, hosts[0].id(), hosts[1].id());
             }
             Play play = new Play(ending, one.position, next());
             if (one.mutating) {
@@ -190,7 +204,8 @@
             String behind = others ? next() : null;
             String beside = others ? next() : null;
             // What is served whole needs no time to run out.
-            long deadline = ending.waitsLong() && ending.known(one.position) != Known.SERVED ? SHORT_MILLIS : LONG_MILLIS;
+            long deadline =
+                    ending.waitsLong() && ending.known(one.position) != Known.SERVED ? SHORT_MILLIS : LONG_MILLIS;
             String text = ask(play.id, route, one.mutating, deadline);
             client.write(others ? text + ask(behind, plain, false, LONG_MILLIS) : text);
             if (others && play.begun.await(one.reused ? 2_000 : 0, TimeUnit.MILLISECONDS)) {
@@ -249,8 +264,11 @@
 
         /** MIXED: an answer, whole, to this request. */
         private void own(Message answer, String id, String what) {
-            boolean own = answer != null && answer.status() == 200 && id.equals(answer.headers().get("attempt-id"))
-                    && ("s" + id).equals(answer.headers().get("origin-seal")) && EndingHost.body(id).equals(answer.body());
+            boolean own = answer != null
+                    && answer.status() == 200
+                    && id.equals(answer.headers().get("attempt-id"))
+                    && ("s" + id).equals(answer.headers().get("origin-seal"))
+                    && EndingHost.body(id).equals(answer.body());
             if (!own) {
                 faults.add("MIXED: " + answer + " for " + id + ", " + what);
             }
--- a/src/test/java/tinworks/edge/CoreFollowerTest.java
+++ b/src/test/java/tinworks/edge/CoreFollowerTest.java
@@ -177,7 +177,10 @@
         assertTrue(edge.alone(), "only an old leader speaks");
     }
 
-    /** Whether what an old leader said before it was frozen, and what comes only now, is taken for the present leader's word. */
+    /**
+     * Whether what an old leader said before it was frozen, and what comes only now, is taken for the present leader's
+     * word.
+     */
     private boolean heedsAnOldLeader(CoreFollower follower) {
         edge = follower;
         leader(6, 9, hosts(6, 1), "a:1", "b:1");
@@ -190,12 +193,14 @@
     @Test
     void anOldLeadersWordThatComesLateCountsForNothing() {
         assertFalse(heedsAnOldLeader(new CoreFollower(this)));
-        assertTrue(heedsAnOldLeader(new CoreFollower(this) {
-            @Override
-            boolean isOld(Announce s) {
-                return false;
-            }
-        }), "with the guard off");
+        assertTrue(
+                heedsAnOldLeader(new CoreFollower(this) {
+                    @Override
+                    boolean isOld(Announce s) {
+                        return false;
+                    }
+                }),
+                "with the guard off");
     }
 
     @Test
--- a/src/test/java/tinworks/edge/DrainedTest.java
+++ b/src/test/java/tinworks/edge/DrainedTest.java
@@ -7,6 +7,7 @@
 import org.junit.jupiter.api.Test;
 import tinworks.channel.HostList.Host;
 
+/** Hosts that are drained stay so at an edge. */
 class DrainedTest {
     private final Drained drained = new Drained();
 
@@ -18,7 +19,8 @@
     void aHostOnceDrainingNeverComesBackUnderItsIdWhateverAnOlderListSays() {
         assertFalse(drained.kept(host("i-1", false)).draining());
         assertTrue(drained.kept(host("i-1", true)).draining());
-        assertTrue(drained.kept(host("i-1", false)).draining(), "told by a machine that had died and holds an older list");
+        assertTrue(
+                drained.kept(host("i-1", false)).draining(), "told by a machine that had died and holds an older list");
         assertEquals(host("i-2", false), drained.kept(host("i-2", false)));
     }
 
--- a/src/test/java/tinworks/edge/EdgeEndTest.java
+++ b/src/test/java/tinworks/edge/EdgeEndTest.java
@@ -22,15 +22,14 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import tinworks.channel.HostList.Host;
 import tinworks.channel.HostList;
+import tinworks.channel.HostList.Host;
 import tinworks.channel.HostListVersion;
+import tinworks.config.Configuration;
 import tinworks.config.Configuration.Limits;
 import tinworks.config.Configuration.Route;
 import tinworks.config.Configuration.Service;
 import tinworks.config.Configuration.Split;
-import tinworks.config.Configuration.Type;
-import tinworks.config.Configuration;
 import tinworks.demo.FreePorts;
 import tinworks.edge.EdgeFixture.Client;
 import tinworks.edge.EdgeFixture.Message;
@@ -42,12 +41,14 @@
 /** A whole edge after its SIGTERM, with hosts at work on requests of both kinds. */
 @Timeout(value = 60, unit = TimeUnit.SECONDS)
 class EdgeEndTest {
-    private static final long GRACE_MILLIS = 6_000, FIRST_HALF_NANOS = TimeUnit.MILLISECONDS.toNanos(GRACE_MILLIS / 2);
+    private static final long GRACE_MILLIS = 6_000;
+    private static final long FIRST_HALF_NANOS = TimeUnit.MILLISECONDS.toNanos(GRACE_MILLIS / 2);
     private static final String SERVED = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nOrigin-Seal: s\r\nAttempt-Id: ";
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     /** Requests at work by their ids, and how often each came. */
     private final Map<String, Socket> atWork = new ConcurrentHashMap<>();
+
     private final Map<String, Integer> came = new ConcurrentHashMap<>();
 
     @AfterEach
@@ -55,12 +56,13 @@
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly(5_000);
     }
 
-    private static Route route(String name, Type type) {
-        return new Route(name, EdgeFixture.DOMAIN, "/" + name + "/", type, 20_000, 400, 1, List.of(new Split("s", 1)), 2);
+    private static Route route(String name, Configuration.Type type) {
+        return new Route(
+                name, EdgeFixture.DOMAIN, "/" + name + "/", type, 20_000, 400, 1, List.of(new Split("s", 1)), 2);
     }
 
     private static void await(String what, BooleanSupplier holds) throws InterruptedException {
-        for (long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(20); !holds.getAsBoolean();) {
+        for (long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(20); !holds.getAsBoolean(); ) {
             assertTrue(System.nanoTime() < end, "not in time: " + what);
             TimeUnit.MILLISECONDS.sleep(5);
         }
@@ -71,7 +73,8 @@
         String id = request.header("Attempt-Id");
         int times = came.merge(id, 1, Integer::sum);
         if (id.startsWith("turned") && times == 1) {
-            ScriptedHost.write(socket, "HTTP/1.1 503 Full\r\nContent-Length: 0\r\nNot-Run: 1\r\nAttempt-Id: " + id + "\r\n\r\n");
+            ScriptedHost.write(
+                    socket, "HTTP/1.1 503 Full\r\nContent-Length: 0\r\nNot-Run: 1\r\nAttempt-Id: " + id + "\r\n\r\n");
         } else if (id.startsWith("held") || id.startsWith("turned")) {
             atWork.put(id, socket);
         } else {
@@ -93,11 +96,25 @@
     void noRequestThatAHostWorksOnIsGivenUpInTheFirstHalfOfTheGrace() throws Exception {
         List<Integer> ports = FreePorts.at("127.0.0.1", 4);
         int http = ports.get(0);
-        BootSettings settings = new BootSettings("e", "z", new InetSocketAddress("127.0.0.1", http),
-                new InetSocketAddress("127.0.0.1", ports.get(1)), null, new InetSocketAddress("127.0.0.1", ports.get(2)), List.of(), false,
-                1_000, null, 1, GRACE_MILLIS, new InetSocketAddress("127.0.0.1", ports.get(3)));
-        Configuration configuration = new Configuration(1, List.of(route("i", Type.IDEM), route("m", Type.MUTATING)),
-                Map.of("s", new Service("s", "/", 100)), Limits.USUAL);
+        BootSettings settings = new BootSettings(
+                "e",
+                "z",
+                new InetSocketAddress("127.0.0.1", http),
+                new InetSocketAddress("127.0.0.1", ports.get(1)),
+                null,
+                new InetSocketAddress("127.0.0.1", ports.get(2)),
+                List.of(),
+                false,
+                1_000,
+                null,
+                1,
+                GRACE_MILLIS,
+                new InetSocketAddress("127.0.0.1", ports.get(3)));
+        Configuration configuration = new Configuration(
+                1,
+                List.of(route("i", Configuration.Type.IDEM), route("m", Configuration.Type.MUTATING)),
+                Map.of("s", new Service("s", "/", 100)),
+                Limits.USUAL);
         try (ScriptedHost host = new ScriptedHost(this::host)) {
             EdgeNode edge = NodeProcess.call(loop, () -> new EdgeNode(loop, new GatewayClock(), settings, 7));
             for (ChannelFuture bound : NodeProcess.call(loop, edge::start)) {
@@ -132,7 +149,8 @@
             for (Map.Entry<String, Client> one : waiting.entrySet()) {
                 long left = TimeUnit.NANOSECONDS.toMillis(began + FIRST_HALF_NANOS - System.nanoTime());
                 one.getValue().socket.setSoTimeout((int) Math.max(1, left - 50));
-                assertThrows(SocketTimeoutException.class, one.getValue()::read, () -> one.getKey() + " was told something");
+                assertThrows(
+                        SocketTimeoutException.class, one.getValue()::read, () -> one.getKey() + " was told something");
             }
             for (Map.Entry<String, Client> one : waiting.entrySet()) {
                 String id = one.getKey();
@@ -156,7 +174,8 @@
         for (int tries = 0; tries < 20; tries++) {
             String id = name + "-" + tries;
             Client client = new Client(port);
-            client.write(EdgeFixture.request(id, id.contains("-m-") ? "m" : "i", id.contains("-m-") ? "body" : "", 15_000, false));
+            client.write(EdgeFixture.request(
+                    id, id.contains("-m-") ? "m" : "i", id.contains("-m-") ? "body" : "", 15_000, false));
             await("a host at work on " + id + ", or a refusal", () -> atWork.containsKey(id) || available(client));
             if (atWork.containsKey(id)) {
                 waiting.put(id, client);
--- a/src/test/java/tinworks/edge/EdgeFixture.java
+++ b/src/test/java/tinworks/edge/EdgeFixture.java
@@ -19,12 +19,11 @@
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import tinworks.config.Configuration;
 import tinworks.config.Configuration.Limits;
 import tinworks.config.Configuration.Route;
 import tinworks.config.Configuration.Service;
 import tinworks.config.Configuration.Split;
-import tinworks.config.Configuration.Type;
-import tinworks.config.Configuration;
 import tinworks.net.ClientServer;
 import tinworks.net.Forwarding;
 import tinworks.net.GatewayClock;
@@ -37,13 +36,18 @@
 import tinworks.policy.Protocol.Readiness;
 import tinworks.policy.Protocol.ServerInfo;
 
-/** The path of a request through an edge, over loopback, without links to the core: routes and hosts are told by the test. */
+/**
+ * The path of a request through an edge, over loopback, without links to the core: routes and hosts are told by the
+ * test.
+ */
 final class EdgeFixture implements AutoCloseable, Forwarding.Owner {
     static final int PATIENCE_MILLIS = 20_000;
     static final long LONG_MILLIS = 15_000;
     static final String DOMAIN = "x.example";
-    private static final int CONNECTIONS = 2_048, LARGEST = 16 << 20;
-    private static final long DIAL_NANOS = TimeUnit.MILLISECONDS.toNanos(400), LONG_NANOS = TimeUnit.MILLISECONDS.toNanos(LONG_MILLIS);
+    private static final int CONNECTIONS = 2_048;
+    private static final int LARGEST = 16 << 20;
+    private static final long DIAL_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
+    private static final long LONG_NANOS = TimeUnit.MILLISECONDS.toNanos(LONG_MILLIS);
 
     final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     final EventLoop loop = group.next();
@@ -58,10 +62,15 @@
 
     EdgeFixture(EdgeStyle style) {
         this.style = style;
-        pool = new HostPool(loop, Transport.TCP, clock, new HostPool.Bounds(DIAL_NANOS, LONG_NANOS, CONNECTIONS, LARGEST), style);
+        pool = new HostPool(
+                loop, Transport.TCP, clock, new HostPool.Bounds(DIAL_NANOS, LONG_NANOS, CONNECTIONS, LARGEST), style);
         requests = new Requests(clock, new SplittableRandom(1), style, services);
-        clients = new ClientServer(loop, Transport.TCP, clock, new ClientServer.Bounds(CONNECTIONS, LONG_NANOS, 0,
-                Limits.USUAL.hdrBytes(), LARGEST, null), requests);
+        clients = new ClientServer(
+                loop,
+                Transport.TCP,
+                clock,
+                new ClientServer.Bounds(CONNECTIONS, LONG_NANOS, 0, Limits.USUAL.hdrBytes(), LARGEST, null),
+                requests);
         NodeProcess.run(loop, () -> clients.listen(new InetSocketAddress("127.0.0.1", 0)));
         NodeProcess.call(loop, () -> clients.address().getPort());
     }
@@ -81,20 +90,36 @@
     }
 
     /** A route of a service of its own, whose module knows these hosts; told again, the module is a new one. */
-    void route(String name, Type type, int tries, String... hosts) {
-        Route route = new Route(name, DOMAIN, "/" + name + "/", type, LONG_MILLIS, LONG_MILLIS / 2, 1, List.of(new Split(name, 1)), tries);
-        Configuration one = new Configuration(1, List.of(route), Map.of(name, new Service(name, "/", CONNECTIONS)), Limits.USUAL);
+    void route(String name, Configuration.Type type, int tries, String... hosts) {
+        Route route = new Route(
+                name,
+                DOMAIN,
+                "/" + name + "/",
+                type,
+                LONG_MILLIS,
+                LONG_MILLIS / 2,
+                1,
+                List.of(new Split(name, 1)),
+                tries);
+        Configuration one =
+                new Configuration(1, List.of(route), Map.of(name, new Service(name, "/", CONNECTIONS)), Limits.USUAL);
         List<ServerInfo> servers = new ArrayList<>();
         for (String host : hosts) {
             servers.add(new ServerInfo(host, "", "", 0, Readiness.READY, 4, 0));
         }
         NodeProcess.run(loop, () -> {
-            Forwarding made = new Forwarding(loop, clock, ServiceSettings.settings(ServiceSettings.classes(one).get(name), 1, ""),
-                    name.hashCode(), pool, style, this);
+            Forwarding made = new Forwarding(
+                    loop,
+                    clock,
+                    ServiceSettings.settings(ServiceSettings.classes(one).get(name), 1, ""),
+                    name.hashCode(),
+                    pool,
+                    style,
+                    this);
             Forwarding old = services.put(name, made);
             if (old == null) {
                 routes.add(route);
-                if (type == Type.MUTATING) {
+                if (type == Configuration.Type.MUTATING) {
                     mutating.add(ServiceSettings.className(route));
                 }
                 requests.use(new RouteTable(routes));
@@ -116,13 +141,13 @@
     }
 
     @Override
-    public void subscribe() { }
+    public void subscribe() {}
 
     @Override
-    public void tellAll(byte[] body) { }
+    public void tellAll(byte[] body) {}
 
     @Override
-    public void log(String line) { }
+    public void log(String line) {}
 
     @Override
     public void close() {
@@ -136,16 +161,18 @@
 
     /** A request with a body, or a GET without one. */
     static String request(String id, String route, String body, long deadlineMillis, boolean chunked) {
-        String head = (body.isEmpty() ? "GET" : "POST") + " /" + route + "/" + id + "?q=%20" + id + " HTTP/1.1\r\nHost: " + DOMAIN
-                + "\r\nAttempt-Id: " + id + "\r\nDeadline-Ms: " + deadlineMillis + "\r\n";
+        String head =
+                (body.isEmpty() ? "GET" : "POST") + " /" + route + "/" + id + "?q=%20" + id + " HTTP/1.1\r\nHost: "
+                        + DOMAIN + "\r\nAttempt-Id: " + id + "\r\nDeadline-Ms: " + deadlineMillis + "\r\n";
         if (body.isEmpty()) {
             return head + "\r\n";
         } else if (!chunked) {
             return head + "Content-Length: " + body.length() + "\r\n\r\n" + body;
         }
         int half = body.length() / 2;
-        return head + "Transfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(half) + "\r\n" + body.substring(0, half) + "\r\n"
-                + Integer.toHexString(body.length() - half) + "\r\n" + body.substring(half) + "\r\n0\r\n\r\n";
+        return head + "Transfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(half) + "\r\n"
+                + body.substring(0, half) + "\r\n" + Integer.toHexString(body.length() - half) + "\r\n"
+                + body.substring(half) + "\r\n0\r\n\r\n";
     }
 
     /** A message as it stood on a socket; header names are in lower case. */
@@ -166,11 +193,16 @@
                     return null;
                 }
                 int colon = line.indexOf(':');
-                headers.merge(line.substring(0, colon).toLowerCase(java.util.Locale.ROOT), line.substring(colon + 1).trim(), (a, b) -> a + "," + b);
+                headers.merge(
+                        line.substring(0, colon).toLowerCase(java.util.Locale.ROOT),
+                        line.substring(colon + 1).trim(),
+                        (a, b) -> a + "," + b);
             }
             int length = withBody ? Integer.parseInt(headers.getOrDefault("content-length", "0")) : 0;
             byte[] body = in.readNBytes(length);
-            return body.length < length ? null : new Message(first, headers, new String(body, StandardCharsets.ISO_8859_1));
+            return body.length < length
+                    ? null
+                    : new Message(first, headers, new String(body, StandardCharsets.ISO_8859_1));
         }
 
         private static String line(InputStream in) throws IOException {
--- a/src/test/java/tinworks/edge/EdgeRehearsalTest.java
+++ b/src/test/java/tinworks/edge/EdgeRehearsalTest.java
@@ -14,6 +14,7 @@
 import tinworks.net.GatewayClock;
 import tinworks.node.NodeProcess;
 
+/** An edge's warm-up before it calls itself ready. */
 @Timeout(value = 60, unit = TimeUnit.SECONDS)
 class EdgeRehearsalTest {
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -26,7 +27,8 @@
 
     private EdgeRehearsal.Played play(boolean clientThere) {
         CompletableFuture<EdgeRehearsal.Played> played = new CompletableFuture<>();
-        NodeProcess.run(loop, () -> new EdgeRehearsal(loop, new GatewayClock(), () -> clientThere, played::complete).start());
+        NodeProcess.run(
+                loop, () -> new EdgeRehearsal(loop, new GatewayClock(), () -> clientThere, played::complete).start());
         return played.join();
     }
 
@@ -34,7 +36,7 @@
     void itsRequestsAreServedThroughTheEdgesOwnParts() {
         EdgeRehearsal.Played played = play(false);
         assertTrue(played.answered() > 100, played.toString());
-        assertTrue(played.served() * 10 >= played.answered() * 9, "nearly all by a host: " + played);
+        assertTrue(played.served() * 10 >= played.answered() * 9L, "nearly all by a host: " + played);
     }
 
     @Test
--- a/src/test/java/tinworks/edge/EdgeTest.java
+++ b/src/test/java/tinworks/edge/EdgeTest.java
@@ -18,9 +18,9 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import tinworks.channel.HostListVersion;
+import tinworks.config.Configuration;
 import tinworks.config.Configuration.Route;
 import tinworks.config.Configuration.Split;
-import tinworks.config.Configuration.Type;
 import tinworks.policy.Protocol.Outcome;
 
 /** Routes, and how requests and answers look at an edge. */
@@ -28,13 +28,16 @@
     private final EdgeStyle style = new EdgeStyle(1);
 
     private static Route route(String name, String domain, String prefix) {
-        return new Route(name, domain, prefix, Type.IDEM, 1000, 300, 1, List.of(new Split("s", 1)), 2);
+        return new Route(name, domain, prefix, Configuration.Type.IDEM, 1000, 300, 1, List.of(new Split("s", 1)), 2);
     }
 
     @Test
     void theLongestPrefixOfTheDomainIsTheRoute() {
-        RouteTable table = new RouteTable(List.of(route("a", "x.example", "/"), route("b", "x.example", "/p/"),
-                route("c", "x.example", "/p/q/"), route("d", "y.example", "/p/")));
+        RouteTable table = new RouteTable(List.of(
+                route("a", "x.example", "/"),
+                route("b", "x.example", "/p/"),
+                route("c", "x.example", "/p/q/"),
+                route("d", "y.example", "/p/")));
         assertEquals("c", table.find("X.example:8080", "/p/q/r?x=/p/").route().name());
         assertEquals("b", table.find("x.example", "/p/qq").route().name());
         assertEquals("a", table.find("x.example", "/p").route().name());
@@ -53,7 +56,9 @@
         RouteTable table = new RouteTable(routes);
         long started = System.nanoTime();
         for (int i = 0; i < 100_000; i++) {
-            assertEquals("r" + i, table.find("x.example", "/p" + i + "/a/b/c").route().name());
+            assertEquals(
+                    "r" + i,
+                    table.find("x.example", "/p" + i + "/a/b/c").route().name());
         }
         // A search through all would take minutes; the bound is wide for slow machines.
         assertFalse(System.nanoTime() - started > TimeUnit.SECONDS.toNanos(20));
@@ -73,7 +78,8 @@
         assertEquals(Outcome.SERVED, style.outcome("id", answer(201, "Origin-Seal", "s"), true));
         assertEquals(Outcome.ERROR, style.outcome("id", answer(200, "Origin-Seal", "s"), false));
         assertEquals(Outcome.ERROR, style.outcome("id", answer(200), true));
-        assertEquals(Outcome.ERROR, style.outcome("id", answer(200, "Origin-Seal", "s", "Content-Encoding", "gzip"), true));
+        assertEquals(
+                Outcome.ERROR, style.outcome("id", answer(200, "Origin-Seal", "s", "Content-Encoding", "gzip"), true));
     }
 
     @Test
@@ -87,11 +93,20 @@
 
     @Test
     void aRequestGoesOnWithWhatIsLeftOfItsTimeAndTheHostItIsFor() {
-        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/p/?a=%20b",
-                Unpooled.copiedBuffer(new byte[] {1, 2, 3}));
-        request.headers().add("Attempt-Id", "id").add("Deadline-Ms", "1500").add("Connection", "keep-alive, X-Hop")
-                .add("X-Hop", "1").add("X-End", "2").add("Transfer-Encoding", "chunked").add("Host", "x.example")
-                .add("want-host", "i-8").add("X-Bytes", "caf\u00e9").add("X-Two", "a").add("X-Two", "b");
+        FullHttpRequest request = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1, HttpMethod.POST, "/p/?a=%20b", Unpooled.copiedBuffer(new byte[] {1, 2, 3}));
+        request.headers()
+                .add("Attempt-Id", "id")
+                .add("Deadline-Ms", "1500")
+                .add("Connection", "keep-alive, X-Hop")
+                .add("X-Hop", "1")
+                .add("X-End", "2")
+                .add("Transfer-Encoding", "chunked")
+                .add("Host", "x.example")
+                .add("want-host", "i-8")
+                .add("X-Bytes", "caf\u00e9")
+                .add("X-Two", "a")
+                .add("X-Two", "b");
         FullHttpRequest sent = style.forHost(request, "i-9", TimeUnit.MILLISECONDS.toNanos(900));
         assertEquals("/p/?a=%20b", sent.uri());
         assertEquals("900", sent.headers().get("Deadline-Ms"));
