--- a/src/test/java/tinworks/edge/EndingHost.java
+++ b/src/test/java/tinworks/edge/EndingHost.java
@@ -20,24 +20,50 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Function;
 
-/** A host that ends one attempt as it is told, at a given byte, and serves all others; it keeps a ledger of what it ran. */
+/**
+ * A host that ends one attempt as it is told, at a given byte, and serves all others; it keeps a ledger of what it ran.
+ */
 final class EndingHost implements AutoCloseable {
     /** What can be known of an attempt that ended so. */
-    enum Known { SERVED, FAILED, NOT_RUN, UNKNOWN, TIMED_OUT, SERVED_OR_UNKNOWN, SERVED_OR_LATE, FAILED_OR_LATE }
+    enum Known {
+        SERVED,
+        FAILED,
+        NOT_RUN,
+        UNKNOWN,
+        TIMED_OUT,
+        SERVED_OR_UNKNOWN,
+        SERVED_OR_LATE,
+        FAILED_OR_LATE
+    }
 
-    private enum Then { STAYS, RESETS, CLOSES, IS_SILENT }
+    private enum Then {
+        STAYS,
+        RESETS,
+        CLOSES,
+        IS_SILENT
+    }
 
     /** How the position is used: all is sent, in two parts; only so much is sent; or so much of the request is read. */
-    private enum At { SPLIT, CUT, REQUEST }
+    private enum At {
+        SPLIT,
+        CUT,
+        REQUEST
+    }
 
     /** The ways in which an attempt ends at a host that is reached. */
     enum Ending {
         WHOLE(At.SPLIT, Known.SERVED, true, EndingHost::own, Then.STAYS),
         WHOLE_CHUNKED(At.SPLIT, Known.SERVED, true, EndingHost::chunked, Then.STAYS),
-        WHOLE_LAST(At.SPLIT, Known.SERVED, false, id -> answer(id, "200 OK", "Origin-Seal: s" + id + "\r\nConnection: close"), Then.STAYS),
+        WHOLE_LAST(
+                At.SPLIT,
+                Known.SERVED,
+                false,
+                id -> answer(id, "200 OK", "Origin-Seal: s" + id + "\r\nConnection: close"),
+                Then.STAYS),
         HINTED(At.SPLIT, Known.SERVED, true, id -> HINT + own(id), Then.STAYS),
         STRAY(At.SPLIT, Known.SERVED, false, id -> own(other(id)) + own(id), Then.STAYS),
-        STRAY_PROMISE(At.SPLIT, Known.SERVED, false, id -> answer(other(id), "503 Full", "Not-Run: 1") + own(id), Then.STAYS),
+        STRAY_PROMISE(
+                At.SPLIT, Known.SERVED, false, id -> answer(other(id), "503 Full", "Not-Run: 1") + own(id), Then.STAYS),
         SURPLUS(At.CUT, Known.SERVED, false, id -> own(other(id)), Then.STAYS),
         RESET(At.CUT, Known.UNKNOWN, false, EndingHost::own, Then.RESETS),
         CLOSE(At.CUT, Known.UNKNOWN, false, EndingHost::own, Then.CLOSES),
@@ -45,12 +71,25 @@
         CLOSE_HINTED(At.CUT, Known.UNKNOWN, false, id -> HINT + own(id), Then.CLOSES),
         SILENCE(At.CUT, Known.TIMED_OUT, false, EndingHost::own, Then.IS_SILENT),
         STRAY_ALONE(At.CUT, Known.UNKNOWN, false, id -> own(other(id)), Then.CLOSES),
-        STRAY_PROMISE_ALONE(At.SPLIT, Known.UNKNOWN, false, id -> answer(other(id), "503 Full", "Not-Run: 1"), Then.CLOSES),
-        STRAY_MISDIRECTED_ALONE(At.SPLIT, Known.UNKNOWN, false, id -> answer(other(id), "421 Other", "Not-Run: 1"), Then.CLOSES),
-        GARBLED(At.CUT, Known.FAILED_OR_LATE, false, id -> begun(other(id), "200 OK\r\nOrigin-Seal: s" + id), Then.IS_SILENT),
-        GARBLED_PROMISE(At.CUT, Known.SERVED_OR_LATE, false, id -> begun(other(id), "503 Full\r\nNot-Run: 1"), Then.IS_SILENT),
+        STRAY_PROMISE_ALONE(
+                At.SPLIT, Known.UNKNOWN, false, id -> answer(other(id), "503 Full", "Not-Run: 1"), Then.CLOSES),
+        STRAY_MISDIRECTED_ALONE(
+                At.SPLIT, Known.UNKNOWN, false, id -> answer(other(id), "421 Other", "Not-Run: 1"), Then.CLOSES),
+        GARBLED(
+                At.CUT,
+                Known.FAILED_OR_LATE,
+                false,
+                id -> begun(other(id), "200 OK\r\nOrigin-Seal: s" + id),
+                Then.IS_SILENT),
+        GARBLED_PROMISE(
+                At.CUT, Known.SERVED_OR_LATE, false, id -> begun(other(id), "503 Full\r\nNot-Run: 1"), Then.IS_SILENT),
         GARBAGE(At.CUT, Known.UNKNOWN, false, EndingHost::garbage, Then.CLOSES),
-        NOT_RUN_503(At.SPLIT, Known.NOT_RUN, true, id -> answer(id, "503 Full", "Not-Run: 1\r\nRetry-After: 1"), Then.STAYS),
+        NOT_RUN_503(
+                At.SPLIT,
+                Known.NOT_RUN,
+                true,
+                id -> answer(id, "503 Full", "Not-Run: 1\r\nRetry-After: 1"),
+                Then.STAYS),
         NOT_RUN_429(At.SPLIT, Known.NOT_RUN, true, id -> answer(id, "429 Full", "Not-Run: 1"), Then.STAYS),
         NOT_RUN_400(At.SPLIT, Known.NOT_RUN, true, id -> answer(id, "400 Bad", "Not-Run: 1"), Then.STAYS),
         MISDIRECTED(At.SPLIT, Known.NOT_RUN, true, id -> answer(id, "421 Other", "Not-Run: 1"), Then.STAYS),
@@ -58,22 +97,39 @@
         NOT_RUN_RESET(At.CUT, Known.UNKNOWN, false, id -> answer(id, "429 Full", "Not-Run: 1"), Then.RESETS),
         MISDIRECTED_CUT(At.CUT, Known.UNKNOWN, false, id -> answer(id, "421 Other", "Not-Run: 1"), Then.CLOSES),
         NOT_RUN_NOBODYS(At.SPLIT, Known.UNKNOWN, false, id -> answer("", "503 Full", "Not-Run: 1"), Then.STAYS),
-        NOT_RUN_200(At.SPLIT, Known.UNKNOWN, true, id -> answer(id, "200 OK", "Not-Run: 1\r\nOrigin-Seal: s" + id), Then.STAYS),
+        NOT_RUN_200(
+                At.SPLIT,
+                Known.UNKNOWN,
+                true,
+                id -> answer(id, "200 OK", "Not-Run: 1\r\nOrigin-Seal: s" + id),
+                Then.STAYS),
         BUSY(At.SPLIT, Known.UNKNOWN, true, id -> answer(id, "503 Busy", "Retry-After: 1"), Then.STAYS),
         TOO_MANY(At.SPLIT, Known.UNKNOWN, true, id -> answer(id, "429 Busy", "Retry-After: 1"), Then.STAYS),
         TOO_LATE(At.SPLIT, Known.UNKNOWN, true, id -> answer(id, "408 Late", "X-A: a"), Then.STAYS),
         FAILED(At.SPLIT, Known.FAILED, true, id -> answer(id, "500 Failed", "X-A: a"), Then.STAYS),
         UNSEALED(At.SPLIT, Known.UNKNOWN, true, id -> answer(id, "200 OK", "X-A: a"), Then.STAYS),
-        ENCODED(At.SPLIT, Known.UNKNOWN, true, id -> answer(id, "200 OK", "Content-Encoding: gzip\r\nOrigin-Seal: s" + id), Then.STAYS),
-        UNFRAMED(At.SPLIT, Known.UNKNOWN, false, id -> "HTTP/1.1 200 OK\r\nAttempt-Id: " + id + "\r\nOrigin-Seal: s" + id + "\r\n\r\n"
-                + body(id), Then.CLOSES),
+        ENCODED(
+                At.SPLIT,
+                Known.UNKNOWN,
+                true,
+                id -> answer(id, "200 OK", "Content-Encoding: gzip\r\nOrigin-Seal: s" + id),
+                Then.STAYS),
+        UNFRAMED(
+                At.SPLIT,
+                Known.UNKNOWN,
+                false,
+                id -> "HTTP/1.1 200 OK\r\nAttempt-Id: " + id + "\r\nOrigin-Seal: s" + id + "\r\n\r\n" + body(id),
+                Then.CLOSES),
         REQUEST_CUT(At.REQUEST, Known.UNKNOWN, false, id -> ".".repeat(LONGEST_REQUEST), Then.RESETS),
         LEFT(At.CUT, Known.UNKNOWN, false, EndingHost::own, Then.IS_SILENT);
 
         private final At at;
         private final Known known;
         private final boolean lives;
+
+        @SuppressWarnings("ImmutableEnumChecker") // Each of the functions is a lambda without state.
         private final Function<String, String> text;
+
         private final Then then;
 
         Ending(At at, Known known, boolean lives, Function<String, String> text, Then then) {
@@ -104,7 +160,7 @@
 
         /** Whether the connection carries on. */
         boolean lives(int position) {
-            return lives || this == SURPLUS && position == 0;
+            return lives || (this == SURPLUS && position == 0);
         }
 
         boolean isCut() {
@@ -125,6 +181,7 @@
         final CountDownLatch begun = new CountDownLatch(1);
         /** The host has done its part, and seen its connection closed where it waited for that. */
         final CountDownLatch done = new CountDownLatch(1);
+
         private final AtomicBoolean taken = new AtomicBoolean();
         volatile EndingHost host;
         volatile Connection connection;
@@ -157,6 +214,7 @@
         private int requests;
         /** What makes it unfit for another request, or null. */
         private volatile String spoiltBy;
+
         private volatile long lastUsed = System.nanoTime();
 
         Connection(Socket socket) {
@@ -176,6 +234,7 @@
     private final List<String> faults;
     /** Requests by their ids as clients sent them: first line and body. */
     private final Map<String, String> asked;
+
     final Map<String, Integer> runs = new ConcurrentHashMap<>();
     final Map<String, Integer> arrivals = new ConcurrentHashMap<>();
     volatile Play play;
@@ -212,8 +271,8 @@
     }
 
     private static String answer(String id, String status, String headers) {
-        return "HTTP/1.1 " + status + "\r\nContent-Length: " + body(id).length() + "\r\n" + (id.isEmpty() ? "" : "Attempt-Id: " + id + "\r\n")
-                + headers + "\r\n\r\n" + body(id);
+        return "HTTP/1.1 " + status + "\r\nContent-Length: " + body(id).length() + "\r\n"
+                + (id.isEmpty() ? "" : "Attempt-Id: " + id + "\r\n") + headers + "\r\n\r\n" + body(id);
     }
 
     private static String own(String id) {
@@ -227,8 +286,9 @@
 
     private static String chunked(String id) {
         String body = body(id);
-        return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nAttempt-Id: " + id + "\r\nOrigin-Seal: s" + id + "\r\n\r\n4\r\n"
-                + body.substring(0, 4) + "\r\n" + Integer.toHexString(body.length() - 4) + ";x=y\r\n" + body.substring(4) + "\r\n0\r\nX-T: t\r\n\r\n";
+        return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nAttempt-Id: " + id + "\r\nOrigin-Seal: s" + id
+                + "\r\n\r\n4\r\n" + body.substring(0, 4) + "\r\n" + Integer.toHexString(body.length() - 4) + ";x=y\r\n"
+                + body.substring(4) + "\r\n0\r\nX-T: t\r\n\r\n";
     }
 
     private static String garbage(String id) {
@@ -262,7 +322,7 @@
     private void serve(Connection connection) {
         try (Socket socket = connection.socket) {
             InputStream in = new BufferedInputStream(socket.getInputStream());
-            for (boolean more = true; more;) {
+            for (boolean more = true; more; ) {
                 more = serveOne(connection, in);
             }
         } catch (IOException e) {
@@ -293,7 +353,8 @@
                     return false;
                 }
                 Play now = play;
-                boolean cuts = now != null && now.ending.at == At.REQUEST && ahead(in).contains(now.id);
+                boolean cuts =
+                        now != null && now.ending.at == At.REQUEST && ahead(in).contains(now.id);
                 cut = cuts && now.take(this, connection) ? now : null;
             }
             bytes.append((char) read);
@@ -338,13 +399,15 @@
     /** What has come already, to tell the request that is to be cut from one that the edge gave up long ago. */
     private static String ahead(InputStream in) throws IOException {
         in.mark(LONGEST_REQUEST * 2);
-        String ahead = new String(in.readNBytes(Math.min(in.available(), LONGEST_REQUEST * 2)), StandardCharsets.ISO_8859_1);
+        String ahead =
+                new String(in.readNBytes(Math.min(in.available(), LONGEST_REQUEST * 2)), StandardCharsets.ISO_8859_1);
         in.reset();
         return ahead;
     }
 
     private static String header(String request, String name) {
-        for (String line : request.substring(0, Math.max(0, request.indexOf("\r\n\r\n"))).split("\r\n")) {
+        for (String line :
+                request.substring(0, Math.max(0, request.indexOf("\r\n\r\n"))).split("\r\n")) {
             if (line.toLowerCase(Locale.ROOT).startsWith(name + ":")) {
                 return line.substring(name.length() + 1).trim();
             }
@@ -362,13 +425,16 @@
             faults.add("UNASKED: " + came + " for " + asked.get(request));
         }
         Play now = play;
-        boolean turnedAway = now != null && now.id.equals(request) && !now.isTaken()
+        boolean turnedAway = now != null
+                && now.id.equals(request)
+                && !now.isTaken()
                 && now.ending.known(now.position) == Known.NOT_RUN;
         if (!turnedAway) {
             runs.merge(request, 1, Integer::sum);
         }
     }
 
+    @SuppressWarnings("ThreadPriorityCheck") // A yield makes two pieces likelier; no outcome depends on it.
     private boolean end(Connection connection, InputStream in, Play now) throws IOException {
         Ending ending = now.ending;
         now.begun.countDown();
@@ -382,7 +448,8 @@
             write(connection, text.substring(now.position));
         } else {
             String first = ending == Ending.SURPLUS ? own(now.id) : "";
-            String behind = ending == Ending.GARBLED ? answer(now.id, "500 Failed", "Origin-Seal: s" + now.id)
+            String behind = ending == Ending.GARBLED
+                    ? answer(now.id, "500 Failed", "Origin-Seal: s" + now.id)
                     : ending == Ending.GARBLED_PROMISE ? own(now.id) : "";
             write(connection, first + text.substring(0, now.position) + behind);
         }
@@ -390,14 +457,15 @@
             case RESETS -> reset(connection);
             case CLOSES -> connection.socket.close();
             case IS_SILENT -> awaitEnd(connection, in, now);
-            default -> { }
+            default -> {}
         }
         return ending.then == Then.STAYS;
     }
 
     /** The edge must close it; a whole answer that stays behind may be followed by another request. */
     private void awaitEnd(Connection connection, InputStream in, Play now) throws IOException {
-        boolean whole = now.ending == Ending.SILENCE ? now.position == now.ending.positions() - 1
+        boolean whole = now.ending == Ending.SILENCE
+                ? now.position == now.ending.positions() - 1
                 : now.ending.waitsLong() && now.position == 0;
         if (whole) {
             reset(connection);
@@ -406,7 +474,8 @@
         connection.socket.setSoTimeout(EdgeFixture.PATIENCE_MILLIS);
         try {
             if (in.read() >= 0) {
-                faults.add("a request came on a connection where " + now.ending + " had left another at " + now.position + ", used " + connection.requests);
+                faults.add("a request came on a connection where " + now.ending + " had left another at " + now.position
+                        + ", used " + connection.requests);
             }
         } catch (java.net.SocketTimeoutException e) {
             faults.add("the connection outlives " + now.ending + " at " + now.position);
--- a/src/test/java/tinworks/edge/LastAnswersTest.java
+++ b/src/test/java/tinworks/edge/LastAnswersTest.java
@@ -8,7 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import tinworks.config.Configuration.Type;
+import tinworks.config.Configuration;
 import tinworks.edge.EdgeFixture.Client;
 import tinworks.edge.EdgeFixture.Message;
 import tinworks.net.ScriptedHost;
@@ -24,16 +24,19 @@
     void whatWasReadBehindAnOpenRequestGetsItsAnswerToo() throws Exception {
         CompletableFuture<Socket> held = new CompletableFuture<>();
         try (ScriptedHost host = new ScriptedHost((socket, request) -> {
-            String id = request.header("Attempt-Id");
-            if (id.equals("a")) {
-                held.complete(socket);
-            } else {
-                ScriptedHost.write(socket, SERVED + id + "\r\n\r\nfine");
-            }
-        }); EdgeFixture edge = new EdgeFixture(new EdgeStyle(1)); Client client = edge.client()) {
+                    String id = request.header("Attempt-Id");
+                    if (id.equals("a")) {
+                        held.complete(socket);
+                    } else {
+                        ScriptedHost.write(socket, SERVED + id + "\r\n\r\nfine");
+                    }
+                });
+                EdgeFixture edge = new EdgeFixture(new EdgeStyle(1));
+                Client client = edge.client()) {
             edge.host("h", host.address(), true);
-            edge.route("m", Type.MUTATING, 2, "h");
-            client.write(EdgeFixture.request("a", "m", "x", 9_000, false) + EdgeFixture.request("b", "m", "y", 9_000, false)
+            edge.route("m", Configuration.Type.MUTATING, 2, "h");
+            client.write(EdgeFixture.request("a", "m", "x", 9_000, false)
+                    + EdgeFixture.request("b", "m", "y", 9_000, false)
                     + EdgeFixture.request("c", "m", "zz", 9_000, true));
             Socket at = held.get(EdgeFixture.PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
             edge.tell(new Ending(TimeUnit.SECONDS.toNanos(5)));
@@ -44,7 +47,8 @@
                 Message answer = client.read();
                 assertEquals(200, answer.status());
                 assertEquals(id, answer.headers().get("attempt-id"));
-                assertEquals(id.equals("c") ? "close" : null, answer.headers().get("connection"), "the last one says so");
+                assertEquals(
+                        id.equals("c") ? "close" : null, answer.headers().get("connection"), "the last one says so");
             }
             assertNull(client.read());
         }
--- a/src/test/java/tinworks/edge/StrayAnswersTest.java
+++ b/src/test/java/tinworks/edge/StrayAnswersTest.java
@@ -30,13 +30,18 @@
 /** A host that stutters: answers that come late, where the next one is due. None may pass for another request's. */
 @Timeout(value = 30, unit = TimeUnit.SECONDS)
 class StrayAnswersTest {
-    private static final long LONG_NANOS = TimeUnit.SECONDS.toNanos(20), SHORT_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+    private static final long LONG_NANOS = TimeUnit.SECONDS.toNanos(20);
+    private static final long SHORT_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
-    private final HostPool pool = new HostPool(loop, Transport.TCP, new GatewayClock(),
-            new HostPool.Bounds(LONG_NANOS, LONG_NANOS, 8, 1 << 16), new EdgeStyle(1));
+    private final HostPool pool = new HostPool(
+            loop,
+            Transport.TCP,
+            new GatewayClock(),
+            new HostPool.Bounds(LONG_NANOS, LONG_NANOS, 8, 1 << 16),
+            new EdgeStyle(1));
 
-    private record Ended(Outcome outcome, String body) { }
+    private record Ended(Outcome outcome, String body) {}
 
     @AfterEach
     void stop() {
@@ -59,6 +64,7 @@
     }
 
     /** Sends each run of bytes by itself: a bar stands between two. */
+    @SuppressWarnings("ThreadPriorityCheck") // A yield makes two pieces likelier; no outcome depends on it.
     private static void send(Socket socket, String runs) throws java.io.IOException {
         for (String run : runs.split("\\|")) {
             ScriptedHost.write(socket, run);
@@ -71,10 +77,17 @@
         CompletableFuture<Ended> ended = new CompletableFuture<>();
         loop.execute(() -> {
             pool.update(List.of(new HostPool.Place("h", host.address(), 0, true, false)), true);
-            FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/p/", Unpooled.EMPTY_BUFFER);
+            FullHttpRequest request =
+                    new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/p/", Unpooled.EMPTY_BUFFER);
             request.headers().set(EdgeStyle.ID, id);
-            pool.send("h", id, request, timeoutNanos, Long.MAX_VALUE, (attempt, outcome, at, load, answer) ->
-                    ended.complete(new Ended(outcome, answer == null ? null : answer.body().toString(StandardCharsets.US_ASCII))));
+            pool.send(
+                    "h",
+                    id,
+                    request,
+                    timeoutNanos,
+                    Long.MAX_VALUE,
+                    (attempt, outcome, at, load, answer) -> ended.complete(new Ended(
+                            outcome, answer == null ? null : answer.body().toString(StandardCharsets.US_ASCII))));
         });
         return ended.join();
     }
@@ -85,7 +98,8 @@
             case "full" -> answer("r1", "503 Service Unavailable", "", "Not-Run: 1");
             case "misdirected" -> answer("r1", "421 Misdirected Request", "", "Not-Run: 1");
             case "hinted" -> "HTTP/1.1 103 Early Hints\r\n\r\n" + served("r1");
-            case "pieces" -> "HTTP/1.1 200 OK\r\nConte|nt-Length: 6\r\nAttempt-I|d: r1\r\nOrigin-Seal: s\r\n\r\nfor| r1";
+            case "pieces" ->
+                "HTTP/1.1 200 OK\r\nConte|nt-Length: 6\r\nAttempt-I|d: r1\r\nOrigin-Seal: s\r\n\r\nfor| r1";
             default -> throw new IllegalArgumentException(kind);
         };
     }
@@ -118,21 +132,24 @@
     @ParameterizedTest
     @CsvSource({"200 OK,Origin-Seal: s", "503 Service Unavailable,Not-Run: 1", "421 Misdirected Request,Not-Run: 1"})
     void anAnswerThatNamesNoRequestProvesNothingAndIsNotPassedOn(String status, String header) throws Exception {
-        try (ScriptedHost host = new ScriptedHost((socket, request) -> send(socket, answer("", status, "whose?", header)))) {
+        try (ScriptedHost host =
+                new ScriptedHost((socket, request) -> send(socket, answer("", status, "whose?", header)))) {
             assertEquals(new Ended(Outcome.ERROR, null), ask(host, "r1", LONG_NANOS));
         }
     }
 
     @Test
     void aHostThatSendsNothingButStraysIsGivenUpOn() throws Exception {
-        try (ScriptedHost host = new ScriptedHost((socket, request) -> send(socket, served("r1").repeat(50)))) {
+        try (ScriptedHost host =
+                new ScriptedHost((socket, request) -> send(socket, served("r1").repeat(50)))) {
             assertEquals(new Ended(Outcome.ERROR, null), ask(host, "r2", LONG_NANOS));
         }
     }
 
     @Test
     void anAnswerThatComesWhileTheConnectionRestsEndsIt() throws Exception {
-        try (ScriptedHost host = new ScriptedHost((socket, request) -> send(socket, served(request.header(EdgeStyle.ID.toString()))))) {
+        try (ScriptedHost host =
+                new ScriptedHost((socket, request) -> send(socket, served(request.header(EdgeStyle.ID.toString()))))) {
             assertEquals(new Ended(Outcome.SERVED, "for r1"), ask(host, "r1", LONG_NANOS));
             send(host.connections.get(0), served("r1"));
             // Whether the stray is read before the next request goes out or after, it is nobody's.
--- a/src/test/java/tinworks/edge/UnaskedTest.java
+++ b/src/test/java/tinworks/edge/UnaskedTest.java
@@ -12,16 +12,19 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import tinworks.config.Configuration.Type;
+import tinworks.config.Configuration;
 import tinworks.edge.EdgeFixture.Client;
 import tinworks.edge.EdgeFixture.Message;
 import tinworks.net.ScriptedHost;
 
-/** Requests that two readers could read in two ways, or that would not reach a host as they came: none goes to a host. */
+/**
+ * Requests that two readers could read in two ways, or that would not reach a host as they came: none goes to a host.
+ */
 @Timeout(value = 60, unit = TimeUnit.SECONDS)
 class UnaskedTest {
     private static final String HEAD = "POST /m/a HTTP/1.1\r\nHost: x.example\r\nAttempt-Id: a\r\n";
-    private static final String INNER = "POST /m/b HTTP/1.1\r\nHost: x.example\r\nAttempt-Id: b\r\nContent-Length: 0\r\n\r\n";
+    private static final String INNER =
+            "POST /m/b HTTP/1.1\r\nHost: x.example\r\nAttempt-Id: b\r\nContent-Length: 0\r\n\r\n";
     private final EdgeFixture edge = new EdgeFixture(new EdgeStyle(1));
     private ScriptedHost host;
 
@@ -31,12 +34,14 @@
             String id = request.header("Attempt-Id");
             boolean head = request.firstLine().startsWith("HEAD ");
             boolean empty = request.firstLine().contains("/empty");
-            ScriptedHost.write(socket, "HTTP/1.1 " + (empty ? "204 No Content\r\n" : "200 OK\r\nContent-Length: 4\r\n") + "Attempt-Id: " + id
-                    + "\r\nOrigin-Seal: s\r\n\r\n" + (head || empty ? "" : "fine"));
+            ScriptedHost.write(
+                    socket,
+                    "HTTP/1.1 " + (empty ? "204 No Content\r\n" : "200 OK\r\nContent-Length: 4\r\n") + "Attempt-Id: "
+                            + id + "\r\nOrigin-Seal: s\r\n\r\n" + (head || empty ? "" : "fine"));
         });
         edge.host("h", host.address(), true);
-        edge.route("m", Type.MUTATING, 2, "h");
-        edge.route("i", Type.IDEM, 2, "h");
+        edge.route("m", Configuration.Type.MUTATING, 2, "h");
+        edge.route("i", Configuration.Type.IDEM, 2, "h");
     }
 
     @AfterEach
@@ -46,48 +51,51 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {
-        HEAD + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + INNER,
-        HEAD + "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\n" + INNER,
-        HEAD + "Content-Length: 0\r\nContent-Length: 99\r\n\r\n" + INNER,
-        HEAD + "Content-Length: 0\r\nContent-Length: 0\r\n\r\n" + INNER,
-        HEAD + "Content-Length: 0, 99\r\n\r\n" + INNER,
-        HEAD + "Content-Length: +0\r\n\r\n" + INNER,
-        HEAD + "Content-Length: -0\r\n\r\n" + INNER,
-        HEAD + "Content-Length: 0x0\r\n\r\n" + INNER,
-        HEAD + "Content-Length: 0 0\r\n\r\n" + INNER,
-        HEAD + "Content-Length:\r\n\r\n" + INNER,
-        HEAD + "Content-Length: 99999999999999999999\r\n\r\n" + INNER,
-        HEAD + "Content-Length : 99\r\n\r\n" + INNER,
-        HEAD + "Content-Length\r\n\r\n" + INNER,
-        HEAD + "Transfer-Encoding: gzip\r\n\r\n" + INNER,
-        HEAD + "Transfer-Encoding: identity\r\n\r\n" + INNER,
-        HEAD + "Transfer-Encoding: xchunked\r\n\r\n" + INNER,
-        HEAD + "Transfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n" + INNER,
-        HEAD + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n" + INNER,
-        HEAD + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + INNER,
-        HEAD + "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\n0\r\n\r\n" + INNER,
-        HEAD + "Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n" + INNER,
-        HEAD + "Transfer-Encoding: \"chunked\"\r\n\r\n0\r\n\r\n" + INNER,
-        HEAD + "Transfer-Encoding: chunked\r\n\r\n0x0\r\n\r\n" + INNER,
-        HEAD + "Transfer-Encoding: chunked\r\n\r\n-0\r\n\r\n" + INNER,
-        HEAD + "Transfer-Encoding: chunked\r\n\r\n+0\r\n\r\n" + INNER,
-        HEAD + "Transfer-Encoding: chunked\r\n\r\n1 0\r\n\r\n" + INNER,
-        HEAD + "Transfer-Encoding: chunked\r\n\r\n1\r\nab\r\n0\r\n\r\n" + INNER,
-        HEAD + "Transfer-Encoding: chunked\r\n\r\n1\na\r\n0\r\n\r\n" + INNER,
-        HEAD + "Transfer-Encoding: chunked\r\n\r\n1;x=\ny\r\na\r\n0\r\n\r\n" + INNER,
-        HEAD + "Transfer-Encoding: chunked\r\n\r\n100000001\r\na\r\n0\r\n\r\n" + INNER,
-        HEAD + "Content-Length: 0\n\n" + INNER,
-        HEAD + "X-A: a\nContent-Length: 99\r\n\r\n" + INNER,
-        HEAD + "X-A: a\rContent-Length: 99\r\n\r\n" + INNER,
-        HEAD + "X-A: a\0b\r\nContent-Length: 0\r\n\r\n" + INNER,
-        HEAD + "X A: a\r\nContent-Length: 0\r\n\r\n" + INNER,
-        HEAD + ": a\r\nContent-Length: 0\r\n\r\n" + INNER,
-        HEAD + "nonsense\r\nContent-Length: 0\r\n\r\n" + INNER,
-        "POST /m/a HTTP/1.0\r\nHost: x.example\r\nAttempt-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + INNER,
-        "POST /m/a HTTP/2.0\r\nHost: x.example\r\nAttempt-Id: a\r\nContent-Length: 0\r\n\r\n" + INNER,
-        "POST /m/a b HTTP/1.1\r\nHost: x.example\r\nAttempt-Id: a\r\nContent-Length: 0\r\n\r\n" + INNER,
-        "P(ST /m/a HTTP/1.1\r\nHost: x.example\r\nAttempt-Id: a\r\nContent-Length: 0\r\n\r\n" + INNER})
+    @ValueSource(
+            strings = {
+                HEAD + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + INNER,
+                HEAD + "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\n" + INNER,
+                HEAD + "Content-Length: 0\r\nContent-Length: 99\r\n\r\n" + INNER,
+                HEAD + "Content-Length: 0\r\nContent-Length: 0\r\n\r\n" + INNER,
+                HEAD + "Content-Length: 0, 99\r\n\r\n" + INNER,
+                HEAD + "Content-Length: +0\r\n\r\n" + INNER,
+                HEAD + "Content-Length: -0\r\n\r\n" + INNER,
+                HEAD + "Content-Length: 0x0\r\n\r\n" + INNER,
+                HEAD + "Content-Length: 0 0\r\n\r\n" + INNER,
+                HEAD + "Content-Length:\r\n\r\n" + INNER,
+                HEAD + "Content-Length: 99999999999999999999\r\n\r\n" + INNER,
+                HEAD + "Content-Length : 99\r\n\r\n" + INNER,
+                HEAD + "Content-Length\r\n\r\n" + INNER,
+                HEAD + "Transfer-Encoding: gzip\r\n\r\n" + INNER,
+                HEAD + "Transfer-Encoding: identity\r\n\r\n" + INNER,
+                HEAD + "Transfer-Encoding: xchunked\r\n\r\n" + INNER,
+                HEAD + "Transfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n" + INNER,
+                HEAD + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n" + INNER,
+                HEAD + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + INNER,
+                HEAD + "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\n0\r\n\r\n" + INNER,
+                HEAD + "Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n" + INNER,
+                HEAD + "Transfer-Encoding: \"chunked\"\r\n\r\n0\r\n\r\n" + INNER,
+                HEAD + "Transfer-Encoding: chunked\r\n\r\n0x0\r\n\r\n" + INNER,
+                HEAD + "Transfer-Encoding: chunked\r\n\r\n-0\r\n\r\n" + INNER,
+                HEAD + "Transfer-Encoding: chunked\r\n\r\n+0\r\n\r\n" + INNER,
+                HEAD + "Transfer-Encoding: chunked\r\n\r\n1 0\r\n\r\n" + INNER,
+                HEAD + "Transfer-Encoding: chunked\r\n\r\n1\r\nab\r\n0\r\n\r\n" + INNER,
+                HEAD + "Transfer-Encoding: chunked\r\n\r\n1\na\r\n0\r\n\r\n" + INNER,
+                HEAD + "Transfer-Encoding: chunked\r\n\r\n1;x=\ny\r\na\r\n0\r\n\r\n" + INNER,
+                HEAD + "Transfer-Encoding: chunked\r\n\r\n100000001\r\na\r\n0\r\n\r\n" + INNER,
+                HEAD + "Content-Length: 0\n\n" + INNER,
+                HEAD + "X-A: a\nContent-Length: 99\r\n\r\n" + INNER,
+                HEAD + "X-A: a\rContent-Length: 99\r\n\r\n" + INNER,
+                HEAD + "X-A: a\0b\r\nContent-Length: 0\r\n\r\n" + INNER,
+                HEAD + "X A: a\r\nContent-Length: 0\r\n\r\n" + INNER,
+                HEAD + ": a\r\nContent-Length: 0\r\n\r\n" + INNER,
+                HEAD + "nonsense\r\nContent-Length: 0\r\n\r\n" + INNER,
+                "POST /m/a HTTP/1.0\r\nHost: x.example\r\nAttempt-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+                        + INNER,
+                "POST /m/a HTTP/2.0\r\nHost: x.example\r\nAttempt-Id: a\r\nContent-Length: 0\r\n\r\n" + INNER,
+                "POST /m/a b HTTP/1.1\r\nHost: x.example\r\nAttempt-Id: a\r\nContent-Length: 0\r\n\r\n" + INNER,
+                "P(ST /m/a HTTP/1.1\r\nHost: x.example\r\nAttempt-Id: a\r\nContent-Length: 0\r\n\r\n" + INNER
+            })
     void aRequestWithTwoReadingsReachesNoHostAndNeitherDoesWhatFollows(String bytes) throws Exception {
         try (Client client = edge.client()) {
             client.write(bytes);
@@ -102,8 +110,8 @@
     @Test
     void anUnreadableLengthBehindAnOpenRequestIsAnsweredInItsTurn() throws Exception {
         try (Client client = edge.client()) {
-            client.write(EdgeFixture.request("a", "m", "some body", 9_000, false) + HEAD.replace("Attempt-Id: a", "Attempt-Id: b")
-                    + "Content-Length: 0x0\r\n\r\n");
+            client.write(EdgeFixture.request("a", "m", "some body", 9_000, false)
+                    + HEAD.replace("Attempt-Id: a", "Attempt-Id: b") + "Content-Length: 0x0\r\n\r\n");
             assertEquals("a", client.read().headers().get("attempt-id"));
             assertEquals(400, client.read().status());
             assertNull(client.read());
@@ -112,13 +120,16 @@
 
     /** Its end is plain, but not what is asked: what follows it is another request, and served. */
     @ParameterizedTest
-    @ValueSource(strings = {
-        HEAD + "Attempt-Id: b\r\nContent-Length: 0\r\n\r\n" + INNER,
-        HEAD + "Host: y.example\r\nContent-Length: 0\r\n\r\n" + INNER,
-        "POST /m/a\u00e9 HTTP/1.1\r\nHost: x.example\r\nAttempt-Id: a\r\nContent-Length: 0\r\n\r\n" + INNER,
-        "POST /m/a?\u00ff HTTP/1.1\r\nHost: x.example\r\nAttempt-Id: a\r\nContent-Length: 0\r\n\r\n" + INNER,
-        "POST /m/a\u0001 HTTP/1.1\r\nHost: x.example\r\nAttempt-Id: a\r\nContent-Length: 0\r\n\r\n" + INNER,
-        "POST http://x.example/m/a HTTP/1.1\r\nHost: x.example\r\nAttempt-Id: a\r\nContent-Length: 0\r\n\r\n" + INNER})
+    @ValueSource(
+            strings = {
+                HEAD + "Attempt-Id: b\r\nContent-Length: 0\r\n\r\n" + INNER,
+                HEAD + "Host: y.example\r\nContent-Length: 0\r\n\r\n" + INNER,
+                "POST /m/a\u00e9 HTTP/1.1\r\nHost: x.example\r\nAttempt-Id: a\r\nContent-Length: 0\r\n\r\n" + INNER,
+                "POST /m/a?\u00ff HTTP/1.1\r\nHost: x.example\r\nAttempt-Id: a\r\nContent-Length: 0\r\n\r\n" + INNER,
+                "POST /m/a\u0001 HTTP/1.1\r\nHost: x.example\r\nAttempt-Id: a\r\nContent-Length: 0\r\n\r\n" + INNER,
+                "POST http://x.example/m/a HTTP/1.1\r\nHost: x.example\r\nAttempt-Id: a\r\nContent-Length: 0\r\n\r\n"
+                        + INNER
+            })
     void aRequestThatWouldReachAHostChangedReachesNone(String bytes) throws Exception {
         try (Client client = edge.client()) {
             client.write(bytes);
@@ -144,7 +155,8 @@
     @Test
     void aGoodRequestReachesTheHostAsItCame() throws Exception {
         try (Client client = edge.client()) {
-            client.write(EdgeFixture.request("a", "m", "some body", 9_000, true) + EdgeFixture.request("b", "m", "other", 9_000, false));
+            client.write(EdgeFixture.request("a", "m", "some body", 9_000, true)
+                    + EdgeFixture.request("b", "m", "other", 9_000, false));
             assertEquals("fine", client.read().body());
             assertEquals("fine", client.read().body());
             assertEquals("POST /m/a?q=%20a HTTP/1.1", host.requests.get(0).firstLine());
@@ -174,7 +186,8 @@
     @Test
     void anAnswerThatCanHaveNoBodyIsWholeWithoutALength() throws Exception {
         try (Client client = edge.client()) {
-            client.write(EdgeFixture.request("empty", "m", "x", 9_000, false) + EdgeFixture.request("c", "i", "", 9_000, false));
+            client.write(EdgeFixture.request("empty", "m", "x", 9_000, false)
+                    + EdgeFixture.request("c", "i", "", 9_000, false));
             Message answer = client.read();
             assertEquals(204, answer.status());
             assertEquals("s", answer.headers().get("origin-seal"));
--- a/src/test/java/tinworks/fuzz/DecodersTest.java
+++ b/src/test/java/tinworks/fuzz/DecodersTest.java
@@ -34,23 +34,46 @@
 class DecodersTest {
     private static final String SEED = "20261201";
     private static final int TRIES = 3_000;
-    private static final String CONFIGURATION = "{\"rev\":7,\"routes\":[{\"name\":\"a\",\"domain\":\"x.example\",\"prefix\":\"/p/\","
-            + "\"type\":\"idem\",\"timeoutMs\":2500,\"targetMs\":600,\"prio\":2,\"split\":[{\"svc\":\"s\",\"weight\":90},"
-            + "{\"svc\":\"t\",\"weight\":10}],\"tries\":2}],\"svcs\":[{\"name\":\"s\",\"check\":\"/h\",\"maxconn\":110},{\"name\":\"t\"}],"
-            + "\"limits\":{\"hdrBytes\":16384,\"bodyMaxBytes\":67108864,\"hdrMs\":3000,\"idleMs\":15000}}";
-    private static final String SETTINGS = "{\"node\":\"core-1\",\"az\":\"z\",\"ip\":\"10.1.0.9\",\"listen\":{\"ctl\":\"10.1.0.9:8544\"},"
-            + "\"portRange\":[7540,7555],\"seeds\":[\"10.1.0.9:8544\"],\"bootstrap\":true,\"limits\":{\"nofile\":4096},"
-            + "\"datadir\":\"/data\",\"survive\":{\"nodes\":1},\"bounds\":{\"graceS\":6},\"provider\":{\"addr\":\"10.2.0.1:80\"}}";
-    private static final List<String> PIECES = List.of("null", "-1", "0", "1e308", "9223372036854775808", "\"\"", "[]", "{}", "true",
-            "\"s\"", "[[[[", "}", ",", "\\u0000", "\"\\ud800\"", "NaN");
+    private static final String CONFIGURATION =
+            "{\"rev\":7,\"routes\":[{\"name\":\"a\",\"domain\":\"x.example\",\"prefix\":\"/p/\","
+                    + "\"type\":\"idem\",\"timeoutMs\":2500,\"targetMs\":600,\"prio\":2,\"split\":[{\"svc\":\"s\",\"weight\":90},"
+                    + "{\"svc\":\"t\",\"weight\":10}],\"tries\":2}],\"svcs\":[{\"name\":\"s\",\"check\":\"/h\",\"maxconn\":110},{\"name\":\"t\"}],"
+                    + "\"limits\":{\"hdrBytes\":16384,\"bodyMaxBytes\":67108864,\"hdrMs\":3000,\"idleMs\":15000}}";
+    private static final String SETTINGS =
+            "{\"node\":\"core-1\",\"az\":\"z\",\"ip\":\"10.1.0.9\",\"listen\":{\"ctl\":\"10.1.0.9:8544\"},"
+                    + "\"portRange\":[7540,7555],\"seeds\":[\"10.1.0.9:8544\"],\"bootstrap\":true,\"limits\":{\"nofile\":4096},"
+                    + "\"datadir\":\"/data\",\"survive\":{\"nodes\":1},\"bounds\":{\"graceS\":6},\"provider\":{\"addr\":\"10.2.0.1:80\"}}";
+    private static final List<String> PIECES = List.of(
+            "null",
+            "-1",
+            "0",
+            "1e308",
+            "9223372036854775808",
+            "\"\"",
+            "[]",
+            "{}",
+            "true",
+            "\"s\"",
+            "[[[[",
+            "}",
+            ",",
+            "\\u0000",
+            "\"\\ud800\"",
+            "NaN");
 
     /** A text with some parts of it replaced by others. */
-    record Change(int at, int length, String by) { }
+    record Change(int at, int length, String by) {}
 
     @Provide
     Arbitrary<List<Change>> changes() {
-        return Combinators.combine(Arbitraries.integers().between(0, 700), Arbitraries.integers().between(0, 12),
-                Arbitraries.of(PIECES)).as(Change::new).list().ofMinSize(1).ofMaxSize(3);
+        return Combinators.combine(
+                        Arbitraries.integers().between(0, 700),
+                        Arbitraries.integers().between(0, 12),
+                        Arbitraries.of(PIECES))
+                .as(Change::new)
+                .list()
+                .ofMinSize(1)
+                .ofMaxSize(3);
     }
 
     private static String changed(String text, List<Change> changes) {
@@ -65,8 +88,10 @@
     @Property(tries = TRIES, seed = SEED, shrinking = ShrinkingMode.BOUNDED)
     void aConfigurationIsReadOrRefusedWithItsPlace(@ForAll("changes") List<Change> changes) {
         try {
-            Configuration read = ConfigurationReader.read(changed(CONFIGURATION, changes).getBytes(StandardCharsets.UTF_8));
-            assertFalse(read.routes().stream().anyMatch(route -> route.timeoutMs() <= 0 || !route.prefix().endsWith("/")));
+            Configuration read =
+                    ConfigurationReader.read(changed(CONFIGURATION, changes).getBytes(StandardCharsets.UTF_8));
+            assertFalse(read.routes().stream()
+                    .anyMatch(route -> route.timeoutMs() <= 0 || !route.prefix().endsWith("/")));
         } catch (InvalidConfiguration e) {
             assertFalse(e.getMessage().isEmpty());
         }
@@ -91,7 +116,8 @@
     }
 
     @Property(tries = TRIES, seed = SEED, shrinking = ShrinkingMode.BOUNDED)
-    void framesBetweenOurProcessesAreReadOrMalformed(@ForAll @Size(max = 300) byte[] bytes, @ForAll @IntRange(max = 20) int kind) {
+    void framesBetweenOurProcessesAreReadOrMalformed(
+            @ForAll @Size(max = 300) byte[] bytes, @ForAll @IntRange(max = 20) int kind) {
         byte[] frame = bytes.clone();
         if (frame.length > 0) {
             // More of them get past the first byte.
@@ -109,8 +135,12 @@
 
     @Provide
     Arbitrary<List<Member>> voters() {
-        return Combinators.combine(Arbitraries.longs(), Arbitraries.strings().alpha().numeric().ofMaxLength(40)).as(Member::new)
-                .list().ofMaxSize(20);
+        return Combinators.combine(
+                        Arbitraries.longs(),
+                        Arbitraries.strings().alpha().numeric().ofMaxLength(40))
+                .as(Member::new)
+                .list()
+                .ofMaxSize(20);
     }
 
     @Property(tries = 500, seed = SEED)
@@ -119,7 +149,8 @@
     }
 
     @Property(tries = 500, seed = SEED)
-    void votersBeforeAndAfterAChangeComeBackAsTheyWereWritten(@ForAll("voters") List<Member> current, @ForAll("voters") List<Member> outgoing) {
+    void votersBeforeAndAfterAChangeComeBackAsTheyWereWritten(
+            @ForAll("voters") List<Member> current, @ForAll("voters") List<Member> outgoing) {
         Voters voters = new Voters(current, outgoing);
         assertEquals(voters, Voters.read(voters.write()));
     }
@@ -139,7 +170,8 @@
     }
 
     @Property(tries = TRIES, seed = SEED, shrinking = ShrinkingMode.BOUNDED)
-    void aSavedHistoryIsLoadedOrRefused(@ForAll @IntRange(max = 400) int at, @ForAll byte by, @ForAll @IntRange(max = 400) int length) {
+    void aSavedHistoryIsLoadedOrRefused(
+            @ForAll @IntRange(max = 400) int at, @ForAll byte by, @ForAll @IntRange(max = 400) int length) {
         ConfigurationHistory history = new ConfigurationHistory();
         history.apply(ConfigurationHistory.command(0, 3, "{\"rev\":3}".getBytes(StandardCharsets.UTF_8)));
         history.apply(ConfigurationHistory.command(3, 9, "{\"rev\":9}".getBytes(StandardCharsets.UTF_8)));
--- a/src/test/java/tinworks/load/LoadClientsTest.java
+++ b/src/test/java/tinworks/load/LoadClientsTest.java
@@ -42,38 +42,54 @@
 
     /** A gateway that answers each first try with a status and each later one with 200. */
     private InetSocketAddress gateway(int firstStatus) {
-        ClientServer server = NodeProcess.call(loop, () -> new ClientServer(loop, Transport.TCP, new GatewayClock(),
-                new ClientServer.Bounds(500, TimeUnit.SECONDS.toNanos(5), TimeUnit.SECONDS.toNanos(5), 8_192, 8_192, "/-/none"),
-                new ClientServer.Listener() {
-                    @Override
-                    public boolean ready() {
-                        return true;
-                    }
+        ClientServer server = NodeProcess.call(
+                loop,
+                () -> new ClientServer(
+                        loop,
+                        Transport.TCP,
+                        new GatewayClock(),
+                        new ClientServer.Bounds(
+                                500, TimeUnit.SECONDS.toNanos(5), TimeUnit.SECONDS.toNanos(5), 8_192, 8_192, "/-/none"),
+                        new ClientServer.Listener() {
+                            @Override
+                            public boolean ready() {
+                                return true;
+                            }
 
-                    @Override
-                    public void requested(FullHttpRequest request, long arrivedAt, Reply reply) {
-                        boolean first = request.headers().get("Attempt-Id").endsWith("-1");
-                        reply.write(HttpResponseStatus.valueOf(first ? firstStatus : OK),
-                                new DefaultHttpHeaders().set("Origin-Seal", "s"), Unpooled.EMPTY_BUFFER, first ? 20_000_000L : 0);
-                    }
-                }));
-        NodeProcess.call(loop, () -> server.listen(new InetSocketAddress("127.0.0.1", 0))).syncUninterruptibly();
+                            @Override
+                            public void requested(FullHttpRequest request, long arrivedAt, Reply reply) {
+                                boolean first =
+                                        request.headers().get("Attempt-Id").endsWith("-1");
+                                reply.write(
+                                        HttpResponseStatus.valueOf(first ? firstStatus : OK),
+                                        new DefaultHttpHeaders().set("Origin-Seal", "s"),
+                                        Unpooled.EMPTY_BUFFER,
+                                        first ? 20_000_000L : 0);
+                            }
+                        }));
+        NodeProcess.call(loop, () -> server.listen(new InetSocketAddress("127.0.0.1", 0)))
+                .syncUninterruptibly();
         return server.address();
     }
 
     private Results play(boolean once, InetSocketAddress gateway) throws InterruptedException {
         RequestKind kind = new RequestKind("k", "x.example", "/k/", once, 200, 500, 2_000);
-        LoadClients clients = NodeProcess.call(loop, () -> new LoadClients(loop, List.of(kind), 3, new LoadClients.Watcher() {
-            @Override
-            public void sent(String attemptId, boolean isOnce) {
-                triesByRequest.computeIfAbsent(attemptId.substring(0, attemptId.indexOf('-')), id -> new ArrayList<>()).add(attemptId);
-            }
+        LoadClients clients = NodeProcess.call(
+                loop,
+                () -> new LoadClients(loop, List.of(kind), 3, new LoadClients.Watcher() {
+                    @Override
+                    public void sent(String attemptId, boolean isOnce) {
+                        triesByRequest
+                                .computeIfAbsent(
+                                        attemptId.substring(0, attemptId.indexOf('-')), id -> new ArrayList<>())
+                                .add(attemptId);
+                    }
 
-            @Override
-            public void promisedNotRun(String attemptId) {
-                promises.add(attemptId);
-            }
-        }));
+                    @Override
+                    public void promisedNotRun(String attemptId) {
+                        promises.add(attemptId);
+                    }
+                }));
         NodeProcess.call(loop, () -> {
             clients.gateways(List.of(gateway));
             clients.start(300);
@@ -93,7 +109,8 @@
     @Test
     void arrivalsKeepTheirRateAndAreServedOnce() throws InterruptedException {
         Results results = play(true, gateway(OK));
-        assertTrue(results.sentInAll() > 30 && results.sentInAll() < 100, "sent " + results.sentInAll() + ", 60 expected");
+        assertTrue(
+                results.sentInAll() > 30 && results.sentInAll() < 100, "sent " + results.sentInAll() + ", 60 expected");
         assertEquals(results.sentInAll(), results.servedInAll());
         assertEquals(1, mostTries());
     }
--- a/src/test/java/tinworks/logging/FatalTest.java
+++ b/src/test/java/tinworks/logging/FatalTest.java
@@ -15,11 +15,12 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
+/** A process that can't go on ends. */
 @Timeout(value = 60, unit = TimeUnit.SECONDS)
 class FatalTest {
     /** A process that has installed the handler and then fails on another thread, while its first waits for good. */
     static final class Failing {
-        private Failing() { }
+        private Failing() {}
 
         public static void main(String[] args) throws InterruptedException {
             Fatal.install();
@@ -31,21 +32,24 @@
                 late.join();
                 System.exit(IN_ORDER);
             }
-            Thread thread = new Thread(args[0].equals("heap") ? Failing::fillHeap : Failing::passOn);
+            Thread thread = new Thread(args[0].equals("heap") ? Failing::fillHeap : () -> overflowStack(0));
             thread.start();
             TimeUnit.SECONDS.sleep(50);
         }
 
+        private static final List<byte[]> RETAINED = new ArrayList<>();
+
         private static void fillHeap() {
-            List<byte[]> all = new ArrayList<>();
             while (true) {
-                all.add(new byte[1 << 20]);
+                RETAINED.add(new byte[1 << 20]);
             }
         }
 
-        private static void passOn() {
+        private static void overflowStack(int depth) {
             try {
-                passOn();
+                if (depth < Integer.MAX_VALUE) {
+                    overflowStack(depth + 1);
+                }
             } catch (StackOverflowError e) {
                 Fatal.pass(new IllegalStateException("as a library tells it", e));
             }
@@ -55,8 +59,16 @@
     private static final int IN_ORDER = 5;
 
     private static String said(String how) throws IOException, InterruptedException {
-        Process process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx16m", "-Xss256k", "-cp",
-                System.getProperty("java.class.path"), Failing.class.getName(), how).redirectErrorStream(true).start();
+        Process process = new ProcessBuilder(
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-Xmx16m",
+                        "-Xss256k",
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        Failing.class.getName(),
+                        how)
+                .redirectErrorStream(true)
+                .start();
         String said = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
         assertEquals(how.equals("refused") ? IN_ORDER : Fatal.EXIT_CODE, process.waitFor(), said);
         return said;
--- a/src/test/java/tinworks/net/AnswerFuzzTest.java
+++ b/src/test/java/tinworks/net/AnswerFuzzTest.java
@@ -27,8 +27,19 @@
             "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nOrigin-Seal: a\r\n\r\nfine",
             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nfi\r\n2\r\nne\r\n0\r\n\r\n",
             "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
-    private static final List<String> PIECES = List.of("\r\n", "\r", "\n", "\0", ":", "HTTP/1.1 200 OK\r\n", "Content-Length: 99999\r\n", "0\r\n\r\n",
-            "ffffffff\r\n", "Content-Length: 2\r\n", " ", "HTTP/1.1 101 Switching Protocols\r\n\r\n");
+    private static final List<String> PIECES = List.of(
+            "\r\n",
+            "\r",
+            "\n",
+            "\0",
+            ":",
+            "HTTP/1.1 200 OK\r\n",
+            "Content-Length: 99999\r\n",
+            "0\r\n\r\n",
+            "ffffffff\r\n",
+            "Content-Length: 2\r\n",
+            " ",
+            "HTTP/1.1 101 Switching Protocols\r\n\r\n");
 
     /** What a reader said of the bytes of one request's answer. */
     private static final class Heard implements AnswerReader.Listener {
@@ -93,18 +104,28 @@
 
     @Provide
     Arbitrary<List<Integer>> cuts() {
-        return Arbitraries.integers().between(0, 120).list().ofMaxSize(6).map(list -> list.stream().sorted().toList());
+        return Arbitraries.integers()
+                .between(0, 120)
+                .list()
+                .ofMaxSize(6)
+                .map(list -> list.stream().sorted().toList());
     }
 
     @Provide
     Arbitrary<String> spoilt() {
-        return Combinators.combine(Arbitraries.of(ANSWERS), Arbitraries.integers().between(0, 120), Arbitraries.integers().between(0, 6),
-                Arbitraries.of(PIECES)).as((answer, at, length, by) -> new StringBuilder(answer)
-                .replace(Math.min(at, answer.length()), Math.min(at + length, answer.length()), by).toString());
+        return Combinators.combine(
+                        Arbitraries.of(ANSWERS),
+                        Arbitraries.integers().between(0, 120),
+                        Arbitraries.integers().between(0, 6),
+                        Arbitraries.of(PIECES))
+                .as((answer, at, length, by) -> new StringBuilder(answer)
+                        .replace(Math.min(at, answer.length()), Math.min(at + length, answer.length()), by)
+                        .toString());
     }
 
     @Property(tries = 4_000, seed = SEED, shrinking = ShrinkingMode.BOUNDED)
-    void atMostOneAnswerComesOutAndNoneThatIsTooLong(@ForAll("spoilt") String bytes, @ForAll("cuts") List<Integer> cuts) {
+    void atMostOneAnswerComesOutAndNoneThatIsTooLong(
+            @ForAll("spoilt") String bytes, @ForAll("cuts") List<Integer> cuts) {
         Heard heard = hear(bytes, cuts);
         assertTrue(heard.answered <= 1);
         assertFalse(heard.answered == 1 && heard.isSpoilt);
@@ -112,7 +133,8 @@
     }
 
     @Property(tries = 1_000, seed = SEED)
-    void aGoodAnswerIsTheSameHoweverItsReadsFall(@ForAll @IntRange(max = 2) int which, @ForAll("cuts") List<Integer> cuts) {
+    void aGoodAnswerIsTheSameHoweverItsReadsFall(
+            @ForAll @IntRange(max = 2) int which, @ForAll("cuts") List<Integer> cuts) {
         Heard heard = hear(ANSWERS.get(which), cuts);
         assertEquals(1, heard.answered);
         assertTrue(heard.clean);
@@ -120,7 +142,8 @@
     }
 
     @Property(tries = 1_000, seed = SEED)
-    void whatIsCutShortIsNoAnswer(@ForAll @IntRange(max = 1) int which, @ForAll @IntRange(min = 1, max = 30) int missing) {
+    void whatIsCutShortIsNoAnswer(
+            @ForAll @IntRange(max = 1) int which, @ForAll @IntRange(min = 1, max = 30) int missing) {
         String whole = ANSWERS.get(which);
         Heard heard = hear(whole.substring(0, whole.length() - missing), List.of());
         assertEquals(0, heard.answered);
--- a/src/test/java/tinworks/net/AnswersTest.java
+++ b/src/test/java/tinworks/net/AnswersTest.java
@@ -1,17 +1,14 @@
 package tinworks.net;
 
-import static tinworks.net.GatewayFixture.LONG_MILLIS;
-import static tinworks.net.GatewayFixture.await;
-import static tinworks.net.GatewayFixture.status;
-import static tinworks.net.GatewayFixture.submit;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static tinworks.net.GatewayFixture.LONG_MILLIS;
+import static tinworks.net.GatewayFixture.await;
+import static tinworks.net.GatewayFixture.status;
+import static tinworks.net.GatewayFixture.submit;
 
-import tinworks.net.GatewayFixture.Client;
-import tinworks.net.ScriptedHost.Message;
-import tinworks.net.ScriptedHost.Script;
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -19,6 +16,9 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import tinworks.net.GatewayFixture.Client;
+import tinworks.net.ScriptedHost.Message;
+import tinworks.net.ScriptedHost.Script;
 
 /** What a gateway makes of answers that are spoilt, and of good ones that bring more than belongs to them. */
 class AnswersTest {
@@ -30,21 +30,24 @@
 
     /** The host keeps the connection open, so only the gateway's own judgement ends the attempt. */
     @ParameterizedTest
-    @ValueSource(strings = {
-        "noise that no line ends\0\1\2\r\n\r\n",
-        "HTTP/1.1 OK 200\r\nContent-Length: 4\r\n\r\nfine",
-        "HTTP/9.9 200 OK\r\nContent-Length: 4\r\n\r\nfine",
-        "HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 4\r\n\r\nfine",
-        "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nfine",
-        "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\nfine",
-        "HTTP/1.1 200 OK\r\nContent-Length: four\r\n\r\nfine",
-        "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nfine",
-        "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n",
-        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nfi\r\nzz\r\nne\r\n0\r\n\r\n",
-        "HTTP/1.1 200 OK\r\n\r\nfine",
-        "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n"})
+    @ValueSource(
+            strings = {
+                "noise that no line ends\0\1\2\r\n\r\n",
+                "HTTP/1.1 OK 200\r\nContent-Length: 4\r\n\r\nfine",
+                "HTTP/9.9 200 OK\r\nContent-Length: 4\r\n\r\nfine",
+                "HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 4\r\n\r\nfine",
+                "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nfine",
+                "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\nfine",
+                "HTTP/1.1 200 OK\r\nContent-Length: four\r\n\r\nfine",
+                "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nfine",
+                "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nfi\r\nzz\r\nne\r\n0\r\n\r\n",
+                "HTTP/1.1 200 OK\r\n\r\nfine",
+                "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n"
+            })
     void aSpoiltAnswerFailsItsAttemptAndEndsTheConnection(String bytes) throws Exception {
-        try (ScriptedHost host = new ScriptedHost(sends(bytes)); GatewayFixture f = GatewayFixture.knowing(host)) {
+        try (ScriptedHost host = new ScriptedHost(sends(bytes));
+                GatewayFixture f = GatewayFixture.knowing(host)) {
             Message answer = f.client().ask(submit("r", LONG_MILLIS, "x"));
             assertTrue(answer.firstLine().contains(" 502 "), answer.firstLine());
             assertEquals(1, host.requests.size(), "it may have run");
@@ -54,18 +57,21 @@
 
     /** Each would fill the memory if the gateway went on reading. */
     @ParameterizedTest
-    @ValueSource(strings = {
-        "HTTP/1.1 200 OK\r\n|X-Pad: pppppppppppppppppppppppp\r\n",
-        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n|4\r\nmore\r\n",
-        "|HTTP/1.1 200 OK"})
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK\r\n|X-Pad: pppppppppppppppppppppppp\r\n",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n|4\r\nmore\r\n",
+                "|HTTP/1.1 200 OK"
+            })
     void anAnswerWithoutEndIsCutOff(String headAndRest) throws Exception {
         String[] parts = headAndRest.split("\\|");
         try (ScriptedHost host = new ScriptedHost((socket, request) -> {
-            ScriptedHost.write(socket, parts[0]);
-            for (int i = 0; i < 1_000_000; i++) {
-                ScriptedHost.write(socket, parts[1]);
-            }
-        }); GatewayFixture f = GatewayFixture.knowing(host)) {
+                    ScriptedHost.write(socket, parts[0]);
+                    for (int i = 0; i < 1_000_000; i++) {
+                        ScriptedHost.write(socket, parts[1]);
+                    }
+                });
+                GatewayFixture f = GatewayFixture.knowing(host)) {
             Message answer = f.client().ask(submit("r", LONG_MILLIS, "x"));
             assertTrue(answer.firstLine().contains(" 502 "), answer.firstLine());
             await("the close", () -> host.connections.get(0).isClosed());
@@ -74,10 +80,17 @@
 
     /** Were the connection used again, what came behind would pass for the second request's answer. */
     @ParameterizedTest
-    @ValueSource(strings = {
-        FINE, "noise", "noise\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\n"})
+    @ValueSource(
+            strings = {
+                FINE,
+                "noise",
+                "noise\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+                "HTTP/1.1 100 Continue\r\n\r\n"
+            })
     void aGoodAnswerWithMoreBehindItIsServedAndItsConnectionNotUsedAgain(String more) throws Exception {
-        try (ScriptedHost host = new ScriptedHost(sends(FINE + more)); GatewayFixture f = GatewayFixture.knowing(host)) {
+        try (ScriptedHost host = new ScriptedHost(sends(FINE + more));
+                GatewayFixture f = GatewayFixture.knowing(host)) {
             Client client = f.client();
             assertEquals("fine", client.ask(submit("r1", LONG_MILLIS, "x")).body());
             host.script(ScriptedHost.reply("200 OK", "second"));
@@ -88,7 +101,8 @@
 
     @Test
     void bytesOnAnIdleConnectionEndIt() throws Exception {
-        try (ScriptedHost host = new ScriptedHost(sends(FINE)); GatewayFixture f = GatewayFixture.knowing(host)) {
+        try (ScriptedHost host = new ScriptedHost(sends(FINE));
+                GatewayFixture f = GatewayFixture.knowing(host)) {
             Client client = f.client();
             assertEquals("fine", client.ask(submit("r1", LONG_MILLIS, "x")).body());
             Socket kept = host.connections.get(0);
@@ -111,7 +125,8 @@
     @Test
     void whatComesAheadOfAnAnswerIsSkippedAndTheConnectionKept() throws Exception {
         String ahead = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n";
-        try (ScriptedHost host = new ScriptedHost(sends(ahead + FINE)); GatewayFixture f = GatewayFixture.knowing(host)) {
+        try (ScriptedHost host = new ScriptedHost(sends(ahead + FINE));
+                GatewayFixture f = GatewayFixture.knowing(host)) {
             Client client = f.client();
             assertEquals("fine", client.ask(submit("r1", LONG_MILLIS, "x")).body());
             assertEquals("fine", client.ask(submit("r2", LONG_MILLIS, "x")).body());
@@ -123,13 +138,14 @@
     void anAnswerInPiecesIsPassedOnWhole() throws Exception {
         String body = "0123456789".repeat(5000);
         try (ScriptedHost host = new ScriptedHost((socket, request) -> {
-            String chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(body.length())
-                    + "\r\n" + body + "\r\n0\r\n\r\n";
-            byte[] bytes = chunked.getBytes(StandardCharsets.UTF_8);
-            for (int i = 0; i < bytes.length; i += 777) {
-                socket.getOutputStream().write(bytes, i, Math.min(777, bytes.length - i));
-            }
-        }); GatewayFixture f = GatewayFixture.knowing(host)) {
+                    String chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                            + Integer.toHexString(body.length()) + "\r\n" + body + "\r\n0\r\n\r\n";
+                    byte[] bytes = chunked.getBytes(StandardCharsets.UTF_8);
+                    for (int i = 0; i < bytes.length; i += 777) {
+                        socket.getOutputStream().write(bytes, i, Math.min(777, bytes.length - i));
+                    }
+                });
+                GatewayFixture f = GatewayFixture.knowing(host)) {
             Client client = f.client();
             assertEquals(body, client.ask(status("r1", LONG_MILLIS)).body());
             assertEquals(body, client.ask(status("r2", LONG_MILLIS)).body());
@@ -137,15 +153,26 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"", "=,=", "TEXT ?", "tps=NaN", "tps=Infinity", "load_share=-1", "err_ps=1e300",
-        "tps=1,load_share=x", "tps=1,load_share"})
+    @ValueSource(
+            strings = {
+                "",
+                "=,=",
+                "TEXT ?",
+                "tps=NaN",
+                "tps=Infinity",
+                "load_share=-1",
+                "err_ps=1e300",
+                "tps=1,load_share=x",
+                "tps=1,load_share"
+            })
     void aReportThatCannotBeReadIsNone(String report) {
         assertNull(LoadReports.read(List.of(report)));
     }
 
     @Test
     void aReportIsReadByEitherNameAndTwoAreNone() {
-        assertEquals(LoadReports.read(List.of("qps=140,util=0.62,eps=0.5")),
+        assertEquals(
+                LoadReports.read(List.of("qps=140,util=0.62,eps=0.5")),
                 LoadReports.read(List.of("tps=140,load_share=0.62,err_ps=0.5")));
         assertEquals(0.62, LoadReports.read(List.of("tps=140, load_share=0.62")).utilisation());
         assertNotNull(LoadReports.read(List.of("other=3")));
--- a/src/test/java/tinworks/net/ArrivalTest.java
+++ b/src/test/java/tinworks/net/ArrivalTest.java
@@ -1,17 +1,15 @@
 package tinworks.net;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 import static tinworks.net.GatewayFixture.LONG_MILLIS;
 import static tinworks.net.GatewayFixture.PATIENCE_MILLIS;
 import static tinworks.net.GatewayFixture.entry;
 import static tinworks.net.GatewayFixture.list;
 import static tinworks.net.GatewayFixture.status;
 import static tinworks.net.GatewayFixture.submit;
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertNull;
-import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import tinworks.net.GatewayFixture.Client;
-import tinworks.net.ScriptedHost.Message;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.util.List;
@@ -20,6 +18,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import tinworks.net.GatewayFixture.Client;
+import tinworks.net.ScriptedHost.Message;
 
 /** What a gateway makes of requests that don't come whole, in time or in one reading, and of who sends them. */
 class ArrivalTest {
@@ -31,8 +31,12 @@
     void withHalfThePlacesTakenAnAnswerEndsItsConnection() throws Exception {
         // 64 descriptors are kept for other uses; half of the other 16 are for clients.
         ScriptedHost host = new ScriptedHost(SERVES);
-        try (host; GatewayFixture f = new GatewayFixture(list(1, true, List.of(entry("s", host, "up", 0))),
-                GatewayFixture.quietDiscovery(), 60_000_000_000L, 80)) {
+        try (host;
+                GatewayFixture f = new GatewayFixture(
+                        list(1, true, List.of(entry("s", host, "up", 0))),
+                        GatewayFixture.quietDiscovery(),
+                        60_000_000_000L,
+                        80)) {
             Client first = f.client();
             for (int i = 0; i < 3; i++) {
                 assertNull(f.client().ask(status("r" + i, LONG_MILLIS)).header("Connection"));
@@ -47,30 +51,39 @@
 
     @Test
     void aProbeOfReadinessKeepsNoPlace() throws Exception {
-        try (ScriptedHost host = new ScriptedHost(SERVES); GatewayFixture f = GatewayFixture.knowing(host)) {
+        try (ScriptedHost host = new ScriptedHost(SERVES);
+                GatewayFixture f = GatewayFixture.knowing(host)) {
             Client probe = f.client();
-            assertTrue(probe.ask("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").firstLine().contains(" 200 "));
+            assertTrue(probe.ask("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
+                    .firstLine()
+                    .contains(" 200 "));
             assertNull(probe.read());
         }
     }
 
     @Test
     void aSilentConnectionIsClosed() throws Exception {
-        try (ScriptedHost host = new ScriptedHost(SERVES); GatewayFixture f = GatewayFixture.knowing(host)) {
+        try (ScriptedHost host = new ScriptedHost(SERVES);
+                GatewayFixture f = GatewayFixture.knowing(host)) {
             assertNull(f.client().read());
         }
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"G", "GET /status HTTP/1.1\r\nHost:",
-        "POST /submit HTTP/1.1\r\nX-Request-ID: r\r\nContent-Length: 9000\r\n\r\nbegun"})
+    @ValueSource(
+            strings = {
+                "G",
+                "GET /status HTTP/1.1\r\nHost:",
+                "POST /submit HTTP/1.1\r\nX-Request-ID: r\r\nContent-Length: 9000\r\n\r\nbegun"
+            })
     void aRequestThatGrowsByteByByteIsGivenUp(String beginning) throws Exception {
-        try (ScriptedHost host = new ScriptedHost(SERVES); GatewayFixture f = GatewayFixture.knowing(host)) {
+        try (ScriptedHost host = new ScriptedHost(SERVES);
+                GatewayFixture f = GatewayFixture.knowing(host)) {
             Client client = f.client();
             client.socket.setSoTimeout(20);
             client.write(beginning);
             Message answer = null;
-            for (long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PATIENCE_MILLIS); answer == null;) {
+            for (long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PATIENCE_MILLIS); answer == null; ) {
                 assertTrue(System.nanoTime() < end, "each byte renews the limit");
                 try {
                     answer = client.read();
@@ -88,7 +101,8 @@
     /** What has been read of its head ends with a line, and so nothing is left over that waits for more. */
     @Test
     void aRequestThatStopsAtTheEndOfALineIsGivenUp() throws Exception {
-        try (ScriptedHost host = new ScriptedHost(SERVES); GatewayFixture f = GatewayFixture.knowing(host)) {
+        try (ScriptedHost host = new ScriptedHost(SERVES);
+                GatewayFixture f = GatewayFixture.knowing(host)) {
             Client client = f.client();
             assertEquals("fine", client.ask(status("r", LONG_MILLIS)).body());
             client.write("GET /status/7 HTTP/1.1\r\nHost: x\r\n");
@@ -99,10 +113,12 @@
 
     /** What can't be taken behind an open request must not be answered before it. */
     @ParameterizedTest
-    @ValueSource(strings = {
-        "413|POST /submit HTTP/1.1\r\nX-Request-ID: b\r\nContent-Length: 60000000\r\n\r\nbegun",
-        "413|POST /submit HTTP/1.1\r\nX-Request-ID: b\r\nExpect: 100-continue\r\nContent-Length: 60000000\r\n\r\n",
-        "400|GET /status NOT-HTTP\r\n\r\n"})
+    @ValueSource(
+            strings = {
+                "413|POST /submit HTTP/1.1\r\nX-Request-ID: b\r\nContent-Length: 60000000\r\n\r\nbegun",
+                "413|POST /submit HTTP/1.1\r\nX-Request-ID: b\r\nExpect: 100-continue\r\nContent-Length: 60000000\r\n\r\n",
+                "400|GET /status NOT-HTTP\r\n\r\n"
+            })
     void whatCannotBeTakenIsAnsweredInItsTurn(String statusAndRequest) throws Exception {
         String[] parts = statusAndRequest.split("\\|");
         CompletableFuture<Socket> held = new CompletableFuture<>();
@@ -118,19 +134,22 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {
-        "POST /submit HTTP/1.1\r\nX-Request-ID: r\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET ",
-        "POST /submit HTTP/1.1\r\nX-Request-ID: r\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nabcde",
-        "POST /submit HTTP/1.1\r\nX-Request-ID: r\r\nContent-Length: -4\r\n\r\n",
-        "POST /submit HTTP/1.1\r\nX-Request-ID: r\r\nX-Request-ID: s\r\nContent-Length: 0\r\n\r\n",
-        "POST /submit HTTP/1.1\r\nX-Request-ID: two words\r\nContent-Length: 0\r\n\r\n",
-        "POST /submit HTTP/1.1\r\nX-Request-ID: r\u00e9\r\nContent-Length: 0\r\n\r\n",
-        "POST /submit HTTP/1.1\r\nX-Request-ID: r\r\nIdempotency-Key: k\r\nContent-Length: 0\r\n\r\n",
-        "GET /submit HTTP/1.1\r\nX-Request-ID: r\r\n\r\n",
-        "POST /status HTTP/1.1\r\nX-Request-ID: r\r\nContent-Length: 0\r\n\r\n",
-        "GET /status HTTP/1.1\r\nX-Request-ID: r\r\nContent-Length: 1\r\n\r\nx"})
+    @ValueSource(
+            strings = {
+                "POST /submit HTTP/1.1\r\nX-Request-ID: r\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET ",
+                "POST /submit HTTP/1.1\r\nX-Request-ID: r\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nabcde",
+                "POST /submit HTTP/1.1\r\nX-Request-ID: r\r\nContent-Length: -4\r\n\r\n",
+                "POST /submit HTTP/1.1\r\nX-Request-ID: r\r\nX-Request-ID: s\r\nContent-Length: 0\r\n\r\n",
+                "POST /submit HTTP/1.1\r\nX-Request-ID: two words\r\nContent-Length: 0\r\n\r\n",
+                "POST /submit HTTP/1.1\r\nX-Request-ID: r\u00e9\r\nContent-Length: 0\r\n\r\n",
+                "POST /submit HTTP/1.1\r\nX-Request-ID: r\r\nIdempotency-Key: k\r\nContent-Length: 0\r\n\r\n",
+                "GET /submit HTTP/1.1\r\nX-Request-ID: r\r\n\r\n",
+                "POST /status HTTP/1.1\r\nX-Request-ID: r\r\nContent-Length: 0\r\n\r\n",
+                "GET /status HTTP/1.1\r\nX-Request-ID: r\r\nContent-Length: 1\r\n\r\nx"
+            })
     void aRequestWithTwoReadingsIsRefused(String request) throws Exception {
-        try (ScriptedHost host = new ScriptedHost(SERVES); GatewayFixture f = GatewayFixture.knowing(host)) {
+        try (ScriptedHost host = new ScriptedHost(SERVES);
+                GatewayFixture f = GatewayFixture.knowing(host)) {
             Message answer = f.client().ask(request.replaceFirst("\r\n", "\r\n" + HEAD));
             assertTrue(answer.firstLine().matches("HTTP/1.1 4\\d\\d .*"), answer.firstLine());
             assertEquals(0, host.requests.size(), "it goes to no host");
@@ -141,8 +160,12 @@
     void clientsThatNeverAskedMakeRoomBeforeOneThatDid() throws Exception {
         ScriptedHost host = new ScriptedHost(SERVES);
         // 64 descriptors are kept for other uses; half of the other 16 are for clients.
-        try (host; GatewayFixture f = new GatewayFixture(list(1, true, List.of(entry("s", host, "up", 0))),
-                GatewayFixture.quietDiscovery(), 60_000_000_000L, 80)) {
+        try (host;
+                GatewayFixture f = new GatewayFixture(
+                        list(1, true, List.of(entry("s", host, "up", 0))),
+                        GatewayFixture.quietDiscovery(),
+                        60_000_000_000L,
+                        80)) {
             Client good = f.client();
             assertEquals("fine", good.ask(status("r1", LONG_MILLIS)).body());
             Client firstSilent = f.client();
@@ -157,7 +180,7 @@
     /** The first waits out its whole time at the host, and the second came with it. */
     @Test
     void aRequestSentAheadHasItsTimeFromItsLastByte() throws Exception {
-        try (ScriptedHost host = new ScriptedHost((socket, request) -> { });
+        try (ScriptedHost host = new ScriptedHost((socket, request) -> {});
                 GatewayFixture f = GatewayFixture.knowing(host)) {
             Client client = f.client();
             client.write(submit("a", 1000, "x") + submit("b", 900, "x"));
--- a/src/test/java/tinworks/net/BodiesTest.java
+++ b/src/test/java/tinworks/net/BodiesTest.java
@@ -31,8 +31,10 @@
     private final ByteBudget bodies = new ByteBudget(2 * LONGEST);
     private ClientServer server;
 
-    /** Each request is answered with the length of its body; one for {@code /keep} keeps its body until another comes. */
-    private final class Counting implements ClientServer.Listener {
+    /**
+     * Each request is answered with the length of its body; one for {@code /keep} keeps its body until another comes.
+     */
+    private static final class Counting implements ClientServer.Listener {
         private final List<ClientServer.Reply> kept = new ArrayList<>();
 
         @Override
@@ -54,9 +56,17 @@
     }
 
     private void start(ByteBudget budget) {
-        server = NodeProcess.call(loop, () -> new ClientServer(loop, Transport.TCP, new GatewayClock(),
-                new ClientServer.Bounds(50, TimeUnit.SECONDS.toNanos(20), 0, 8_192, LONGEST, "/ready"), budget, new Counting()));
-        NodeProcess.call(loop, () -> server.listen(new InetSocketAddress("127.0.0.1", 0))).syncUninterruptibly();
+        server = NodeProcess.call(
+                loop,
+                () -> new ClientServer(
+                        loop,
+                        Transport.TCP,
+                        new GatewayClock(),
+                        new ClientServer.Bounds(50, TimeUnit.SECONDS.toNanos(20), 0, 8_192, LONGEST, "/ready"),
+                        budget,
+                        new Counting()));
+        NodeProcess.call(loop, () -> server.listen(new InetSocketAddress("127.0.0.1", 0)))
+                .syncUninterruptibly();
     }
 
     @AfterEach
@@ -69,8 +79,9 @@
         Socket socket = new Socket();
         socket.connect(server.address(), 2_000);
         socket.setSoTimeout(10_000);
-        socket.getOutputStream().write(("POST " + path + " HTTP/1.1\r\nHost: x\r\n" + length + "\r\nConnection: close\r\n\r\nbegun")
-                .getBytes(StandardCharsets.US_ASCII));
+        socket.getOutputStream()
+                .write(("POST " + path + " HTTP/1.1\r\nHost: x\r\n" + length + "\r\nConnection: close\r\n\r\nbegun")
+                        .getBytes(StandardCharsets.US_ASCII));
         return socket;
     }
 
@@ -96,7 +107,8 @@
     /** The third of three of the longest while two are under way. */
     private String third(ByteBudget budget) throws IOException, InterruptedException {
         start(budget);
-        try (Socket one = begin("/a", "Content-Length: " + LONGEST); Socket two = begin("/a", "Transfer-Encoding: chunked")) {
+        try (Socket one = begin("/a", "Content-Length: " + LONGEST);
+                Socket two = begin("/a", "Transfer-Encoding: chunked")) {
             if (budget == bodies) {
                 awaitTaken(2 * LONGEST);
             }
@@ -144,7 +156,9 @@
         assertTrue(whole("/a", 100).startsWith("HTTP/1.1 503 "));
         try (Socket asks = new Socket()) {
             asks.connect(server.address(), 2_000);
-            asks.getOutputStream().write("GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            asks.getOutputStream()
+                    .write("GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+                            .getBytes(StandardCharsets.US_ASCII));
             assertTrue(answer(asks).startsWith("HTTP/1.1 200 "), "what has no body needs no room");
         }
         awaitTaken(0);
--- a/src/test/java/tinworks/net/DiscoveryTest.java
+++ b/src/test/java/tinworks/net/DiscoveryTest.java
@@ -1,6 +1,5 @@
 package tinworks.net;
 
-import tinworks.json.Json;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -14,11 +13,11 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import tinworks.json.Json;
 
 /** How a watch ends: each is told once, whatever the far side does. */
 class DiscoveryTest {
-    private final MultiThreadIoEventLoopGroup group =
-            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final BlockingQueue<String> told = new LinkedBlockingQueue<>();
 
     @AfterEach
@@ -27,17 +26,18 @@
     }
 
     private Discovery watch(ScriptedHost server) {
-        Discovery discovery = new Discovery(group.next(), Transport.TCP, server.address(), 7, 2000, new Discovery.Listener() {
-            @Override
-            public void listed(EndpointList list) {
-                told.add("listed " + list.index());
-            }
+        Discovery discovery =
+                new Discovery(group.next(), Transport.TCP, server.address(), 7, 2000, new Discovery.Listener() {
+                    @Override
+                    public void listed(EndpointList list) {
+                        told.add("listed " + list.index());
+                    }
 
-            @Override
-            public void failed() {
-                told.add("failed");
-            }
-        });
+                    @Override
+                    public void failed() {
+                        told.add("failed");
+                    }
+                });
         group.next().execute(discovery::watch);
         return discovery;
     }
@@ -82,12 +82,13 @@
     @Test
     void askingAgainWhileAWatchIsOnItsWayOpensNoSecondOne() throws Exception {
         try (ScriptedHost server = new ScriptedHost((socket, request) -> {
-            GatewayFixture.startWatch(socket);
-            GatewayFixture.line(socket, GatewayFixture.list(8, false, List.of()));
-        }); ScriptedHost next = new ScriptedHost((socket, request) -> {
-            GatewayFixture.startWatch(socket);
-            GatewayFixture.line(socket, GatewayFixture.list(3, false, List.of()));
-        })) {
+                    GatewayFixture.startWatch(socket);
+                    GatewayFixture.line(socket, GatewayFixture.list(8, false, List.of()));
+                });
+                ScriptedHost next = new ScriptedHost((socket, request) -> {
+                    GatewayFixture.startWatch(socket);
+                    GatewayFixture.line(socket, GatewayFixture.list(3, false, List.of()));
+                })) {
             Discovery discovery = watch(server);
             assertEquals("listed 8", next());
             group.next().execute(() -> {
@@ -96,9 +97,11 @@
             });
             assertEquals("listed 3", next());
             // Connections are accepted in turn: a second watch would have come before this one.
-            try (Socket last = new Socket(next.address().getAddress(), next.address().getPort())) {
-                GatewayFixture.await("the test's own connection", () -> next.connections.stream()
-                        .anyMatch(c -> c.getPort() == last.getLocalPort()));
+            try (Socket last =
+                    new Socket(next.address().getAddress(), next.address().getPort())) {
+                GatewayFixture.await(
+                        "the test's own connection",
+                        () -> next.connections.stream().anyMatch(c -> c.getPort() == last.getLocalPort()));
                 assertEquals(2, next.connections.size());
             }
         }
@@ -108,15 +111,22 @@
     @Test
     void aGatewayAsksBeforeItListens() throws Exception {
         InetSocketAddress anywhere = new InetSocketAddress("127.0.0.1", 0);
-        Json config = Json.read("{\"seed\":\"2a\",\"settings\":" + GatewayFixture.SETTINGS.replace("IDLE", "15000000000") + "}");
+        Json config = Json.read(
+                "{\"seed\":\"2a\",\"settings\":" + GatewayFixture.SETTINGS.replace("IDLE", "15000000000") + "}");
         try (ScriptedHost server = GatewayFixture.quietDiscovery()) {
-            Gateway gateway = Gateway.open(group.next(), GatewayConfig.read(config, anywhere, server.address()),
-                    Transport.TCP, line -> { }).get(GatewayFixture.PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
+            Gateway gateway = Gateway.open(
+                            group.next(),
+                            GatewayConfig.read(config, anywhere, server.address()),
+                            Transport.TCP,
+                            line -> {})
+                    .get(GatewayFixture.PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
             GatewayFixture.await("the watch", () -> server.requests.size() == 1);
             gateway.listen().get(GatewayFixture.PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
             try (Socket client = new Socket("127.0.0.1", gateway.address().getPort())) {
                 ScriptedHost.write(client, "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
-                assertTrue(ScriptedHost.Message.read(client.getInputStream()).firstLine().startsWith("HTTP/1.1 "));
+                assertTrue(ScriptedHost.Message.read(client.getInputStream())
+                        .firstLine()
+                        .startsWith("HTTP/1.1 "));
             }
         }
     }
@@ -126,9 +136,13 @@
         InetSocketAddress anywhere = new InetSocketAddress("127.0.0.1", 0);
         Json config = Json.read("{\"seed\":\"2a\",\"known\":" + known + ",\"settings\":"
                 + GatewayFixture.SETTINGS.replace("IDLE", "15000000000") + "}");
-        try (ScriptedHost silent = new ScriptedHost((socket, request) -> { })) {
-            Gateway gateway = Gateway.start(group.next(), GatewayConfig.read(config, anywhere, silent.address()),
-                    Transport.TCP, line -> { }).get(GatewayFixture.PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
+        try (ScriptedHost silent = new ScriptedHost((socket, request) -> {})) {
+            Gateway gateway = Gateway.start(
+                            group.next(),
+                            GatewayConfig.read(config, anywhere, silent.address()),
+                            Transport.TCP,
+                            line -> {})
+                    .get(GatewayFixture.PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
             try (Socket client = new Socket("127.0.0.1", gateway.address().getPort())) {
                 ScriptedHost.write(client, "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
                 return ScriptedHost.Message.read(client.getInputStream()).firstLine();
@@ -138,9 +152,10 @@
 
     @Test
     void aGatewayThatKnowsHostsIsReadyBeforeDiscoveryAnswers() throws Exception {
-        try (ScriptedHost host = new ScriptedHost((socket, request) -> { })) {
+        try (ScriptedHost host = new ScriptedHost((socket, request) -> {})) {
             String entry = GatewayFixture.entry("s-0", host, "up", 0);
-            assertTrue(readinessWith(GatewayFixture.list(1, true, List.of(entry))).contains(" 200 "));
+            assertTrue(
+                    readinessWith(GatewayFixture.list(1, true, List.of(entry))).contains(" 200 "));
         }
         assertTrue(readinessWith(GatewayFixture.list(1, true, List.of())).contains(" 503 "));
     }
--- a/src/test/java/tinworks/net/GatewayConfigTest.java
+++ b/src/test/java/tinworks/net/GatewayConfigTest.java
@@ -19,8 +19,8 @@
 
     private Map<String, String> environment(String json) throws IOException {
         Path file = Files.writeString(folder.resolve("config.json"), json);
-        return new HashMap<>(Map.of("LB_LISTEN", "127.0.0.1:8080", "LB_DISCOVERY", "127.0.0.1:8500",
-                "LB_CONFIG", file.toString()));
+        return new HashMap<>(
+                Map.of("LB_LISTEN", "127.0.0.1:8080", "LB_DISCOVERY", "127.0.0.1:8500", "LB_CONFIG", file.toString()));
     }
 
     private static String good() {
@@ -29,7 +29,8 @@
     }
 
     private static void refuses(Map<String, String> environment, String part) {
-        String line = assertThrows(IllegalArgumentException.class, () -> GatewayConfig.read(environment)).getMessage();
+        String line = assertThrows(IllegalArgumentException.class, () -> GatewayConfig.read(environment))
+                .getMessage();
         assertTrue(line.contains(part), line);
         assertEquals(1, line.lines().count(), line);
     }
--- a/src/test/java/tinworks/net/GatewayFixture.java
+++ b/src/test/java/tinworks/net/GatewayFixture.java
@@ -1,9 +1,7 @@
 package tinworks.net;
 
-import tinworks.json.Json;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import tinworks.net.ScriptedHost.Message;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.BufferedInputStream;
@@ -16,6 +14,8 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import tinworks.json.Json;
+import tinworks.net.ScriptedHost.Message;
 
 /** A gateway on a free loopback port, its discovery, and clients for it. */
 final class GatewayFixture implements AutoCloseable {
@@ -32,8 +32,7 @@
              "obligations":{"drain_grace_ns":1000000000,"ask_within_ns":10000000000,"cold_from":0.5,
                             "warm_up_ns":1000000000,"overload_factor":2.5,"overload_for_ns":1500000000}}""";
 
-    private final MultiThreadIoEventLoopGroup group =
-            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final List<Socket> clients = new ArrayList<>();
     private final ScriptedHost ownDiscovery;
     final Gateway gateway;
@@ -53,8 +52,12 @@
         ownDiscovery = discovery;
         String config = "{\"seed\":\"2a\",\"limits\":{\"sockets\":" + sockets + "},\"known\":" + known
                 + ",\"settings\":" + SETTINGS.replace("IDLE", String.valueOf(idleNanos)) + "}";
-        gateway = Gateway.start(group.next(), GatewayConfig.read(Json.read(config),
-                new InetSocketAddress("127.0.0.1", 0), discovery.address()), Transport.TCP, System.out::println)
+        gateway = Gateway.start(
+                        group.next(),
+                        GatewayConfig.read(
+                                Json.read(config), new InetSocketAddress("127.0.0.1", 0), discovery.address()),
+                        Transport.TCP,
+                        System.out::println)
                 .get(PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
         address = gateway.address();
         await("ready", () -> get("/ready").firstLine().contains(" 200 "));
@@ -66,8 +69,8 @@
     }
 
     static String list(long index, boolean snapshot, List<String> entries) {
-        return "{\"index\":" + index + ",\"snapshot\":" + snapshot + ",\"endpoints\":["
-                + String.join(",", entries) + "]}";
+        return "{\"index\":" + index + ",\"snapshot\":" + snapshot + ",\"endpoints\":[" + String.join(",", entries)
+                + "]}";
     }
 
     /** A watch that says that nothing changed, and then stays open. */
--- a/src/test/java/tinworks/net/GatewayTest.java
+++ b/src/test/java/tinworks/net/GatewayTest.java
@@ -1,5 +1,10 @@
 package tinworks.net;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 import static tinworks.net.GatewayFixture.LONG_MILLIS;
 import static tinworks.net.GatewayFixture.PATIENCE_MILLIS;
 import static tinworks.net.GatewayFixture.await;
@@ -8,15 +13,7 @@
 import static tinworks.net.GatewayFixture.list;
 import static tinworks.net.GatewayFixture.status;
 import static tinworks.net.GatewayFixture.submit;
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
-import static org.junit.jupiter.api.Assertions.assertNotNull;
-import static org.junit.jupiter.api.Assertions.assertNull;
-import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import tinworks.net.GatewayFixture.Client;
-import tinworks.net.ScriptedHost.Message;
-import tinworks.net.ScriptedHost.Script;
 import java.net.Socket;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -25,15 +22,19 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import tinworks.net.GatewayFixture.Client;
+import tinworks.net.ScriptedHost.Message;
+import tinworks.net.ScriptedHost.Script;
 
 /** What clients and hosts see of a gateway, over loopback sockets. */
 class GatewayTest {
     private static final Script SERVES = ScriptedHost.reply("200 OK", "fine");
-    private static final Script SILENT = (socket, request) -> { };
+    private static final Script SILENT = (socket, request) -> {};
 
     @Test
     void passesRequestAndAnswerUnchangedOnOneConnection() throws Exception {
-        try (ScriptedHost host = new ScriptedHost(SERVES); GatewayFixture f = GatewayFixture.knowing(host)) {
+        try (ScriptedHost host = new ScriptedHost(SERVES);
+                GatewayFixture f = GatewayFixture.knowing(host)) {
             Client client = f.client();
             Message first = client.ask(submit("r1", LONG_MILLIS, "12 MWh"));
             Message second = client.ask(status("r2", LONG_MILLIS));
@@ -50,16 +51,19 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {
-        "POST /submit HTTP/1.1\r\nContent-Length: 0\r\nX-Timeout: 20000m\r\n\r\n",
-        "GET /status HTTP/1.1\r\nX-Request-ID: b\r\nX-Timeout: soon\r\n\r\n",
-        "GET /status HTTP/1.1\r\nX-Request-ID: b\r\nX-Timeout: -5m\r\n\r\n",
-        "GET /status HTTP/1.1\r\nX-Request-ID: b\r\nX-Timeout: 99999999999999999999m\r\n\r\n",
-        "GET /nonsense HTTP/1.1\r\nX-Request-ID: b\r\nX-Timeout: 20000m\r\n\r\n",
-        "POST /submit HTTP/1.1\r\nX-Request-ID: b\r\nX-Timeout: 20000m\r\nContent-Length: 65537\r\n\r\n",
-        "GET /status NOT-HTTP\r\n\r\n"})
+    @ValueSource(
+            strings = {
+                "POST /submit HTTP/1.1\r\nContent-Length: 0\r\nX-Timeout: 20000m\r\n\r\n",
+                "GET /status HTTP/1.1\r\nX-Request-ID: b\r\nX-Timeout: soon\r\n\r\n",
+                "GET /status HTTP/1.1\r\nX-Request-ID: b\r\nX-Timeout: -5m\r\n\r\n",
+                "GET /status HTTP/1.1\r\nX-Request-ID: b\r\nX-Timeout: 99999999999999999999m\r\n\r\n",
+                "GET /nonsense HTTP/1.1\r\nX-Request-ID: b\r\nX-Timeout: 20000m\r\n\r\n",
+                "POST /submit HTTP/1.1\r\nX-Request-ID: b\r\nX-Timeout: 20000m\r\nContent-Length: 65537\r\n\r\n",
+                "GET /status NOT-HTTP\r\n\r\n"
+            })
     void answersMalformedInputWith4xxAndServesOthers(String bad) throws Exception {
-        try (ScriptedHost host = new ScriptedHost(SERVES); GatewayFixture f = GatewayFixture.knowing(host)) {
+        try (ScriptedHost host = new ScriptedHost(SERVES);
+                GatewayFixture f = GatewayFixture.knowing(host)) {
             String line = f.client().ask(bad).firstLine();
             assertTrue(line.startsWith("HTTP/1.1 4"), line);
             assertEquals(0, host.requests.size(), "a malformed request goes to no host");
@@ -75,7 +79,8 @@
             Client first = f.client();
             first.write(submit("same", LONG_MILLIS, "x"));
             Socket socket = asked.get(PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
-            assertTrue(f.client().ask(submit("same", LONG_MILLIS, "x")).firstLine().contains(" 409 "));
+            assertTrue(
+                    f.client().ask(submit("same", LONG_MILLIS, "x")).firstLine().contains(" 409 "));
             SERVES.answer(socket, null);
             assertTrue(first.read().firstLine().contains(" 200 "));
             assertEquals(1, host.requests.size());
@@ -87,7 +92,8 @@
     void answersRequestsThatWereSentAheadInTheirOrder() throws Exception {
         Script echoes = (socket, request) ->
                 ScriptedHost.reply("200 OK", request.header("X-Request-ID")).answer(socket, request);
-        try (ScriptedHost host = new ScriptedHost(echoes); GatewayFixture f = GatewayFixture.knowing(host)) {
+        try (ScriptedHost host = new ScriptedHost(echoes);
+                GatewayFixture f = GatewayFixture.knowing(host)) {
             Client client = f.client();
             StringBuilder ahead = new StringBuilder();
             for (int i = 0; i < 40; i++) {
@@ -103,7 +109,8 @@
     @Test
     void neverResendsAnUnsafeRequestThatMayHaveRun() throws Exception {
         Script resets = (socket, request) -> ScriptedHost.reset(socket);
-        try (ScriptedHost a = new ScriptedHost(resets); ScriptedHost b = new ScriptedHost(resets);
+        try (ScriptedHost a = new ScriptedHost(resets);
+                ScriptedHost b = new ScriptedHost(resets);
                 GatewayFixture f = GatewayFixture.knowing(a, b)) {
             assertTrue(f.client().ask(submit("r", LONG_MILLIS, "x")).firstLine().contains(" 502 "));
             assertEquals(1, a.requests.size() + b.requests.size());
@@ -113,7 +120,8 @@
     /** The first exchange leaves a kept connection; the host then breaks it under the second request. */
     @Test
     void neverReplaysOnAStaleKeptConnection() throws Exception {
-        try (ScriptedHost host = new ScriptedHost(SERVES); GatewayFixture f = GatewayFixture.knowing(host)) {
+        try (ScriptedHost host = new ScriptedHost(SERVES);
+                GatewayFixture f = GatewayFixture.knowing(host)) {
             Client client = f.client();
             assertTrue(client.ask(submit("r1", LONG_MILLIS, "x")).firstLine().contains(" 200 "));
             host.script((socket, request) -> ScriptedHost.reset(socket));
@@ -125,11 +133,15 @@
 
     @Test
     void leavesAHostThatRefusesConnectionsForAnother() throws Exception {
-        try (ScriptedHost dead = new ScriptedHost(SERVES); ScriptedHost host = new ScriptedHost(SERVES)) {
+        try (ScriptedHost dead = new ScriptedHost(SERVES);
+                ScriptedHost host = new ScriptedHost(SERVES)) {
             try (GatewayFixture f = GatewayFixture.knowing(dead, host)) {
                 dead.stop();
                 for (int i = 0; i < 8; i++) {
-                    assertTrue(f.client().ask(submit("r" + i, LONG_MILLIS, "x")).firstLine().contains(" 200 "));
+                    assertTrue(f.client()
+                            .ask(submit("r" + i, LONG_MILLIS, "x"))
+                            .firstLine()
+                            .contains(" 200 "));
                 }
             }
             assertEquals(8, host.requests.size());
@@ -139,7 +151,8 @@
     @Test
     void sendsElsewhereOnlyWhatAHostSaysItNeverProcessed() throws Exception {
         Script full = ScriptedHost.reply("503 Service Unavailable", "", "X-Not-Processed: 1");
-        try (ScriptedHost a = new ScriptedHost(full); ScriptedHost b = new ScriptedHost(full);
+        try (ScriptedHost a = new ScriptedHost(full);
+                ScriptedHost b = new ScriptedHost(full);
                 GatewayFixture f = GatewayFixture.knowing(a, b)) {
             Message refused = f.client().ask(submit("r1", 2000, "x"));
             assertTrue(refused.firstLine().contains(" 503 "), refused.firstLine());
@@ -147,7 +160,8 @@
             assertEquals(1, b.requests.size());
         }
         Script bare = ScriptedHost.reply("503 Service Unavailable", "");
-        try (ScriptedHost a = new ScriptedHost(bare); ScriptedHost b = new ScriptedHost(bare);
+        try (ScriptedHost a = new ScriptedHost(bare);
+                ScriptedHost b = new ScriptedHost(bare);
                 GatewayFixture f = GatewayFixture.knowing(a, b)) {
             Message failed = f.client().ask(submit("r2", LONG_MILLIS, "x"));
             assertTrue(failed.firstLine().contains(" 502 "), failed.firstLine());
@@ -158,16 +172,18 @@
     @Test
     void doesNotServeABodyThatEndsWithItsConnectionOnly() throws Exception {
         try (ScriptedHost host = new ScriptedHost((socket, request) -> {
-            ScriptedHost.write(socket, "HTTP/1.1 200 OK\r\n\r\nhalf of it");
-            socket.close();
-        }); GatewayFixture f = GatewayFixture.knowing(host)) {
+                    ScriptedHost.write(socket, "HTTP/1.1 200 OK\r\n\r\nhalf of it");
+                    socket.close();
+                });
+                GatewayFixture f = GatewayFixture.knowing(host)) {
             assertTrue(f.client().ask(submit("r", LONG_MILLIS, "x")).firstLine().contains(" 502 "));
         }
     }
 
     @Test
     void answersWithinTheClientsTimeAndClosesTheAttempt() throws Exception {
-        try (ScriptedHost host = new ScriptedHost(SILENT); GatewayFixture f = GatewayFixture.knowing(host)) {
+        try (ScriptedHost host = new ScriptedHost(SILENT);
+                GatewayFixture f = GatewayFixture.knowing(host)) {
             assertTrue(f.client().ask(submit("r", 1500, "x")).firstLine().contains(" 502 "));
             assertEquals(1, host.requests.size());
             await("the end of the attempt", () -> host.connections.get(0).isClosed());
@@ -176,7 +192,8 @@
 
     @Test
     void callsOffTheAttemptOfAClientThatLeft() throws Exception {
-        try (ScriptedHost host = new ScriptedHost(SILENT); GatewayFixture f = GatewayFixture.knowing(host)) {
+        try (ScriptedHost host = new ScriptedHost(SILENT);
+                GatewayFixture f = GatewayFixture.knowing(host)) {
             Client client = f.client();
             client.write(status("r", LONG_MILLIS));
             await("the attempt", () -> host.requests.size() == 1);
@@ -190,8 +207,12 @@
     @Test
     void retiresAnIdleConnectionBeforeTheHostWould() throws Exception {
         ScriptedHost host = new ScriptedHost(SERVES);
-        try (host; GatewayFixture f = new GatewayFixture(list(1, true, List.of(entry("s", host, "up", 0))),
-                GatewayFixture.quietDiscovery(), TimeUnit.MILLISECONDS.toNanos(300), 1024)) {
+        try (host;
+                GatewayFixture f = new GatewayFixture(
+                        list(1, true, List.of(entry("s", host, "up", 0))),
+                        GatewayFixture.quietDiscovery(),
+                        TimeUnit.MILLISECONDS.toNanos(300),
+                        1024)) {
             assertTrue(f.client().ask(status("r", LONG_MILLIS)).firstLine().contains(" 200 "));
             await("the gateway's close", () -> host.connections.get(0).isClosed());
         }
@@ -208,14 +229,21 @@
         });
         try (ScriptedHost draining = new ScriptedHost((socket, request) -> held.complete(socket));
                 ScriptedHost other = new ScriptedHost(SERVES);
-                GatewayFixture f = new GatewayFixture(list(1, true, List.of(entry("s", draining, "up", 0))), discovery,
-                        60_000_000_000L, 1024)) {
+                GatewayFixture f = new GatewayFixture(
+                        list(1, true, List.of(entry("s", draining, "up", 0))), discovery, 60_000_000_000L, 1024)) {
             Client first = f.client();
             first.write(submit("r1", LONG_MILLIS, "x"));
             Socket socket = held.get(PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
             await("the gateway watches", () -> !watches.isEmpty());
-            line(watches.get(0), list(2, false, List.of(entry("s", draining, "draining", 0),
-                    entry("o", other, "up", 0), entry("p", other, "up", 0))));
+            line(
+                    watches.get(0),
+                    list(
+                            2,
+                            false,
+                            List.of(
+                                    entry("s", draining, "draining", 0),
+                                    entry("o", other, "up", 0),
+                                    entry("p", other, "up", 0))));
             for (int i = 0; other.requests.isEmpty(); i++) {
                 // A client that is told to come back does; the list is on its way to the gateway.
                 assertTrue(i < PATIENCE_MILLIS);
@@ -223,9 +251,14 @@
             }
             SERVES.answer(socket, null);
             assertTrue(first.read().firstLine().contains(" 200 "));
-            await("the close of the draining host's connection", () -> draining.connections.get(0).isClosed());
+            await(
+                    "the close of the draining host's connection",
+                    () -> draining.connections.get(0).isClosed());
             for (int i = 0; i < 4; i++) {
-                assertTrue(f.client().ask(submit("u" + i, LONG_MILLIS, "x")).firstLine().contains(" 200 "));
+                assertTrue(f.client()
+                        .ask(submit("u" + i, LONG_MILLIS, "x"))
+                        .firstLine()
+                        .contains(" 200 "));
             }
             assertEquals(1, draining.requests.size());
         }
@@ -240,8 +273,8 @@
             line(socket, list(1, false, List.of()));
         });
         try (ScriptedHost host = new ScriptedHost(SILENT);
-                GatewayFixture f = new GatewayFixture(list(1, true, List.of(entry("s", host, "up", 0))), discovery,
-                        60_000_000_000L, 1024)) {
+                GatewayFixture f = new GatewayFixture(
+                        list(1, true, List.of(entry("s", host, "up", 0))), discovery, 60_000_000_000L, 1024)) {
             Client client = f.client();
             client.write(submit("r", LONG_MILLIS, "x"));
             await("the attempt", () -> host.requests.size() == 1);
@@ -275,7 +308,8 @@
     /** Clients may have nobody else to go to: what they have goes on being served, on the same connection. */
     @Test
     void servesOnKeptConnectionsForATimeAfterItWasAskedToEnd() throws Exception {
-        try (ScriptedHost host = new ScriptedHost(SERVES); GatewayFixture f = GatewayFixture.knowing(host)) {
+        try (ScriptedHost host = new ScriptedHost(SERVES);
+                GatewayFixture f = GatewayFixture.knowing(host)) {
             Client client = f.client();
             client.ask(status("before", LONG_MILLIS));
             CompletableFuture<Void> ended = f.gateway.end();
@@ -293,11 +327,16 @@
     void makesRoomForNewClientsByClosingTheLongestIdle() throws Exception {
         ScriptedHost host = new ScriptedHost(SERVES);
         // 64 descriptors are kept for other uses; half of the other 16 are for clients.
-        try (host; GatewayFixture f = new GatewayFixture(list(1, true, List.of(entry("s", host, "up", 0))),
-                GatewayFixture.quietDiscovery(), 60_000_000_000L, 80)) {
+        try (host;
+                GatewayFixture f = new GatewayFixture(
+                        list(1, true, List.of(entry("s", host, "up", 0))),
+                        GatewayFixture.quietDiscovery(),
+                        60_000_000_000L,
+                        80)) {
             Client oldest = f.client();
             for (int i = 0; i < 12; i++) {
-                assertTrue(f.client().ask(status("r" + i, LONG_MILLIS)).firstLine().contains(" 200 "));
+                assertTrue(
+                        f.client().ask(status("r" + i, LONG_MILLIS)).firstLine().contains(" 200 "));
             }
             assertNull(oldest.read());
         }
@@ -315,8 +354,8 @@
             }
         });
         try (ScriptedHost host = new ScriptedHost(SERVES);
-                GatewayFixture f = new GatewayFixture(list(40, true, List.of(entry("s", host, "up", 0))), discovery,
-                        60_000_000_000L, 1024)) {
+                GatewayFixture f = new GatewayFixture(
+                        list(40, true, List.of(entry("s", host, "up", 0))), discovery, 60_000_000_000L, 1024)) {
             await("the second watch", () -> asked.size() == 2);
             assertTrue(asked.get(0).contains("since=40"), asked.get(0));
             assertTrue(asked.get(1).contains("since=41"), asked.get(1));
@@ -327,17 +366,24 @@
     /** Most hosts fail one class and serve the other well: this class goes to the one that serves it. */
     @Test
     void aClassGoesRoundTheHostsThatFailIt() throws Exception {
-        Script failsPosts = (socket, request) -> ScriptedHost.reply(request.firstLine().startsWith("POST")
-                ? "500 Broken" : "200 OK", "x").answer(socket, request);
-        try (ScriptedHost a = new ScriptedHost(failsPosts); ScriptedHost b = new ScriptedHost(failsPosts);
-                ScriptedHost c = new ScriptedHost(failsPosts); ScriptedHost sound = new ScriptedHost(SERVES);
+        Script failsPosts = (socket, request) -> ScriptedHost.reply(
+                        request.firstLine().startsWith("POST") ? "500 Broken" : "200 OK", "x")
+                .answer(socket, request);
+        try (ScriptedHost a = new ScriptedHost(failsPosts);
+                ScriptedHost b = new ScriptedHost(failsPosts);
+                ScriptedHost c = new ScriptedHost(failsPosts);
+                ScriptedHost sound = new ScriptedHost(SERVES);
                 GatewayFixture f = GatewayFixture.knowing(a, b, c, sound)) {
             Client client = f.client();
             int failed = 0;
             long begin = System.nanoTime();
             for (int i = 0; i < 200; i++) {
                 assertTrue(client.ask(status("s" + i, LONG_MILLIS)).firstLine().contains(" 200 "));
-                failed += client.ask(submit("p" + i, LONG_MILLIS, "x")).firstLine().contains(" 502 ") ? 1 : 0;
+                failed += client.ask(submit("p" + i, LONG_MILLIS, "x"))
+                                .firstLine()
+                                .contains(" 502 ")
+                        ? 1
+                        : 0;
             }
             // Some until it is known, and a trial a second at each.
             long most = 20 + 3 * TimeUnit.NANOSECONDS.toSeconds(System.nanoTime() - begin);
@@ -359,9 +405,10 @@
                 SERVES.answer(socket, request);
             }
         };
-        try (ScriptedHost host = new ScriptedHost(losesOne); ScriptedHost other = new ScriptedHost(SERVES);
-                GatewayFixture f = new GatewayFixture(list(1, true, List.of(entry("s", host, "up", 0))), discovery,
-                        60_000_000_000L, 1024)) {
+        try (ScriptedHost host = new ScriptedHost(losesOne);
+                ScriptedHost other = new ScriptedHost(SERVES);
+                GatewayFixture f = new GatewayFixture(
+                        list(1, true, List.of(entry("s", host, "up", 0))), discovery, 60_000_000_000L, 1024)) {
             Client client = f.client();
             client.ask(status("before", LONG_MILLIS));
             Client waits = f.client();
--- a/src/test/java/tinworks/net/PeersTest.java
+++ b/src/test/java/tinworks/net/PeersTest.java
@@ -1,6 +1,5 @@
 package tinworks.net;
 
-import tinworks.json.Json;
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
@@ -18,7 +17,9 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import tinworks.json.Json;
 
+/** Reports between gateways of the earlier protocol. */
 class PeersTest {
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final BlockingQueue<String> said = new LinkedBlockingQueue<>();
@@ -40,8 +41,12 @@
 
     private Peers peers(DatagramSocket other) throws Exception {
         InetSocketAddress others = local(other.getLocalPort());
-        Peers peers = new Peers(group.next(), new Peers.Addresses(local(0), List.of(local(1), others), others), 0,
-                (gateway, body) -> said.add(gateway + " " + new String(body, java.nio.charset.StandardCharsets.US_ASCII)),
+        Peers peers = new Peers(
+                group.next(),
+                new Peers.Addresses(local(0), List.of(local(1), others), others),
+                0,
+                (gateway, body) ->
+                        said.add(gateway + " " + new String(body, java.nio.charset.StandardCharsets.US_ASCII)),
                 line -> said.add(line));
         GatewayFixture.await("the address", () -> peers.address() != null);
         return peers;
@@ -67,7 +72,8 @@
 
     @Test
     void hearsOtherGatewaysByTheirNumbersAndNobodyElse() throws Exception {
-        try (DatagramSocket other = socket(); DatagramSocket stranger = socket()) {
+        try (DatagramSocket other = socket();
+                DatagramSocket stranger = socket()) {
             Peers peers = peers(other);
             send(stranger, peers, 3);
             send(other, peers, Peers.LONGEST + 1);
@@ -82,8 +88,8 @@
     void staysSilentWhereItsAddressIsTaken() throws Exception {
         try (DatagramSocket other = socket()) {
             InetSocketAddress taken = local(other.getLocalPort());
-            Peers peers = new Peers(group.next(), new Peers.Addresses(taken, List.of(), taken), 0, (gateway, body) -> { },
-                    said::add);
+            Peers peers = new Peers(
+                    group.next(), new Peers.Addresses(taken, List.of(), taken), 0, (gateway, body) -> {}, said::add);
             String line = said.poll(GatewayFixture.PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
             assertEquals("no messages between gateways", line.substring(0, line.indexOf(':')));
             peers.tellAll(new byte[] {1});
@@ -97,7 +103,9 @@
                 + "\"peers\":[\"127.0.0.2:7946\",\"127.0.0.3:7946\"],\"peers_all\":\"127.0.0.9:7946\"}"));
         assertEquals(2, read.gateways().size());
         assertEquals(new InetSocketAddress("127.0.0.9", 7946), read.all());
-        assertThrows(IllegalArgumentException.class, () -> Peers.Addresses.read(Json.read(
-                "{\"peer_listen\":\"nowhere\",\"peers\":[],\"peers_all\":\"127.0.0.9:7946\"}")));
+        assertThrows(
+                IllegalArgumentException.class,
+                () -> Peers.Addresses.read(
+                        Json.read("{\"peer_listen\":\"nowhere\",\"peers\":[],\"peers_all\":\"127.0.0.9:7946\"}")));
     }
 }
--- a/src/test/java/tinworks/net/RehearsalTest.java
+++ b/src/test/java/tinworks/net/RehearsalTest.java
@@ -1,6 +1,5 @@
 package tinworks.net;
 
-import tinworks.json.Json;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -11,19 +10,20 @@
 import java.nio.file.Path;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import tinworks.json.Json;
 
 /** The rehearsal before a gateway listens: it comes to an end, and leaves nothing behind. */
 class RehearsalTest {
     private static GatewayConfig config() throws IOException {
         String settings = GatewayFixture.SETTINGS.replace("IDLE", "15000000000");
         InetSocketAddress nowhere = new InetSocketAddress("127.0.0.1", 1);
-        return GatewayConfig.read(Json.read("{\"seed\":\"2a\",\"settings\":" + settings + "}"),
-                nowhere, nowhere);
+        return GatewayConfig.read(Json.read("{\"seed\":\"2a\",\"settings\":" + settings + "}"), nowhere, nowhere);
     }
 
     private static List<Path> folders() throws IOException {
         try (var files = Files.list(Path.of(System.getProperty("java.io.tmpdir")))) {
-            return files.filter(f -> f.getFileName().toString().startsWith("rehearsal")).toList();
+            return files.filter(f -> f.getFileName().toString().startsWith("rehearsal"))
+                    .toList();
         }
     }
 
--- a/src/test/java/tinworks/net/ReloadTest.java
+++ b/src/test/java/tinworks/net/ReloadTest.java
@@ -1,5 +1,7 @@
 package tinworks.net;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 import static tinworks.net.GatewayFixture.LONG_MILLIS;
 import static tinworks.net.GatewayFixture.PATIENCE_MILLIS;
 import static tinworks.net.GatewayFixture.await;
@@ -8,10 +10,7 @@
 import static tinworks.net.GatewayFixture.list;
 import static tinworks.net.GatewayFixture.status;
 import static tinworks.net.GatewayFixture.submit;
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import tinworks.net.GatewayFixture.Client;
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.file.Files;
@@ -23,6 +22,7 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import tinworks.net.GatewayFixture.Client;
 
 /** A configuration that is replaced while the gateway runs. */
 class ReloadTest {
@@ -30,8 +30,10 @@
     private Path folder;
 
     private Map<String, String> environment(String discovery) throws IOException {
-        Path file = Files.writeString(folder.resolve("config.json"), "{\"discovery\":\"" + discovery
-                + "\",\"seed\":\"2a\",\"settings\":" + GatewayFixture.SETTINGS.replace("IDLE", "15000000000") + "}");
+        Path file = Files.writeString(
+                folder.resolve("config.json"),
+                "{\"discovery\":\"" + discovery + "\",\"seed\":\"2a\",\"settings\":"
+                        + GatewayFixture.SETTINGS.replace("IDLE", "15000000000") + "}");
         return Map.of("LB_CONFIG", file.toString(), "LB_DISCOVERY", discovery, "LB_LISTEN", "127.0.0.1:0");
     }
 
@@ -52,8 +54,8 @@
         try (ScriptedHost next = discovery(7, after);
                 ScriptedHost host = new ScriptedHost((socket, request) -> held.complete(socket));
                 ScriptedHost newcomer = new ScriptedHost(ScriptedHost.reply("200 OK", "new"));
-                GatewayFixture f = new GatewayFixture(list(40, true, List.of(entry("s", host, "up", 0))), old,
-                        60_000_000_000L, 1024)) {
+                GatewayFixture f = new GatewayFixture(
+                        list(40, true, List.of(entry("s", host, "up", 0))), old, 60_000_000_000L, 1024)) {
             Client open = f.client();
             open.write(submit("r1", LONG_MILLIS, "x"));
             Socket asked = held.get(PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
@@ -63,8 +65,7 @@
             ScriptedHost.reply("200 OK", "old").answer(asked, null);
             assertEquals("old", open.read().body(), "the host and the open request are kept");
             // The new address counts on its own: what it tells holds, although its version is lower.
-            line(after.get(0), list(8, false, List.of(entry("s", host, "removed", 0),
-                    entry("n", newcomer, "up", 0))));
+            line(after.get(0), list(8, false, List.of(entry("s", host, "removed", 0), entry("n", newcomer, "up", 0))));
             await("the newcomer's request", () -> served(f, "new"));
         }
     }
@@ -101,9 +102,15 @@
     @Test
     void aProcessLivesThroughHangUpsAndFollowsTheNewFile() throws Exception {
         List<Socket> watches = new CopyOnWriteArrayList<>();
-        try (ScriptedHost first = discovery(1, watches); ScriptedHost second = discovery(1, watches)) {
-            ProcessBuilder program = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                    "-Xmx64m", "-cp", System.getProperty("java.class.path"), "tinworks.Main", "serve");
+        try (ScriptedHost first = discovery(1, watches);
+                ScriptedHost second = discovery(1, watches)) {
+            ProcessBuilder program = new ProcessBuilder(
+                    Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                    "-Xmx64m",
+                    "-cp",
+                    System.getProperty("java.class.path"),
+                    "tinworks.Main",
+                    "serve");
             program.environment().putAll(environment(first.addressText()));
             program.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.DISCARD);
             Process process = program.start();
@@ -124,6 +131,10 @@
     }
 
     private static void hangUp(Process process) throws Exception {
-        assertEquals(0, new ProcessBuilder("/bin/sh", "-c", "kill -HUP " + process.pid()).start().waitFor());
+        assertEquals(
+                0,
+                new ProcessBuilder("/bin/sh", "-c", "kill -HUP " + process.pid())
+                        .start()
+                        .waitFor());
     }
 }
--- a/src/test/java/tinworks/net/ScriptedHost.java
+++ b/src/test/java/tinworks/net/ScriptedHost.java
@@ -18,14 +18,19 @@
 public final class ScriptedHost implements AutoCloseable {
     /** What the server does once a request has come whole. */
     public interface Script {
+        /** Answers a request on its socket. */
         void answer(Socket socket, Message request) throws IOException;
     }
 
     /** A message as it stood on the socket. */
     public record Message(String firstLine, List<String> headers, String body) {
+        /** The first value of a header, or null where there is none. */
         public String header(String name) {
-            return headers.stream().filter(h -> h.regionMatches(true, 0, name + ":", 0, name.length() + 1))
-                    .map(h -> h.substring(name.length() + 1).trim()).findFirst().orElse(null);
+            return headers.stream()
+                    .filter(h -> h.regionMatches(true, 0, name + ":", 0, name.length() + 1))
+                    .map(h -> h.substring(name.length() + 1).trim())
+                    .findFirst()
+                    .orElse(null);
         }
 
         /** Reads one; null at the end of the stream. */
@@ -63,6 +68,7 @@
     public final List<Message> requests = new CopyOnWriteArrayList<>();
     public final List<Socket> connections = new CopyOnWriteArrayList<>();
 
+    /** Starts to listen; each request is answered by the script. */
     public ScriptedHost(Script script) throws IOException {
         this.script = script;
         listener = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
@@ -73,6 +79,7 @@
         script = next;
     }
 
+    /** The address that it listens on. */
     public InetSocketAddress address() {
         return (InetSocketAddress) listener.getLocalSocketAddress();
     }
@@ -83,11 +90,17 @@
 
     /** Answers with this status, these header lines and this body. */
     static Script reply(String status, String body, String... headers) {
-        return (socket, request) -> write(socket, "HTTP/1.1 " + status + "\r\nContent-Length: " + body.length()
-                + "\r\n" + String.join("", List.of(headers).stream().map(h -> h + "\r\n").toList())
-                + "\r\n" + body);
+        return (socket, request) -> write(
+                socket,
+                "HTTP/1.1 " + status + "\r\nContent-Length: " + body.length()
+                        + "\r\n"
+                        + String.join(
+                                "",
+                                List.of(headers).stream().map(h -> h + "\r\n").toList())
+                        + "\r\n" + body);
     }
 
+    /** Writes a text to a socket in one call. */
     public static void write(Socket socket, String text) throws IOException {
         // In one call: once these bytes are there, the far side may close, and the socket give no stream any more.
         socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
--- a/src/test/java/tinworks/policy/ChoiceTest.java
+++ b/src/test/java/tinworks/policy/ChoiceTest.java
@@ -1,5 +1,10 @@
 package tinworks.policy;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 import static tinworks.policy.Fleet.ASK;
 import static tinworks.policy.Fleet.FILE;
 import static tinworks.policy.Fleet.MS;
@@ -10,13 +15,7 @@
 import static tinworks.policy.Fleet.SWEEP;
 import static tinworks.policy.Fleet.server;
 import static tinworks.policy.Fleet.settings;
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertNotEquals;
-import static org.junit.jupiter.api.Assertions.assertNull;
-import static org.junit.jupiter.api.Assertions.assertThrows;
-import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import tinworks.policy.Protocol.*;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -24,7 +23,21 @@
 import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
-
+import tinworks.policy.Protocol.ClientLeft;
+import tinworks.policy.Protocol.Effect;
+import tinworks.policy.Protocol.Group;
+import tinworks.policy.Protocol.ListKind;
+import tinworks.policy.Protocol.Outcome;
+import tinworks.policy.Protocol.Readiness;
+import tinworks.policy.Protocol.RequestArrived;
+import tinworks.policy.Protocol.RequestClass;
+import tinworks.policy.Protocol.ServerInfo;
+import tinworks.policy.Protocol.Settings;
+import tinworks.policy.Protocol.StreamStarted;
+import tinworks.policy.Protocol.Tenant;
+import tinworks.policy.Protocol.TimerFired;
+
+/** The decisions of one gateway, event by event. */
 class ChoiceTest {
     private static final int DRAWS = 6000;
 
@@ -41,7 +54,7 @@
     private static void tick(Fleet fleet, int each, long... elapsed) {
         int[] left = new int[elapsed.length];
         java.util.Arrays.fill(left, each);
-        for (int n = 0; n < each * elapsed.length;) {
+        for (int n = 0; n < each * elapsed.length; ) {
             String id = fleet.ask(READ);
             String s = fleet.sentTo();
             if (s == null) {
@@ -118,9 +131,14 @@
             for (int i = 0; i < 400; i++) { // s0 happens to get only long work, s1 only brief
                 RequestClass c = i % 2 == 0 ? READ : brief;
                 String id = fleet.ask(c);
-                boolean fits = fleet.sentTo().equals(c == READ ? "s0" : "s1");
-                fleet.end(id, 0, c == READ == fits ? "s0" : "s1", fits ? Outcome.SERVED : Outcome.NOT_SENT,
-                        c == READ ? 80 * MS : 8 * MS, true);
+                boolean fits = fleet.sentTo().equals(c.equals(READ) ? "s0" : "s1");
+                fleet.end(
+                        id,
+                        0,
+                        c.equals(READ) == fits ? "s0" : "s1",
+                        fits ? Outcome.SERVED : Outcome.NOT_SENT,
+                        c.equals(READ) ? 80 * MS : 8 * MS,
+                        true);
             }
             fleet.fire(STEP);
             fleet.host.take();
@@ -169,8 +187,7 @@
     @Test
     void nothingNewGoesToADrainingOrGoneServer() {
         Fleet fleet = new Fleet().with(3);
-        fleet.list(ListKind.CHANGES, server("s0", "a", Readiness.DRAINING, 0),
-                server("s1", "b", Readiness.GONE, 0));
+        fleet.list(ListKind.CHANGES, server("s0", "a", Readiness.DRAINING, 0), server("s1", "b", Readiness.GONE, 0));
         assertEquals(Set.of("s2"), draws(fleet, 50).keySet());
     }
 
@@ -248,8 +265,7 @@
             assertNotEquals(first, second);
             assertEquals(Integer.parseInt(first.substring(1)) % 2, Integer.parseInt(second.substring(1)) % 2);
         }
-        RequestClass brief = new RequestClass("brief", Effect.KEYED, Group.ALL, 50 * MS, 500 * MS, SECOND, 1, 0,
-                false);
+        RequestClass brief = new RequestClass("brief", Effect.KEYED, Group.ALL, 50 * MS, 500 * MS, SECOND, 1, 0, false);
         Fleet fleet = new Fleet(settings(false, 1, List.of(), List.of(brief)), 7).with(6);
         String id = fleet.ask(brief);
         String first = fleet.sentTo();
@@ -268,7 +284,8 @@
         fleet.fire(SWEEP);
         List<Recorder.Action> actions = fleet.host.take();
         assertTrue(actions.stream().anyMatch(a -> a.what().equals("fail") && a.id().equals(id)), actions::toString);
-        assertTrue(actions.stream().noneMatch(a -> a.what().equals("refuse") || a.what().equals("send")));
+        assertTrue(actions.stream()
+                .noneMatch(a -> a.what().equals("refuse") || a.what().equals("send")));
     }
 
     @Test
@@ -357,8 +374,8 @@
         fleet.choice.on(fleet.now, new StreamStarted(id, 0, fleet.sentTo()));
         fleet.now += 5 * SECOND;
         fleet.fire(SWEEP);
-        assertTrue(fleet.host.take().stream().noneMatch(a -> Set.of("send", "cancel", "fail", "refuse")
-                .contains(a.what())));
+        assertTrue(fleet.host.take().stream()
+                .noneMatch(a -> Set.of("send", "cancel", "fail", "refuse").contains(a.what())));
     }
 
     /** Servers whose early answers have let more than one attempt in flight at each. */
@@ -418,8 +435,7 @@
         int toDead = 0;
         for (int i = 0; i < 200; i++) { // the others never answer, so all their room is taken
             fleet.ask(READ);
-            for (List<Recorder.Action> out = fleet.host.take("send"); !out.isEmpty();
-                    out = fleet.host.take("send")) {
+            for (List<Recorder.Action> out = fleet.host.take("send"); !out.isEmpty(); out = fleet.host.take("send")) {
                 for (Recorder.Action a : out) {
                     if (a.server().equals("s0")) {
                         toDead++;
@@ -449,8 +465,8 @@
             }
             boolean late = elapsed > ORDER.aimNanos() / 2;
             assertEquals(late, orders < 280, "orders " + orders);
-            assertTrue(orders > 50 && (late ? bulks < orders / 2 : bulks == 300), "orders " + orders
-                    + ", bulk " + bulks);
+            assertTrue(
+                    orders > 50 && (late ? bulks < orders / 2 : bulks == 300), "orders " + orders + ", bulk " + bulks);
         }
     }
 
@@ -711,12 +727,13 @@
 
     @Test
     void badSettingsAndEventsAreNamed() {
-        IllegalArgumentException e = assertThrows(IllegalArgumentException.class, () -> settings(false, 0,
-                List.of(), List.of(READ)));
+        IllegalArgumentException e =
+                assertThrows(IllegalArgumentException.class, () -> settings(false, 0, List.of(), List.of(READ)));
         assertEquals("settings: gateways can't be 0", e.getMessage());
         Fleet fleet = new Fleet().with(1);
-        e = assertThrows(IllegalArgumentException.class, () -> fleet.choice.on(fleet.now,
-                new RequestArrived("r", "unheard", null, null, SECOND, 0, false)));
+        e = assertThrows(
+                IllegalArgumentException.class,
+                () -> fleet.choice.on(fleet.now, new RequestArrived("r", "unheard", null, null, SECOND, 0, false)));
         assertEquals("requestClass: unknown class unheard", e.getMessage());
         e = assertThrows(IllegalArgumentException.class, () -> fleet.choice.on(1, new TimerFired(STEP)));
         assertTrue(e.getMessage().startsWith("nowNanos: "), e.getMessage());
--- a/src/test/java/tinworks/policy/ColdBankTest.java
+++ b/src/test/java/tinworks/policy/ColdBankTest.java
@@ -1,22 +1,22 @@
 package tinworks.policy;
 
+import static org.junit.jupiter.api.Assertions.assertTrue;
 import static tinworks.policy.Fleet.MS;
 import static tinworks.policy.Fleet.ORDER;
 import static tinworks.policy.Fleet.RULES;
 import static tinworks.policy.Fleet.SECOND;
 import static tinworks.policy.Fleet.server;
 import static tinworks.policy.Fleet.settings;
-import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import tinworks.policy.Protocol.ListKind;
-import tinworks.policy.Protocol.Outcome;
-import tinworks.policy.Protocol.Readiness;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import tinworks.policy.Protocol.ListKind;
+import tinworks.policy.Protocol.Outcome;
+import tinworks.policy.Protocol.Readiness;
 
 /** A bank of gateways, none of which knows of the others, beside a server that has just started. */
 class ColdBankTest {
@@ -31,10 +31,8 @@
         List<Fleet> bank = new ArrayList<>();
         long start = 100 * SECOND;
         for (int g = 0; g < GATEWAYS; g++) {
-            Fleet fleet = new Fleet(settings(false, GATEWAYS, List.of(), List.of(ORDER)),
-                    seed * GATEWAYS + g);
-            fleet.list(ListKind.CACHED, server("s0"), server("s1"),
-                    server("cold", "a", Readiness.READY, start));
+            Fleet fleet = new Fleet(settings(false, GATEWAYS, List.of(), List.of(ORDER)), seed * GATEWAYS + g);
+            fleet.list(ListKind.CACHED, server("s0"), server("s1"), server("cold", "a", Readiness.READY, start));
             bank.add(fleet);
         }
         ArrayDeque<Long> window = new ArrayDeque<>();
@@ -45,8 +43,7 @@
             fleet.now = now;
             fleet.ask(ORDER);
             int attempt = 0;
-            for (List<Recorder.Action> out = fleet.host.take("send"); !out.isEmpty();
-                    out = fleet.host.take("send")) {
+            for (List<Recorder.Action> out = fleet.host.take("send"); !out.isEmpty(); out = fleet.host.take("send")) {
                 Recorder.Action sent = out.get(0);
                 boolean cold = sent.server().equals("cold");
                 if (cold) {
--- a/src/test/java/tinworks/policy/CrowdTest.java
+++ b/src/test/java/tinworks/policy/CrowdTest.java
@@ -1,28 +1,40 @@
 package tinworks.policy;
 
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 import static tinworks.policy.Fleet.MS;
 import static tinworks.policy.Fleet.READ;
 import static tinworks.policy.Fleet.SECOND;
 import static tinworks.policy.Fleet.SWEEP;
 import static tinworks.policy.Fleet.settings;
-import static org.junit.jupiter.api.Assertions.assertArrayEquals;
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
-import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.List;
+import org.junit.jupiter.api.Test;
 import tinworks.policy.Protocol.Allowed;
 import tinworks.policy.Protocol.Outcome;
 import tinworks.policy.Protocol.PeerSaid;
 import tinworks.policy.Protocol.Settings;
-import java.util.List;
-import org.junit.jupiter.api.Test;
 
 /** What the gateways of a large fleet tell each other, and what they make of it. */
 class CrowdTest {
     private static Fleet gateway(boolean peers) {
         Settings s = settings(false, 4, List.of(), List.of(READ));
-        return new Fleet(new Settings(4, 0, s.zone(), false, s.resolutionNanos(), s.classes(), s.tenants(),
-                s.overShareWorth(), new Allowed(4, true, peers), s.rules()), 7).with(8);
+        return new Fleet(
+                        new Settings(
+                                4,
+                                0,
+                                s.zone(),
+                                false,
+                                s.resolutionNanos(),
+                                s.classes(),
+                                s.tenants(),
+                                s.overShareWorth(),
+                                new Allowed(4, true, peers),
+                                s.rules()),
+                        7)
+                .with(8);
     }
 
     /** A message that so many requests are out at each of these servers. */
@@ -30,7 +42,9 @@
         byte[] bytes = new byte[1 + 5 * servers.length];
         bytes[0] = 1;
         for (int i = 0; i < servers.length; i++) {
-            java.nio.ByteBuffer.wrap(bytes, 1 + 5 * i, 5).putInt(InFlightReport.code(servers[i])).put((byte) count);
+            java.nio.ByteBuffer.wrap(bytes, 1 + 5 * i, 5)
+                    .putInt(InFlightReport.code(servers[i]))
+                    .put((byte) count);
         }
         return bytes;
     }
@@ -111,8 +125,8 @@
         String own = own();
         byte[] other = message(3, own);
         other[0] = 2;
-        for (byte[] spoilt : List.of(new byte[0], other, java.util.Arrays.copyOf(message(3, own), 5),
-                message(3, "unheard"))) {
+        for (byte[] spoilt :
+                List.of(new byte[0], other, java.util.Arrays.copyOf(message(3, own), 5), message(3, "unheard"))) {
             Fleet fleet = gateway(true);
             fleet.choice.on(fleet.now, new PeerSaid(2, spoilt));
             assertEquals(own, fleet.serve(READ, Outcome.SERVED, 10 * MS));
--- a/src/test/java/tinworks/policy/Fleet.java
+++ b/src/test/java/tinworks/policy/Fleet.java
@@ -1,8 +1,23 @@
 package tinworks.policy;
 
-import tinworks.policy.Protocol.*;
 import java.util.ArrayList;
 import java.util.List;
+import tinworks.policy.Protocol.Allowed;
+import tinworks.policy.Protocol.AttemptEnded;
+import tinworks.policy.Protocol.ClientLeft;
+import tinworks.policy.Protocol.Effect;
+import tinworks.policy.Protocol.Group;
+import tinworks.policy.Protocol.ListKind;
+import tinworks.policy.Protocol.ListReceived;
+import tinworks.policy.Protocol.Outcome;
+import tinworks.policy.Protocol.Readiness;
+import tinworks.policy.Protocol.RequestArrived;
+import tinworks.policy.Protocol.RequestClass;
+import tinworks.policy.Protocol.Rules;
+import tinworks.policy.Protocol.ServerInfo;
+import tinworks.policy.Protocol.Settings;
+import tinworks.policy.Protocol.Tenant;
+import tinworks.policy.Protocol.TimerFired;
 
 /** A gateway under test: its module, its recorder, and short ways to say what happens. */
 final class Fleet {
@@ -12,12 +27,12 @@
     static final long STEP = 1;
     static final long SWEEP = 2;
     static final long ASK = 3;
-    static final RequestClass READ = new RequestClass("read", Effect.SAFE, Group.ALL, 0, 500 * MS, 2 * SECOND,
-            1, 0.5, false);
-    static final RequestClass ORDER = new RequestClass("order", Effect.UNSAFE, Group.ALL, 0, 500 * MS, 2 * SECOND,
-            5, 0, false);
-    static final RequestClass FILE = new RequestClass("file", Effect.KEYED, Group.ZONE, 5 * SECOND, 500 * MS,
-            2 * SECOND, 2, 0, false);
+    static final RequestClass READ =
+            new RequestClass("read", Effect.SAFE, Group.ALL, 0, 500 * MS, 2 * SECOND, 1, 0.5, false);
+    static final RequestClass ORDER =
+            new RequestClass("order", Effect.UNSAFE, Group.ALL, 0, 500 * MS, 2 * SECOND, 5, 0, false);
+    static final RequestClass FILE =
+            new RequestClass("file", Effect.KEYED, Group.ZONE, 5 * SECOND, 500 * MS, 2 * SECOND, 2, 0, false);
     static final Allowed ALL_ALLOWED = new Allowed(4, true, true);
     static final Rules RULES = new Rules(20 * MS, 250 * MS, 10 * SECOND, 0.2, WARM_UP, 2.5, 1500 * MS);
 
@@ -156,7 +171,7 @@
     int inFlightAtMost() {
         List<Recorder.Action> out = new ArrayList<>();
         List<String> asked = new ArrayList<>();
-        for (List<Recorder.Action> sends = null; sends == null || !sends.isEmpty();) {
+        for (List<Recorder.Action> sends = null; sends == null || !sends.isEmpty(); ) {
             asked.add(ask(main));
             sends = host.take("send");
             out.addAll(sends);
--- a/src/test/java/tinworks/policy/PortionTest.java
+++ b/src/test/java/tinworks/policy/PortionTest.java
@@ -1,17 +1,12 @@
 package tinworks.policy;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 import static tinworks.policy.Fleet.MS;
 import static tinworks.policy.Fleet.READ;
 import static tinworks.policy.Fleet.STEP;
 import static tinworks.policy.Fleet.settings;
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import tinworks.policy.Protocol.ListKind;
-import tinworks.policy.Protocol.Outcome;
-import tinworks.policy.Protocol.Readiness;
-import tinworks.policy.Protocol.ServerInfo;
-import tinworks.policy.Protocol.Settings;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
@@ -20,16 +15,32 @@
 import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import tinworks.policy.Protocol.ListKind;
+import tinworks.policy.Protocol.Outcome;
+import tinworks.policy.Protocol.Readiness;
+import tinworks.policy.Protocol.ServerInfo;
+import tinworks.policy.Protocol.Settings;
 
 /** How the gateways of a large fleet divide its servers while each meets them seldom. */
 class PortionTest {
-    private static final int GATEWAYS = 4, SERVERS = 24, LARGE = 6;
+    private static final int GATEWAYS = 4;
+    private static final int SERVERS = 24;
+    private static final int LARGE = 6;
     private static final double LARGE_HINT = 9;
 
     private static Fleet gateway(int number) {
         Settings one = settings(false, GATEWAYS, List.of(), List.of(READ));
-        Settings numbered = new Settings(GATEWAYS, number, one.zone(), false, one.resolutionNanos(), one.classes(),
-                one.tenants(), one.overShareWorth(), one.allowed(), one.rules());
+        Settings numbered = new Settings(
+                GATEWAYS,
+                number,
+                one.zone(),
+                false,
+                one.resolutionNanos(),
+                one.classes(),
+                one.tenants(),
+                one.overShareWorth(),
+                one.allowed(),
+                one.rules());
         Fleet fleet = new Fleet(numbered, 7 + number).with(SERVERS);
         return fleet;
     }
@@ -92,7 +103,8 @@
             Fleet fleet = gateway(i);
             fleet.list(ListKind.WHOLE, list);
             double capacity = drawnOneByOne(fleet, 16 * MS).stream()
-                    .mapToDouble(id -> Integer.parseInt(id.substring(1)) < LARGE ? LARGE_HINT : 1).sum();
+                    .mapToDouble(id -> Integer.parseInt(id.substring(1)) < LARGE ? LARGE_HINT : 1)
+                    .sum();
             assertTrue(capacity >= part && capacity <= part + 2 * LARGE_HINT, "capacity " + capacity + " of " + part);
         }
     }
@@ -133,7 +145,8 @@
             fleet.now += 16 * MS;
             counts.merge(fleet.serve(READ, Outcome.SERVED, 10 * MS), 1, Integer::sum);
         }
-        String own = Collections.max(counts.entrySet(), Map.Entry.comparingByValue()).getKey();
+        String own =
+                Collections.max(counts.entrySet(), Map.Entry.comparingByValue()).getKey();
         int trials = 0;
         for (long end = fleet.now + 8 * Fleet.SECOND; fleet.now < end; fleet.now += 16 * MS) {
             String id = fleet.ask(READ);
--- a/src/test/java/tinworks/policy/QuickStartTest.java
+++ b/src/test/java/tinworks/policy/QuickStartTest.java
@@ -3,6 +3,9 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
 import tinworks.policy.Protocol.Actions;
 import tinworks.policy.Protocol.Allowed;
 import tinworks.policy.Protocol.AttemptEnded;
@@ -17,9 +20,6 @@
 import tinworks.policy.Protocol.Rules;
 import tinworks.policy.Protocol.ServerInfo;
 import tinworks.policy.Protocol.Settings;
-import java.util.ArrayList;
-import java.util.List;
-import org.junit.jupiter.api.Test;
 
 /** The README's example, as a new user would write it. */
 class QuickStartTest {
@@ -46,7 +46,7 @@
         }
 
         @Override
-        public void cancel(String request, int attempt) { }
+        public void cancel(String request, int attempt) {}
 
         @Override
         public void setTimer(long delayNanos, long token) {
@@ -54,13 +54,21 @@
         }
 
         @Override
-        public void subscribe() { }
+        public void subscribe() {}
     }
 
     @Test
     void aGatewayEmbedsChoiceInAFewLines() {
         RequestClass read = new RequestClass("read", Effect.SAFE, Group.ALL, 0, 300 * MS, 1000 * MS, 1, 0, false);
-        Settings settings = new Settings(1, 0, "zone-a", false, MS, List.of(read), List.of(), 1,
+        Settings settings = new Settings(
+                1,
+                0,
+                "zone-a",
+                false,
+                MS,
+                List.of(read),
+                List.of(),
+                1,
                 new Allowed(3, true, true),
                 new Rules(20 * MS, 250 * MS, 10_000 * MS, 0.2, 20_000 * MS, 2.5, 1000 * MS));
         Host host = new Host();
--- a/src/test/java/tinworks/policy/Recorder.java
+++ b/src/test/java/tinworks/policy/Recorder.java
@@ -1,13 +1,13 @@
 package tinworks.policy;
 
-import tinworks.policy.Protocol.Actions;
 import java.util.ArrayList;
 import java.util.List;
+import tinworks.policy.Protocol.Actions;
 
 /** A host that only writes down what the module asks for. */
 final class Recorder implements Actions {
     /** One action; fields that an action lacks are null or 0. */
-    record Action(String what, String id, String server, long number) { }
+    record Action(String what, String id, String server, long number) {}
 
     final List<Action> actions = new ArrayList<>();
     /** The messages that went to the other gateways, in their order. */
--- a/src/test/java/tinworks/policy/RulesTest.java
+++ b/src/test/java/tinworks/policy/RulesTest.java
@@ -1,5 +1,8 @@
 package tinworks.policy;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.junit.jupiter.api.Assertions.fail;
 import static tinworks.policy.Fleet.FILE;
 import static tinworks.policy.Fleet.MS;
 import static tinworks.policy.Fleet.ORDER;
@@ -7,11 +10,7 @@
 import static tinworks.policy.Fleet.RULES;
 import static tinworks.policy.Fleet.SECOND;
 import static tinworks.policy.Fleet.settings;
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
-import static org.junit.jupiter.api.Assertions.fail;
 
-import tinworks.policy.Protocol.*;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -23,18 +22,32 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import tinworks.policy.Protocol.AttemptEnded;
+import tinworks.policy.Protocol.Effect;
+import tinworks.policy.Protocol.Ending;
+import tinworks.policy.Protocol.Event;
+import tinworks.policy.Protocol.Group;
+import tinworks.policy.Protocol.ListKind;
+import tinworks.policy.Protocol.ListReceived;
+import tinworks.policy.Protocol.Outcome;
+import tinworks.policy.Protocol.Readiness;
+import tinworks.policy.Protocol.RequestArrived;
+import tinworks.policy.Protocol.RequestClass;
+import tinworks.policy.Protocol.ServerInfo;
+import tinworks.policy.Protocol.Tenant;
+import tinworks.policy.Protocol.TimerFired;
 
 /** A seeded run of random legal events that holds every action against the four rules. */
 class RulesTest {
     private static final long TICK = 5 * MS;
     private static final long LENGTH = 60 * SECOND;
-    private static final RequestClass CELL_FILE = new RequestClass("cell-file", Effect.KEYED, Group.CELL, SECOND,
-            300 * MS, 2 * SECOND, 2, 0, false);
-    private static final RequestClass ANY_FILE = new RequestClass("any-file", Effect.KEYED, Group.ALL, SECOND,
-            300 * MS, 2 * SECOND, 2, 0.3, false);
+    private static final RequestClass CELL_FILE =
+            new RequestClass("cell-file", Effect.KEYED, Group.CELL, SECOND, 300 * MS, 2 * SECOND, 2, 0, false);
+    private static final RequestClass ANY_FILE =
+            new RequestClass("any-file", Effect.KEYED, Group.ALL, SECOND, 300 * MS, 2 * SECOND, 2, 0.3, false);
     private static final List<RequestClass> CLASSES = List.of(READ, ORDER, FILE, CELL_FILE, ANY_FILE);
 
-    private record Send(String server, long at, int number) { }
+    private record Send(String server, long at, int number) {}
 
     /** What the test knows of a request. */
     private static final class Asked {
@@ -51,7 +64,10 @@
         }
 
         Send firstThatMayRun() {
-            return sends.stream().filter(s -> !neverRan.contains(s.number())).findFirst().orElse(null);
+            return sends.stream()
+                    .filter(s -> !neverRan.contains(s.number()))
+                    .findFirst()
+                    .orElse(null);
         }
     }
 
@@ -83,9 +99,10 @@
             switch (a.what()) {
                 case "send" -> checkSend(a);
                 case "refuse", "fail" -> checkFinal(a);
-                case "setTimer" -> timers.computeIfAbsent(now + Math.max(TICK, a.number()), t -> new ArrayList<>())
-                        .add(timerToken(a.number()));
-                default -> { }
+                case "setTimer" ->
+                    timers.computeIfAbsent(now + Math.max(TICK, a.number()), t -> new ArrayList<>())
+                            .add(timerToken(a.number()));
+                default -> {}
             }
         }
 
@@ -116,8 +133,9 @@
             }
             int number = r.sends.size();
             r.sends.add(new Send(a.server(), now, number));
-            r.endsAt.put(number, Math.min(r.deadline, now + random.nextLong(MS, random.nextInt(10) == 0
-                    ? 3 * SECOND : 150 * MS)));
+            r.endsAt.put(
+                    number,
+                    Math.min(r.deadline, now + random.nextLong(MS, random.nextInt(10) == 0 ? 3 * SECOND : 150 * MS)));
         }
 
         void checkFinal(Recorder.Action a) {
@@ -125,8 +143,10 @@
             assertTrue(!r.answered, "answered twice: " + a);
             assertTrue(now <= r.deadline + RULES.answerSlackNanos(), "answered late: " + a);
             if (a.what().equals("refuse") && r.firstThatMayRun() != null) {
-                assertTrue(r.kind.effect() == Effect.SAFE
-                        || r.kind.effect() == Effect.KEYED && r.kind.group() == Group.ALL, "refused: " + a);
+                assertTrue(
+                        r.kind.effect() == Effect.SAFE
+                                || (r.kind.effect() == Effect.KEYED && r.kind.group() == Group.ALL),
+                        "refused: " + a);
             }
             r.answered = true;
             finals++;
@@ -157,13 +177,15 @@
 
         void end(String id, Asked r, int number) {
             boolean due = now >= r.deadline;
-            Outcome outcome = due ? Outcome.TIMED_OUT : switch (random.nextInt(12)) {
-                case 0 -> Outcome.ERROR;
-                case 1 -> Outcome.FULL;
-                case 2 -> Outcome.CONNECT_FAILED;
-                case 3 -> Outcome.RESET;
-                default -> Outcome.SERVED;
-            };
+            Outcome outcome = due
+                    ? Outcome.TIMED_OUT
+                    : switch (random.nextInt(12)) {
+                        case 0 -> Outcome.ERROR;
+                        case 1 -> Outcome.FULL;
+                        case 2 -> Outcome.CONNECT_FAILED;
+                        case 3 -> Outcome.RESET;
+                        default -> Outcome.SERVED;
+                    };
             if (outcome.provesItNeverRan()) {
                 r.neverRan.add(number);
             }
@@ -187,8 +209,8 @@
                 toldNotReady.putIfAbsent(id, now);
             }
             boolean whole = random.nextInt(4) == 0;
-            on(new ListReceived(whole ? ListKind.WHOLE : ListKind.CHANGES, whole
-                    ? List.copyOf(listed.values()) : List.of(after)));
+            on(new ListReceived(
+                    whole ? ListKind.WHOLE : ListKind.CHANGES, whole ? List.copyOf(listed.values()) : List.of(after)));
         }
 
         void run() {
@@ -207,8 +229,8 @@
                 if (random.nextInt(400) == 0) {
                     changeList();
                 }
-                asked.forEach((id, r) -> assertTrue(r.answered || now <= r.deadline + RULES.answerSlackNanos(),
-                        "lost: " + id));
+                asked.forEach((id, r) ->
+                        assertTrue(r.answered || now <= r.deadline + RULES.answerSlackNanos(), "lost: " + id));
                 checkCold();
             }
         }
@@ -232,7 +254,10 @@
         World world = new World(seed);
         world.run();
         assertTrue(world.finals > 4000, "answered: " + world.finals);
-        assertEquals(world.count, world.finals + world.asked.values().stream().filter(r -> !r.answered).count());
+        assertEquals(
+                world.count,
+                world.finals
+                        + world.asked.values().stream().filter(r -> !r.answered).count());
     }
 
     @Test
--- a/src/test/java/tinworks/policy/SystemRulesTest.java
+++ b/src/test/java/tinworks/policy/SystemRulesTest.java
@@ -6,12 +6,30 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import tinworks.policy.Protocol.*;
+import tinworks.policy.Protocol.Actions;
+import tinworks.policy.Protocol.Allowed;
+import tinworks.policy.Protocol.AttemptEnded;
+import tinworks.policy.Protocol.Effect;
+import tinworks.policy.Protocol.Ending;
+import tinworks.policy.Protocol.Group;
+import tinworks.policy.Protocol.ListKind;
+import tinworks.policy.Protocol.ListReceived;
+import tinworks.policy.Protocol.Outcome;
+import tinworks.policy.Protocol.Readiness;
+import tinworks.policy.Protocol.Reconfigured;
+import tinworks.policy.Protocol.RequestArrived;
+import tinworks.policy.Protocol.RequestClass;
+import tinworks.policy.Protocol.Rules;
+import tinworks.policy.Protocol.ServerInfo;
+import tinworks.policy.Protocol.Settings;
+import tinworks.policy.Protocol.TimerFired;
 
 /** What the decision module does for the system beyond what the earlier protocol asks. */
 class SystemRulesTest {
-    private static final long MS = 1_000_000L, SECOND = 1_000 * MS;
-    private static final long TIMEOUT = 1_200 * MS, NEVER = Long.MAX_VALUE;
+    private static final long MS = 1_000_000L;
+    private static final long SECOND = 1_000 * MS;
+    private static final long TIMEOUT = 1_200 * MS;
+    private static final long NEVER = Long.MAX_VALUE;
     private final Sent sent = new Sent();
 
     private static final class Sent implements Actions {
@@ -43,10 +61,10 @@
         }
 
         @Override
-        public void setTimer(long delayNanos, long token) { }
+        public void setTimer(long delayNanos, long token) {}
 
         @Override
-        public void subscribe() { }
+        public void subscribe() {}
 
         @Override
         public void log(String line) {
@@ -60,8 +78,20 @@
 
     private Choice choice(int gateways, Effect effect) {
         Rules rules = new Rules(0, 0, Long.MAX_VALUE, 0.5, 3 * SECOND, 1e9, SECOND, 30, 2.5);
-        Choice choice = new Choice(new Settings(gateways, -1, "z", false, MS, List.of(kind("r", effect)), List.of(), 1,
-                new Allowed(32, true, false), rules), 1, sent);
+        Choice choice = new Choice(
+                new Settings(
+                        gateways,
+                        -1,
+                        "z",
+                        false,
+                        MS,
+                        List.of(kind("r", effect)),
+                        List.of(),
+                        1,
+                        new Allowed(32, true, false),
+                        rules),
+                1,
+                sent);
         List<ServerInfo> servers = new ArrayList<>();
         for (int i = 0; i < 4; i++) {
             servers.add(new ServerInfo("i-" + i, "z", "", 0, Readiness.READY, 3, 0));
@@ -77,11 +107,12 @@
     /** Sends requests one after the other, each attempt ending in this way; returns the arrivals beyond the first. */
     private int further(Choice choice, int requests, Outcome outcome) {
         for (int i = 0; i < requests; i++) {
-            long now = i * 100 * MS;
+            long now = i * 100L * MS;
             int before = sent.servers.size();
             choice.on(now, request(i));
             for (int n = 0; before + n < sent.servers.size(); n++) {
-                choice.on(now + MS, new AttemptEnded("q" + i, n, sent.servers.get(before + n), outcome, MS, false, null));
+                choice.on(
+                        now + MS, new AttemptEnded("q" + i, n, sent.servers.get(before + n), outcome, MS, false, null));
             }
         }
         return sent.servers.size() - (int) sent.requests.stream().distinct().count();
@@ -91,12 +122,14 @@
     void arrivalsThatAHostTurnsAwayAreChargedToTheBudgetThatAllGatewaysShare() {
         int further = further(choice(10, Effect.SAFE), 100, Outcome.FULL);
         assertTrue(further > 0, "a first refusal is tried again");
-        assertTrue(further <= 100 / 10 + 30 / 10, "a tenth of the requests and a tenth of what all may save: " + further);
+        assertTrue(
+                further <= 100 / 10 + 30 / 10, "a tenth of the requests and a tenth of what all may save: " + further);
     }
 
     @Test
     void whatNeverArrivedIsNotCharged() {
-        assertEquals(1, further(choice(100, Effect.UNSAFE), 1, Outcome.CONNECT_FAILED), "a second server, and no third");
+        assertEquals(
+                1, further(choice(100, Effect.UNSAFE), 1, Outcome.CONNECT_FAILED), "a second server, and no third");
     }
 
     @Test
@@ -108,7 +141,8 @@
     void aVersionInTheMiddleOfATickKeepsWhatWasLearnedAndTakesItsNewTries() {
         Choice choice = choice(10, Effect.SAFE);
         choice.on(MS, request(1));
-        RequestClass once = new RequestClass("r", Effect.SAFE, Group.ALL, 0, 300 * MS, TIMEOUT, 1, 0.5, false, 1, TIMEOUT);
+        RequestClass once =
+                new RequestClass("r", Effect.SAFE, Group.ALL, 0, 300 * MS, TIMEOUT, 1, 0.5, false, 1, TIMEOUT);
         choice.on(2 * MS, new Reconfigured(List.of(once, kind("new", Effect.UNSAFE)), 5));
         choice.on(3 * MS, new AttemptEnded("q1", 0, sent.servers.get(0), Outcome.FULL, MS, false, null));
         assertEquals(1, sent.servers.size(), "one try is all that the new version allows");
@@ -122,18 +156,35 @@
         Choice choice = choice(1, Effect.SAFE);
         int[] first = new int[2];
         for (int i = 0; i < 2_000; i++) {
-            long now = i * 10 * MS;
+            long now = i * 10L * MS;
             choice.on(now, request(i));
             String server = sent.servers.get(sent.servers.size() - 1);
             boolean bad = server.equals("i-0");
             first[i / 1_000] += bad ? 1 : 0;
             int attempt = 0;
-            choice.on(now + MS, new AttemptEnded("q" + i, attempt, server, bad ? Outcome.ERROR : Outcome.SERVED,
-                    bad ? MS : 50 * MS, !bad, null));
-            if (bad && sent.requests.get(sent.requests.size() - 1).equals("q" + i)
+            choice.on(
+                    now + MS,
+                    new AttemptEnded(
+                            "q" + i,
+                            attempt,
+                            server,
+                            bad ? Outcome.ERROR : Outcome.SERVED,
+                            bad ? MS : 50 * MS,
+                            !bad,
+                            null));
+            if (bad
+                    && sent.requests.get(sent.requests.size() - 1).equals("q" + i)
                     && !sent.servers.get(sent.servers.size() - 1).equals("i-0")) {
-                choice.on(now + 2 * MS, new AttemptEnded("q" + i, 1, sent.servers.get(sent.servers.size() - 1),
-                        Outcome.SERVED, 50 * MS, true, null));
+                choice.on(
+                        now + 2 * MS,
+                        new AttemptEnded(
+                                "q" + i,
+                                1,
+                                sent.servers.get(sent.servers.size() - 1),
+                                Outcome.SERVED,
+                                50 * MS,
+                                true,
+                                null));
             }
             if (i % 100 == 99) {
                 choice.on(now + 3 * MS, new TimerFired(1));
@@ -160,7 +211,10 @@
                 String id = "f" + now;
                 choice.on(now, new RequestArrived(id, "r", null, null, TIMEOUT, 0, false));
                 for (int n = before; n < sent.servers.size(); n++) {
-                    choice.on(now + MS, new AttemptEnded(sent.requests.get(n), 0, sent.servers.get(n), Outcome.SERVED, MS, true, null));
+                    choice.on(
+                            now + MS,
+                            new AttemptEnded(
+                                    sent.requests.get(n), 0, sent.servers.get(n), Outcome.SERVED, MS, true, null));
                 }
             }
             choice.on(now + MS, new TimerFired(2));
@@ -168,7 +222,9 @@
         return sent.cancelled;
     }
 
-    /** Three requests a second, each taking so long by the clock, of which the gateway itself was held up; the refused. */
+    /**
+     * Three requests a second, each taking so long by the clock, of which the gateway itself was held up; the refused.
+     */
     private int refusedOf(Choice choice, int from, int seconds, long elapsed, long heldUp) {
         int before = sent.refused;
         for (int i = 0; i < 3 * seconds; i++) {
@@ -176,8 +232,10 @@
             int out = sent.servers.size();
             choice.on(now, new RequestArrived("h" + now, "r", null, null, TIMEOUT, 0, false));
             if (sent.servers.size() > out) {
-                choice.on(now + 300 * MS, new AttemptEnded("h" + now, 0, sent.servers.get(out), Outcome.SERVED, elapsed, true,
-                        null, heldUp));
+                choice.on(
+                        now + 300 * MS,
+                        new AttemptEnded(
+                                "h" + now, 0, sent.servers.get(out), Outcome.SERVED, elapsed, true, null, heldUp));
             }
             choice.on(now + 310 * MS, new TimerFired(2));
             if (i % 3 == 2) {
@@ -197,11 +255,12 @@
         Choice choice = choice(64, Effect.SAFE);
         long now = 0;
         for (int i = 0; i < 200; i++) { // a burst, all of it late: the pressure is at its most
-            now = i * 10 * MS;
+            now = i * 10L * MS;
             int out = sent.servers.size();
             choice.on(now, new RequestArrived("b" + i, "r", null, null, TIMEOUT, 0, false));
             if (sent.servers.size() > out) {
-                choice.on(now, new AttemptEnded("b" + i, 0, sent.servers.get(out), Outcome.SERVED, 900 * MS, true, null));
+                choice.on(
+                        now, new AttemptEnded("b" + i, 0, sent.servers.get(out), Outcome.SERVED, 900 * MS, true, null));
             }
         }
         assertTrue(sent.refused > 50, "shut: " + sent.refused);
@@ -216,7 +275,9 @@
         choice.on(0, request(1));
         choice.on(1_000 * MS, new TimerFired(2, 990 * MS));
         choice.on(1_001 * MS, new TimerFired(2, 0));
-        assertEquals(List.of("server " + sent.servers.get(0) + " is silent: no answer to 1 attempts"), sent.lines.subList(0, 1));
+        assertEquals(
+                List.of("server " + sent.servers.get(0) + " is silent: no answer to 1 attempts"),
+                sent.lines.subList(0, 1));
         sent.lines.clear();
         Choice held = choice(64, Effect.SAFE);
         held.on(0, request(0));
@@ -236,16 +297,19 @@
     @Test
     void whatHasNoTryLeftIsNotCalledOff() {
         Choice choice = choice(10, Effect.SAFE);
-        RequestClass once = new RequestClass("r", Effect.SAFE, Group.ALL, 0, 300 * MS, TIMEOUT, 1, 0.5, false, 1, TIMEOUT);
+        RequestClass once =
+                new RequestClass("r", Effect.SAFE, Group.ALL, 0, 300 * MS, TIMEOUT, 1, 0.5, false, 1, TIMEOUT);
         choice.on(0, new Reconfigured(List.of(once), 10));
-        assertEquals(0, calledOffAfter(choice, 1_180 * MS, NEVER), "it would be answered here while its host is at work");
+        assertEquals(
+                0, calledOffAfter(choice, 1_180 * MS, NEVER), "it would be answered here while its host is at work");
     }
 
     /** With a single server there is no other to go to. */
     @Test
     void whatCanGoNowhereElseIsNotCalledOff() {
         Choice choice = choice(64, Effect.SAFE);
-        choice.on(0, new ListReceived(ListKind.WHOLE, List.of(new ServerInfo("i-0", "z", "", 0, Readiness.READY, 3, 0))));
+        choice.on(
+                0, new ListReceived(ListKind.WHOLE, List.of(new ServerInfo("i-0", "z", "", 0, Readiness.READY, 3, 0))));
         choice.on(0, request(0));
         for (long now = 0; now < 1_100 * MS; now += 20 * MS) {
             choice.on(now, new TimerFired(2));
--- a/src/test/java/tinworks/raft/Cluster.java
+++ b/src/test/java/tinworks/raft/Cluster.java
@@ -15,13 +15,16 @@
 
 /**
  * Members on a simulated network, simulated disks and clocks, all chance from one seed. Messages are dropped, delayed,
- * doubled and cut off; processes freeze, or crash, with what their disks had not synced kept only up to some point; machines
- * lose their disks and come back as somebody else; each clock has a rate and, in each life, a beginning of its own. Each
- * step checks what must never be broken.
+ * doubled and cut off; processes freeze, or crash, with what their disks had not synced kept only up to some point;
+ * machines lose their disks and come back as somebody else; each clock has a rate and, in each life, a beginning of its
+ * own. Each step checks what must never be broken.
  */
 final class Cluster {
     /** How this cluster's machines are broken on purpose. */
-    enum Flaw { NONE, SYNC_SKIPPED }
+    enum Flaw {
+        NONE,
+        SYNC_SKIPPED
+    }
 
     /** Makes a member; a flawed one is caught by the invariants. */
     interface Maker {
@@ -38,7 +41,8 @@
     }
 
     static final Timing TIMING = new Timing(50, 200);
-    private static final int STEP = 5, MOST_EVENTS = 200_000;
+    private static final int STEP = 5;
+    private static final int MOST_EVENTS = 200_000;
     /** What clocks may be off by, of 1,000; a lease bears five parts of 100. */
     private static final int DRIFT = 45;
 
@@ -50,13 +54,16 @@
     private final Maker maker;
     /** Acknowledged entries: when, and the highest index until then. */
     private final ArrayDeque<long[]> acknowledgedAt = new ArrayDeque<>();
+
     private long newestAcknowledged;
     private long oldAcknowledged;
     private long newestTerm;
     /** How often a member held a lease, and a follower was fresh, as the checks saw them. */
     long leases;
+
     long freshFollowers;
-    private final PriorityQueue<Event> events = new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparing(Event::order));
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparing(Event::order));
     private final Map<Long, Long> leaders = new HashMap<>();
     private final Map<Long, Entry> applied = new HashMap<>();
     private final Set<Set<Integer>> cuts = new HashSet<>();
@@ -67,7 +74,7 @@
     private int commands;
     private int handled;
 
-    private record Event(long at, long order, Runnable work) { }
+    private record Event(long at, long order, Runnable work) {}
 
     Cluster(long seed, int voters, Flaw flaw) {
         this(seed, voters, flaw, TIMING, Raft::new);
@@ -121,7 +128,10 @@
         }
     }
 
-    /** Who holds a lease leads alone, and has all that was acknowledged; who is fresh has what was acknowledged a lease ago. */
+    /**
+     * Who holds a lease leads alone, and has all that was acknowledged; who is fresh has what was acknowledged a lease
+     * ago.
+     */
     private void checkLeases() {
         long old = now - timing.leaseMillis() * (1_000 + DRIFT) / 1_000 - STEP;
         while (!acknowledgedAt.isEmpty() && acknowledgedAt.peek()[0] < old) {
@@ -156,7 +166,8 @@
     Node leader() {
         Node found = null;
         for (Node node : nodes) {
-            if (node.raft != null && node.raft.role() == Raft.Role.LEADER
+            if (node.raft != null
+                    && node.raft.role() == Raft.Role.LEADER
                     && (found == null || node.raft.term() > found.raft.term())) {
                 found = node;
             }
@@ -166,7 +177,9 @@
 
     /** Has some leader write a command; it is acknowledged when that leader applies it. */
     void propose() {
-        List<Node> leading = nodes.stream().filter(n -> n.raft != null && !n.isFrozen() && n.raft.role() == Raft.Role.LEADER).toList();
+        List<Node> leading = nodes.stream()
+                .filter(n -> n.raft != null && !n.isFrozen() && n.raft.role() == Raft.Role.LEADER)
+                .toList();
         if (!leading.isEmpty()) {
             leading.get(random.nextInt(leading.size())).propose(++commands);
         }
@@ -197,6 +210,7 @@
         }
     }
 
+    /** A member with its simulated disk and its messages under way. */
     final class Node {
         final int number;
         long id;
@@ -204,10 +218,12 @@
         Stored synced = Stored.NOTHING;
         /** The commands that have been applied, in order. */
         List<Integer> state = new ArrayList<>();
+
         private final ArrayDeque<Output> unsynced = new ArrayDeque<>();
         private final Map<Long, Integer> open = new HashMap<>();
         /** How far the state is. */
         long appliedIndex;
+
         private final int rate = 1_000 - DRIFT + random.nextInt(2 * DRIFT + 1);
         private long clockBegan;
         private long frozenUntil;
@@ -279,13 +295,15 @@
         }
 
         void propose(int command) {
-            long index = raft.propose(ByteBuffer.allocate(Integer.BYTES).putInt(command).array());
+            long index = raft.propose(
+                    ByteBuffer.allocate(Integer.BYTES).putInt(command).array());
             if (index > 0) {
                 open.put(index, command);
             }
             pump();
         }
 
+        @SuppressWarnings("ReferenceEquality") // The very output that was queued is meant, not one like it.
         void pump() {
             Output output = raft.drain();
             if (raft.role() == Raft.Role.LEADER) {
@@ -300,18 +318,20 @@
             // The flaw of a skipped sync: what is said to be on the disk reaches it much later.
             diskFreeAt = Math.max(diskFreeAt, now) + (output.writes() ? random.nextInt(8) : 0);
             unsynced.add(output);
-            later(diskFreeAt - now, () -> whenAwake(mine, () -> {
-                if (flaw != Flaw.SYNC_SKIPPED || random.nextInt(4) == 0) {
-                    while (!unsynced.isEmpty()) {
-                        Output first = unsynced.poll();
-                        synced = written(synced, first);
-                        if (first == output) {
-                            break;
+            later(
+                    diskFreeAt - now,
+                    () -> whenAwake(mine, () -> {
+                        if (flaw != Flaw.SYNC_SKIPPED || random.nextInt(4) == 0) {
+                            while (!unsynced.isEmpty()) {
+                                Output first = unsynced.poll();
+                                synced = written(synced, first);
+                                if (first == output) {
+                                    break;
+                                }
+                            }
                         }
-                    }
-                }
-                carryOut(output);
-            }));
+                        carryOut(output);
+                    }));
         }
 
         private void carryOut(Output output) {
@@ -351,7 +371,9 @@
 
         private void send(Envelope envelope) {
             for (Node other : nodes) {
-                if (other.id == envelope.to() && !cuts.contains(Set.of(number, other.number)) && random.nextDouble() >= loss) {
+                if (other.id == envelope.to()
+                        && !cuts.contains(Set.of(number, other.number))
+                        && random.nextDouble() >= loss) {
                     int copies = random.nextInt(20) == 0 ? 2 : 1;
                     for (int i = 0; i < copies; i++) {
                         long from = id;
@@ -373,7 +395,7 @@
         HardState hard = output.hard() != null ? output.hard() : before.hard();
         Snapshot snapshot = output.snapshot() != null ? output.snapshot() : before.snapshot();
         List<Entry> entries = new ArrayList<>(before.entries());
-        entries.removeIf(e -> e.index() <= snapshot.index() || output.cutFrom() > 0 && e.index() >= output.cutFrom());
+        entries.removeIf(e -> e.index() <= snapshot.index() || (output.cutFrom() > 0 && e.index() >= output.cutFrom()));
         entries.addAll(output.entries());
         return new Stored(hard, snapshot, entries);
     }
--- a/src/test/java/tinworks/raft/LeaseTest.java
+++ b/src/test/java/tinworks/raft/LeaseTest.java
@@ -14,10 +14,15 @@
 import tinworks.raft.Message.VoteReply;
 import tinworks.raft.Message.VoteRequest;
 
-/** Leases over many days with cuts, freezes, restarts and hand-overs on clocks of unlike rates; and each guard taken out. */
+/**
+ * Leases over many days with cuts, freezes, restarts and hand-overs on clocks of unlike rates; and each guard taken
+ * out.
+ */
 class LeaseTest {
-    private static final int DAYS = 1_500, MUTANT_DAYS = 1_000;
-    private static final long ELECTION = Cluster.TIMING.electionMillis(), LEASE = Cluster.TIMING.leaseMillis();
+    private static final int DAYS = 1_500;
+    private static final int MUTANT_DAYS = 1_000;
+    private static final long ELECTION = Cluster.TIMING.electionMillis();
+    private static final long LEASE = Cluster.TIMING.leaseMillis();
 
     /** Some seconds in which members are cut off, freeze, start anew and hand over. */
     private static Cluster day(long seed, Maker maker) {
@@ -54,7 +59,9 @@
                 case 6 -> {
                     // The leader is left with one that hears it, and then loses that one, which starts anew.
                     if (leader != null && leader != one) {
-                        cluster.nodes.stream().filter(n -> n != leader && n != one).forEach(n -> cluster.cut(n.number, leader.number));
+                        cluster.nodes.stream()
+                                .filter(n -> n != leader && n != one)
+                                .forEach(n -> cluster.cut(n.number, leader.number));
                         cluster.run(cluster.now + ELECTION + cluster.random.nextInt(100));
                         cluster.cut(one.number, leader.number);
                         one.crash();
@@ -76,7 +83,9 @@
             leases += cluster.leases;
             followers += cluster.freshFollowers;
         }
-        assertTrue(leases > 100L * DAYS && followers > 100L * DAYS, "too seldom to mean anything: " + leases + ", " + followers);
+        assertTrue(
+                leases > 100L * DAYS && followers > 100L * DAYS,
+                "too seldom to mean anything: " + leases + ", " + followers);
     }
 
     private static int firstCaught(Maker mutant) {
@@ -93,56 +102,61 @@
     @Test
     void aLeaseFromWhenAnAnswerCameIsCaught() {
         assertTrue(firstCaught((id, stored, timing, seed, now) -> new Raft(id, stored, timing, seed, now) {
-            @Override
-            long confirmedFrom(Progress p) {
-                return p.heardAt;
-            }
-        }) > 0);
+                    @Override
+                    long confirmedFrom(Progress p) {
+                        return p.heardAt;
+                    }
+                })
+                > 0);
     }
 
     @Test
     void aLeaseBeforeAnEntryOfItsOwnTermIsCommittedIsCaught() {
         assertTrue(firstCaught((id, stored, timing, seed, now) -> new Raft(id, stored, timing, seed, now) {
-            @Override
-            public boolean ready() {
-                return role() == Role.LEADER;
-            }
+                    @Override
+                    public boolean ready() {
+                        return role() == Role.LEADER;
+                    }
 
-            @Override
-            public long freshIndex() {
-                return 0;
-            }
-        }) > 0);
+                    @Override
+                    public long freshIndex() {
+                        return 0;
+                    }
+                })
+                > 0);
     }
 
     @Test
     void aMemberThatVotesAtOnceAfterItsStartIsCaught() {
         assertTrue(firstCaught((id, stored, timing, seed, now) -> new Raft(id, stored, timing, seed, now) {
-            @Override
-            boolean mayHavePromised() {
-                return false;
-            }
-        }) > 0);
+                    @Override
+                    boolean mayHavePromised() {
+                        return false;
+                    }
+                })
+                > 0);
     }
 
     @Test
     void aVoterThatVotesWhileItHearsTheLeaderIsCaught() {
         assertTrue(firstCaught((id, stored, timing, seed, now) -> new Raft(id, stored, timing, seed, now) {
-            @Override
-            boolean content() {
-                return role() == Role.LEADER;
-            }
-        }) > 0);
+                    @Override
+                    boolean content() {
+                        return role() == Role.LEADER;
+                    }
+                })
+                > 0);
     }
 
     @Test
     void aLeaseThatIsKeptOverAHandOverIsCaught() {
         assertTrue(firstCaught((id, stored, timing, seed, now) -> new Raft(id, stored, timing, seed, now) {
-            @Override
-            boolean leaves() {
-                return false;
-            }
-        }) > 0);
+                    @Override
+                    boolean leaves() {
+                        return false;
+                    }
+                })
+                > 0);
     }
 
     // ---- single members, event by event
@@ -153,7 +167,8 @@
 
     private static Raft voter(long now, Timing timing) {
         List<Member> voters = List.of(new Member(1, "a"), new Member(2, "b"), new Member(3, "c"));
-        return new Raft(1, new Stored(new HardState(3, 0), new Snapshot(0, 0, voters, new byte[0]), List.of()), timing, 1, now);
+        return new Raft(
+                1, new Stored(new HardState(3, 0), new Snapshot(0, 0, voters, new byte[0]), List.of()), timing, 1, now);
     }
 
     /** Elected at 1,000 by the second's votes; nothing is committed yet. */
@@ -172,8 +187,11 @@
     }
 
     private static long roundTo(long to, Raft raft) {
-        return raft.drain().messages().stream().filter(e -> e.to() == to && e.message() instanceof Append)
-                .mapToLong(e -> ((Append) e.message()).round()).max().orElseThrow();
+        return raft.drain().messages().stream()
+                .filter(e -> e.to() == to && e.message() instanceof Append)
+                .mapToLong(e -> ((Append) e.message()).round())
+                .max()
+                .orElseThrow();
     }
 
     @Test
@@ -232,7 +250,9 @@
     @Test
     void aLeaseEndsBeforeAVoteThoughTheClocksAreUnlike() {
         assertFalse(leasedWhileTheVoterVotes(Cluster.TIMING));
-        assertTrue(leasedWhileTheVoterVotes(new Timing(50, ELECTION * 10 / 9)), "a lease as long as the voter's silence is caught");
+        assertTrue(
+                leasedWhileTheVoterVotes(new Timing(50, ELECTION * 10 / 9)),
+                "a lease as long as the voter's silence is caught");
     }
 
     @Test
@@ -253,11 +273,17 @@
     void aLeaderHandsOverToAnotherAndNotToItself() {
         Raft raft = elected();
         raft.handOver();
-        assertTrue(raft.drain().messages().stream().noneMatch(e -> e.message() instanceof Message.HandOver), "nobody has all");
+        assertTrue(
+                raft.drain().messages().stream().noneMatch(e -> e.message() instanceof Message.HandOver),
+                "nobody has all");
         raft.receive(1_020, 3, new AppendReply(4, true, raft.lastIndex(), 1));
         raft.handOver();
-        assertEquals(List.of(3L), raft.drain().messages().stream().filter(e -> e.message() instanceof Message.HandOver)
-                .map(Output.Envelope::to).toList());
+        assertEquals(
+                List.of(3L),
+                raft.drain().messages().stream()
+                        .filter(e -> e.message() instanceof Message.HandOver)
+                        .map(Output.Envelope::to)
+                        .toList());
     }
 
     @Test
--- a/src/test/java/tinworks/raft/MembershipTest.java
+++ b/src/test/java/tinworks/raft/MembershipTest.java
@@ -17,9 +17,13 @@
 
 /** Changes of voters by joint consensus, one event at a time and over many days; and each guard taken out. */
 class MembershipTest {
-    private static final int DAYS = 500, MUTANT_DAYS = 4_000;
-    private static final Member A = new Member(1, "a"), B = new Member(2, "b"), C = new Member(3, "c"), D = new Member(4, "d"),
-            E = new Member(5, "e");
+    private static final int DAYS = 500;
+    private static final int MUTANT_DAYS = 4_000;
+    private static final Member A = new Member(1, "a");
+    private static final Member B = new Member(2, "b");
+    private static final Member C = new Member(3, "c");
+    private static final Member D = new Member(4, "d");
+    private static final Member E = new Member(5, "e");
 
     /** A leader of A, B and C in term 4, with an entry of it committed; D and E learn. */
     private static Raft leader() {
@@ -133,7 +137,8 @@
     /** Those before need its vote, and it denies it to all who don't have the change's second entry. */
     @Test
     void aMemberThatIsVotedOutStandsUntilThatIsCommitted() {
-        List<Entry> entries = List.of(new Entry(1, 1, Entry.Kind.LEAD, new byte[0]),
+        List<Entry> entries = List.of(
+                new Entry(1, 1, Entry.Kind.LEAD, new byte[0]),
                 new Entry(2, 1, Entry.Kind.MEMBERS, new Voters(List.of(B, C), List.of(A, B)).write()),
                 new Entry(3, 1, Entry.Kind.MEMBERS, Voters.of(List.of(B, C)).write()));
         Stored stored = new Stored(new HardState(1, 1), new Snapshot(0, 0, List.of(A, B), new byte[0]), entries);
@@ -186,14 +191,19 @@
             Cluster cluster = withLearners(seed, 3, 2, Raft::new);
             learn(cluster);
             Node leader = cluster.leader();
-            List<Member> wanted = List.of(cluster.nodes.get(0).member(), cluster.nodes.get(3).member(), cluster.nodes.get(4).member());
+            List<Member> wanted = List.of(
+                    cluster.nodes.get(0).member(),
+                    cluster.nodes.get(3).member(),
+                    cluster.nodes.get(4).member());
             change(cluster, wanted);
             cluster.propose();
             cluster.run(cluster.now + cluster.random.nextInt(60));
             leader.crash();
             cluster.run(cluster.now + 1_500);
             Node next = cluster.leader();
-            assertTrue(next != null && next.raft.mayChangeMembers(), "seed " + seed + ": the change is under way for ever");
+            assertTrue(
+                    next != null && next.raft.mayChangeMembers(),
+                    "seed " + seed + ": the change is under way for ever");
             done += Set.copyOf(next.raft.members()).equals(Set.copyOf(wanted)) ? 1 : 0;
             leader.start();
             cluster.propose();
@@ -214,12 +224,20 @@
             others.remove(leader);
             others.get(0).crash();
             cluster.propose();
-            List<Member> wanted = List.of(leader.member(), others.get(1).member(), cluster.nodes.get(3).member());
+            List<Member> wanted = List.of(
+                    leader.member(),
+                    others.get(1).member(),
+                    cluster.nodes.get(3).member());
             change(cluster, wanted);
             while (!leader.raft.mayChangeMembers()) {
                 cluster.run(cluster.now + 5);
             }
-            cluster.nodes.stream().filter(n -> wanted.contains(n.member())).skip(seed % 3).findFirst().orElseThrow().wipe();
+            cluster.nodes.stream()
+                    .filter(n -> wanted.contains(n.member()))
+                    .skip(seed % 3)
+                    .findFirst()
+                    .orElseThrow()
+                    .wipe();
             int before = cluster.acknowledged.size();
             cluster.run(cluster.now + 1_500);
             cluster.propose();
@@ -241,15 +259,21 @@
             switch (cluster.random.nextInt(8)) {
                 case 0, 1, 2 -> {
                     List<Member> wanted = new ArrayList<>();
-                    cluster.nodes.stream().filter(n -> cluster.random.nextInt(5) < 3).forEach(n -> wanted.add(n.member()));
+                    cluster.nodes.stream()
+                            .filter(n -> cluster.random.nextInt(5) < 3)
+                            .forEach(n -> wanted.add(n.member()));
                     change(cluster, wanted);
                     cluster.run(cluster.now + cluster.random.nextInt(30));
                 }
                 case 3, 4 -> {
                     Set<Node> side = new HashSet<>();
-                    cluster.nodes.stream().filter(n -> cluster.random.nextBoolean()).forEach(side::add);
+                    cluster.nodes.stream()
+                            .filter(n -> cluster.random.nextBoolean())
+                            .forEach(side::add);
                     cluster.join();
-                    side.forEach(a -> cluster.nodes.stream().filter(b -> !side.contains(b)).forEach(b -> cluster.cut(a.number, b.number)));
+                    side.forEach(a -> cluster.nodes.stream()
+                            .filter(b -> !side.contains(b))
+                            .forEach(b -> cluster.cut(a.number, b.number)));
                 }
                 case 5 -> {
                     one.crash();
@@ -285,7 +309,7 @@
                 return seed;
             } catch (AssertionError e) {
                 // It came to a standstill, which alone is no loss.
-                continue;
+
             }
         }
         return 0;
@@ -294,22 +318,24 @@
     @Test
     void aChangeThatAsksOnlyThoseToComeIsCaught() {
         assertTrue(firstCaught((id, stored, timing, seed, now) -> new Raft(id, stored, timing, seed, now) {
-            @Override
-            Voters quorum() {
-                return Voters.of(super.quorum().current());
-            }
-        }) > 0);
+                    @Override
+                    Voters quorum() {
+                        return Voters.of(super.quorum().current());
+                    }
+                })
+                > 0);
     }
 
     @Test
     void aChangeThatAsksOnlyThoseBeforeIsCaught() {
         assertTrue(firstCaught((id, stored, timing, seed, now) -> new Raft(id, stored, timing, seed, now) {
-            @Override
-            Voters quorum() {
-                Voters both = super.quorum();
-                return both.joint() ? Voters.of(both.outgoing()) : both;
-            }
-        }) > 0);
+                    @Override
+                    Voters quorum() {
+                        Voters both = super.quorum();
+                        return both.joint() ? Voters.of(both.outgoing()) : both;
+                    }
+                })
+                > 0);
     }
 
     /** Its own log says that it votes, and nobody sends to it. */
@@ -342,7 +368,10 @@
     @Test
     void aLearnerIsReadyOnceItHasWhatTheLogHeldWhenItWasChosenThoughChangesKeepComing() {
         Raft raft = leader();
-        Progress learner = raft.followers().stream().filter(p -> p.member().equals(D)).findFirst().orElseThrow();
+        Progress learner = raft.followers().stream()
+                .filter(p -> p.member().equals(D))
+                .findFirst()
+                .orElseThrow();
         long target = raft.lastIndex();
         raft.propose(new byte[1]);
         int ready = 0;
@@ -362,7 +391,10 @@
     void aLearnerThatWasAwayIsChosenAnew() {
         Raft raft = leader();
         took(raft, 4);
-        Progress learner = raft.followers().stream().filter(p -> p.member().equals(D)).findFirst().orElseThrow();
+        Progress learner = raft.followers().stream()
+                .filter(p -> p.member().equals(D))
+                .findFirst()
+                .orElseThrow();
         assertTrue(learner.caughtUp());
         for (long now = 1_020; now < 2_000; now += 50) {
             raft.tick(now);
@@ -391,8 +423,12 @@
         assertTrue(raft.handOver());
         assertEquals(0, raft.propose(new byte[1]));
         assertFalse(raft.mayChangeMembers());
-        assertEquals(List.of(3L), raft.drain().messages().stream().filter(e -> e.message() instanceof Message.HandOver)
-                .map(Output.Envelope::to).toList());
+        assertEquals(
+                List.of(3L),
+                raft.drain().messages().stream()
+                        .filter(e -> e.message() instanceof Message.HandOver)
+                        .map(Output.Envelope::to)
+                        .toList());
         assertTrue(raft.handOver(), "asked again, it doesn't ask another");
         assertEquals(List.of(), raft.drain().messages());
     }
@@ -404,7 +440,11 @@
             Cluster cluster = new Cluster(seed, 3, Flaw.NONE, Cluster.TIMING, maker);
             cluster.run(1_000);
             Node leader = cluster.leader();
-            Node late = cluster.nodes.stream().filter(n -> n != leader).skip(seed % 2).findFirst().orElseThrow();
+            Node late = cluster.nodes.stream()
+                    .filter(n -> n != leader)
+                    .skip(seed % 2)
+                    .findFirst()
+                    .orElseThrow();
             cluster.cut(leader.number, late.number);
             cluster.run(cluster.now + 60);
             cluster.propose();
--- a/src/test/java/tinworks/raft/Model.java
+++ b/src/test/java/tinworks/raft/Model.java
@@ -18,14 +18,14 @@
 import tinworks.raft.Output.Envelope;
 
 /**
- * Every order in which a bounded number of things can happen to a few members, each of them the production state machine:
- * time-outs, commands, changes of voters, connections that break, and crashes: between events, or in the middle of one,
- * before or after its sync. What one member has sent another is taken together and in order, as from a connection; one that
- * breaks loses all of it, or all but the first. States that were seen are not gone into again.
+ * Every order in which a bounded number of things can happen to a few members, each of them the production state
+ * machine: time-outs, commands, changes of voters, connections that break, and crashes: between events, or in the
+ * middle of one, before or after its sync. What one member has sent another is taken together and in order, as from a
+ * connection; one that breaks loses all of it, or all but the first. States that were seen are not gone into again.
  */
 final class Model {
     /** How often each thing may happen. */
-    record Bounds(int timeouts, int heartbeats, int commands, int losses, int crashes, int changes) { }
+    record Bounds(int timeouts, int heartbeats, int commands, int losses, int crashes, int changes) {}
 
     /** Makes a member; a flawed one is caught by the invariants. */
     interface Maker {
@@ -33,7 +33,7 @@
     }
 
     /** What a whole search found. */
-    record Found(long states, long steps, int deepest, long committed) { }
+    record Found(long states, long steps, int deepest, long committed) {}
 
     private static final long TIMEOUT_MILLIS = 10_000;
     private static final Timing TIMING = Cluster.TIMING;
@@ -41,21 +41,35 @@
      * What only says when a time-out comes, which here comes at any time, what never changes, and leases, which decide
      * nothing here and which {@link Cluster} checks.
      */
-    private static final Set<String> LEFT_OUT = Set.of("self", "timing", "random", "electionAt", "heartbeatAt",
-            "rounds", "startedAt", "echoBase", "freshUntil", "freshIndex");
+    private static final Set<String> LEFT_OUT = Set.of(
+            "self",
+            "timing",
+            "random",
+            "electionAt",
+            "heartbeatAt",
+            "rounds",
+            "startedAt",
+            "echoBase",
+            "freshUntil",
+            "freshIndex");
+
     private static final List<Field> FIELDS = fields();
-    private static final Field LOG = FIELDS.stream().filter(field -> field.getName().equals("log")).findFirst().orElseThrow();
+    private static final Field LOG = FIELDS.stream()
+            .filter(field -> field.getName().equals("log"))
+            .findFirst()
+            .orElseThrow();
 
     private final Maker maker;
     private final int machines;
     /** False where disks only say that they have synced. */
     private final boolean syncs;
+
     private final Set<Key> seen = new HashSet<>();
     private long steps;
     private int deepest;
     private long committedAtMost;
 
-    private record Key(long high, long low) { }
+    private record Key(long high, long low) {}
 
     Model(int machines, boolean syncs, Maker maker) {
         this.machines = machines;
@@ -124,7 +138,9 @@
         }
         World first = new World(bounds);
         for (int i = 0; i < machines; i++) {
-            Stored disk = i < voters ? new Stored(HardState.NONE, new Snapshot(0, 0, members, new byte[0]), List.of()) : Stored.NOTHING;
+            Stored disk = i < voters
+                    ? new Stored(HardState.NONE, new Snapshot(0, 0, members, new byte[0]), List.of())
+                    : Stored.NOTHING;
             first.nodes.add(new Node(i + 1, disk, maker.make(i + 1, disk)));
         }
         return first;
@@ -140,12 +156,27 @@
         return next;
     }
 
-    enum What { TIMEOUT, HEARTBEAT, COMMAND, TAKE, LOSE, TAKE_ONE, CRASH, CHANGE }
+    /** The kinds of event. */
+    enum What {
+        TIMEOUT,
+        HEARTBEAT,
+        COMMAND,
+        TAKE,
+        LOSE,
+        TAKE_ONE,
+        CRASH,
+        CHANGE
+    }
 
     /** How an event ends: carried out, or by a crash before or after the sync that it asks for. */
-    enum End { WHOLE, UNWRITTEN, UNSENT }
+    enum End {
+        WHOLE,
+        UNWRITTEN,
+        UNSENT
+    }
 
-    record Step(What what, int node, int other, End end) { }
+    /** One event of a path through the model. */
+    record Step(What what, int node, int other, End end) {}
 
     /** A member; only one that a step is about to change is copied, and the others are shared between worlds. */
     private static final class Node {
@@ -176,6 +207,7 @@
         private final Map<Long, Long> leaders = new TreeMap<>();
         /** What some member has applied, by index. */
         private final Map<Long, Entry> committed = new TreeMap<>();
+
         private final int[] left;
         private final int depth;
         private long now;
@@ -274,10 +306,14 @@
                 left[3]--;
             }
             int taken = step.what() == What.LOSE ? 0 : step.what() == What.TAKE_ONE ? 1 : wire.size();
-            wire.subList(0, taken).forEach(message -> nodes.get(to).raft.receive(now, step.node() / machines + 1, message));
+            wire.subList(0, taken)
+                    .forEach(message -> nodes.get(to).raft.receive(now, step.node() / machines + 1, message));
         }
 
-        /** The machine that has no vote is let in; a voter changes places with one that has none, or goes where there is none. */
+        /**
+         * The machine that has no vote is let in; a voter changes places with one that has none, or goes where there is
+         * none.
+         */
         private void change(int leader, int other) {
             left[5]--;
             Raft raft = nodes.get(leader).raft;
@@ -356,9 +392,12 @@
         private void checkComplete(Node leader) {
             Log log = log(leader.raft);
             committed.forEach((index, entry) -> {
-                if (leader.raft.term() >= entry.term() && isNewest(leader) && index > log.base().index()
+                if (leader.raft.term() >= entry.term()
+                        && isNewest(leader)
+                        && index > log.base().index()
                         && (index > log.lastIndex() || !log.entry(index).equals(entry))) {
-                    throw new Cluster.Broken("the leader of term " + leader.raft.term() + " lacks the committed entry " + index);
+                    throw new Cluster.Broken(
+                            "the leader of term " + leader.raft.term() + " lacks the committed entry " + index);
                 }
             });
         }
@@ -373,7 +412,7 @@
             boolean alike = false;
             for (long index = last; index > Math.max(a.base().index(), b.base().index()); index--) {
                 boolean same = a.entry(index).equals(b.entry(index));
-                if (a.term(index) == b.term(index) && !same || alike && !same) {
+                if ((a.term(index) == b.term(index) && !same) || (alike && !same)) {
                     throw new Cluster.Broken("logs differ at index " + index + " below or at a term that they share");
                 }
                 alike |= same;
@@ -405,7 +444,7 @@
         for (Field field : FIELDS) {
             Object value = get(field, node.raft);
             switch (field.getName()) {
-                case "now" -> { }
+                case "now" -> {}
                 case "roundAt" -> text.append(now - (long) value >= TIMING.heartbeatMillis() / 2);
                 case "leavesAt" -> text.append((long) value != 0);
                 case "heardLeaderAt" -> text.append(now - (long) value < TIMING.electionMillis());
@@ -415,14 +454,27 @@
             }
             text.append(';');
         }
-        return text.append(node.disk.hard()).append(node.disk.snapshot().index()).append(node.disk.entries()).append('|').toString();
+        return text.append(node.disk.hard())
+                .append(node.disk.snapshot().index())
+                .append(node.disk.entries())
+                .append('|')
+                .toString();
     }
 
     private static void describe(StringBuilder text, Progress p, long now) {
         long silent = now - p.heardAt;
-        text.append(p.member.id()).append(' ').append(p.next).append(' ').append(p.match).append(' ').append(p.round).append(' ')
-                .append(silent < TIMING.electionMillis()).append(silent < 2 * TIMING.electionMillis())
-                .append(now - p.rewoundAt >= TIMING.heartbeatMillis() / 4).append(',');
+        text.append(p.member.id())
+                .append(' ')
+                .append(p.next)
+                .append(' ')
+                .append(p.match)
+                .append(' ')
+                .append(p.round)
+                .append(' ')
+                .append(silent < TIMING.electionMillis())
+                .append(silent < 2 * TIMING.electionMillis())
+                .append(now - p.rewoundAt >= TIMING.heartbeatMillis() / 4)
+                .append(',');
     }
 
     private static void describe(StringBuilder text, Log log) {
@@ -492,7 +544,8 @@
 
     private static Key digest(String text) {
         try {
-            ByteBuffer sum = ByteBuffer.wrap(MessageDigest.getInstance("MD5").digest(text.getBytes(StandardCharsets.UTF_8)));
+            ByteBuffer sum =
+                    ByteBuffer.wrap(MessageDigest.getInstance("MD5").digest(text.getBytes(StandardCharsets.UTF_8)));
             return new Key(sum.getLong(), sum.getLong());
         } catch (NoSuchAlgorithmException e) {
             throw new IllegalStateException(e);
