--- a/src/test/java/tinworks/raft/ModelTest.java
+++ b/src/test/java/tinworks/raft/ModelTest.java
@@ -71,7 +71,9 @@
         return model.walk(3, bounds, model.election(0, 0, 1, 1, 0, 0, 1, 1, 0), 1, 20 * WAYS);
     }
 
-    /** After the first member was elected by the second's vote and all have its first entries; voters may now change. */
+    /**
+     * After the first member was elected by the second's vote and all have its first entries; voters may now change.
+     */
     private static int broken(Model.Maker maker) {
         Model model = new Model(4, true, maker);
         return model.walk(3, new Bounds(3, 3, 1, 2, 0, 2), model.election(0, 0, 1, 1, 0, 0, 1, 1, 0), 1, 2 * WAYS);
@@ -80,18 +82,24 @@
     @Test
     void aChangeOfVotersThatCountsOneSideOnlyIsCaught() {
         assertEquals(-1, broken(Model::plain));
-        assertTrue(broken((id, stored) -> new Raft(id, stored, Cluster.TIMING, 1, 0) {
-            @Override
-            Voters quorum() {
-                return Voters.of(super.quorum().current());
-            }
-        }) >= 0, "those to come only");
-        assertTrue(broken((id, stored) -> new Raft(id, stored, Cluster.TIMING, 1, 0) {
-            @Override
-            Voters quorum() {
-                Voters both = super.quorum();
-                return both.joint() ? Voters.of(both.outgoing()) : both;
-            }
-        }) >= 0, "those before only");
+        assertTrue(
+                broken((id, stored) -> new Raft(id, stored, Cluster.TIMING, 1, 0) {
+                            @Override
+                            Voters quorum() {
+                                return Voters.of(super.quorum().current());
+                            }
+                        })
+                        >= 0,
+                "those to come only");
+        assertTrue(
+                broken((id, stored) -> new Raft(id, stored, Cluster.TIMING, 1, 0) {
+                            @Override
+                            Voters quorum() {
+                                Voters both = super.quorum();
+                                return both.joint() ? Voters.of(both.outgoing()) : both;
+                            }
+                        })
+                        >= 0,
+                "those before only");
     }
 }
--- a/src/test/java/tinworks/raft/RaftTest.java
+++ b/src/test/java/tinworks/raft/RaftTest.java
@@ -14,7 +14,8 @@
 
 /** The agreement on simulated networks and disks, over many fixed seeds. */
 class RaftTest {
-    private static final int SEEDS = 2_000, MUTANT_SEEDS = 4_000;
+    private static final int SEEDS = 2_000;
+    private static final int MUTANT_SEEDS = 4_000;
 
     @Test
     void nothingAcknowledgedIsLostWhateverBreaks() {
@@ -40,8 +41,10 @@
 
     private static Stored stored(HardState hard) {
         List<Member> voters = List.of(new Member(1, "a"), new Member(2, "b"), new Member(3, "c"));
-        return new Stored(hard, new Snapshot(0, 0, voters, new byte[0]), List.of(
-                new Entry(1, 1, Entry.Kind.LEAD, new byte[0]), new Entry(2, 2, Entry.Kind.LEAD, new byte[0])));
+        return new Stored(
+                hard,
+                new Snapshot(0, 0, voters, new byte[0]),
+                List.of(new Entry(1, 1, Entry.Kind.LEAD, new byte[0]), new Entry(2, 2, Entry.Kind.LEAD, new byte[0])));
     }
 
     /** The commit index of a new leader of term 4 once a majority has the entry of term 2, but none of its own. */
@@ -59,12 +62,15 @@
     void anEntryOfAnEarlierTermIsNotCommittedByCountingItsCopies() {
         HardState hard = new HardState(3, 0);
         assertEquals(0, commitOfAnOlderTerm(new Raft(1, stored(hard), Cluster.TIMING, 1, 0)));
-        assertEquals(2, commitOfAnOlderTerm(new Raft(1, stored(hard), Cluster.TIMING, 1, 0) {
-            @Override
-            boolean mayCommit(long index) {
-                return true;
-            }
-        }), "without its guard the same events commit it");
+        assertEquals(
+                2,
+                commitOfAnOlderTerm(new Raft(1, stored(hard), Cluster.TIMING, 1, 0) {
+                    @Override
+                    boolean mayCommit(long index) {
+                        return true;
+                    }
+                }),
+                "without its guard the same events commit it");
     }
 
     private static boolean votes(HardState hard) {
@@ -98,7 +104,8 @@
                     }
                 }
                 case 2, 3 -> cluster.nodes.stream().filter(n -> n.raft == null).forEach(Node::start);
-                case 4 -> cluster.nodes.stream().filter(n -> n != victim).forEach(n -> cluster.cut(n.number, victim.number));
+                case 4 ->
+                    cluster.nodes.stream().filter(n -> n != victim).forEach(n -> cluster.cut(n.number, victim.number));
                 case 5 -> cluster.join();
                 default -> cluster.propose();
             }
@@ -135,7 +142,9 @@
         }
     }
 
-    /** What the leader's plan does: the one that is gone changes places with the one that came, once that has the log. */
+    /**
+     * What the leader's plan does: the one that is gone changes places with the one that came, once that has the log.
+     */
     private static void replace(Cluster cluster, Node fresh) {
         for (int i = 0; i < 400; i++) {
             cluster.run(cluster.now + 20);
@@ -147,8 +156,8 @@
             if (leader.raft.isVoter(fresh.id) && leader.raft.mayChangeMembers()) {
                 return;
             }
-            boolean caughtUp = leader.raft.followers().stream()
-                    .anyMatch(p -> p.member().id() == fresh.id && p.caughtUp());
+            boolean caughtUp =
+                    leader.raft.followers().stream().anyMatch(p -> p.member().id() == fresh.id && p.caughtUp());
             List<Member> voters = new ArrayList<>(leader.raft.members());
             voters.removeIf(m -> m.address().equals(fresh.member().address()));
             voters.add(fresh.member());
@@ -188,7 +197,9 @@
             for (Node node : cluster.nodes) {
                 if (node != old && withOld > 0) {
                     withOld--; // one more on the losing side, which still is a minority
-                    cluster.nodes.stream().filter(n -> n != old && n != node).forEach(n -> cluster.cut(n.number, node.number));
+                    cluster.nodes.stream()
+                            .filter(n -> n != old && n != node)
+                            .forEach(n -> cluster.cut(n.number, node.number));
                 } else if (node != old) {
                     cluster.cut(node.number, old.number);
                 }
@@ -207,9 +218,12 @@
                 cluster.checkKept(node);
                 ConfigurationHistory history = new ConfigurationHistory();
                 for (int command : node.state) {
-                    boolean isTaken = history.apply(ConfigurationHistory.command(0, command, new byte[] {(byte) command}))
-                            == ConfigurationHistory.Verdict.TAKEN;
-                    assertTrue(!isTaken || taken == 0 || taken == command, "seed " + seed + ": " + taken + " and " + command);
+                    boolean isTaken =
+                            history.apply(ConfigurationHistory.command(0, command, new byte[] {(byte) command}))
+                                    == ConfigurationHistory.Verdict.TAKEN;
+                    assertTrue(
+                            !isTaken || taken == 0 || taken == command,
+                            "seed " + seed + ": " + taken + " and " + command);
                     taken = isTaken ? command : taken;
                 }
             }
@@ -232,7 +246,10 @@
         assertTrue(asked.reads().isEmpty());
         long peer = asked.messages().get(0).to();
         Message.Append append = (Message.Append) asked.messages().get(0).message();
-        leader.receive(cluster.now, peer, new Message.AppendReply(leader.term(), true, append.previousIndex(), append.round()));
+        leader.receive(
+                cluster.now,
+                peer,
+                new Message.AppendReply(leader.term(), true, append.previousIndex(), append.round()));
         assertEquals(List.of(ticket), leader.drain().reads());
     }
 
@@ -249,8 +266,12 @@
 
     @Test
     void oneThatStandsWithoutAskingFirstIsCaught() {
-        Cluster cluster = new Cluster(9, 3, Flaw.NONE, Cluster.TIMING, (id, stored, timing, seed, now) ->
-                new Raft(id, stored, timing, seed, now) {
+        Cluster cluster = new Cluster(
+                9,
+                3,
+                Flaw.NONE,
+                Cluster.TIMING,
+                (id, stored, timing, seed, now) -> new Raft(id, stored, timing, seed, now) {
                     @Override
                     void ask() {
                         stand(false);
--- a/src/test/java/tinworks/raft/ReplicationTest.java
+++ b/src/test/java/tinworks/raft/ReplicationTest.java
@@ -13,16 +13,27 @@
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 
-/** How a leader sends its log: by entries as long as it can, by pieces of a snapshot else, and never more than its bound ahead. */
+/**
+ * How a leader sends its log: by entries as long as it can, by pieces of a snapshot else, and never more than its bound
+ * ahead.
+ */
 class ReplicationTest {
     private static final Timing TIMING = Cluster.TIMING;
     private static final int BODY = 60_000;
     private static final List<Member> VOTERS = List.of(new Member(1, "a"), new Member(2, "b"), new Member(3, "c"));
 
     /** A guard that is taken out. */
-    enum Mutant { NONE, NO_FLOW_CONTROL, NO_TAIL, NO_CHECKSUM }
+    enum Mutant {
+        NONE,
+        NO_FLOW_CONTROL,
+        NO_TAIL,
+        NO_CHECKSUM
+    }
 
-    /** A leader and two followers on connections that keep their order, where each message can be looked at, lost or spoilt. */
+    /**
+     * A leader and two followers on connections that keep their order, where each message can be looked at, lost or
+     * spoilt.
+     */
     private static final class Trio {
         private final Mutant mutant;
         private final Map<Long, Raft> rafts = new HashMap<>();
@@ -94,12 +105,15 @@
                 if (output.restored() != null) {
                     states.put(id, output.restored().state());
                 }
-                output.committed().stream().filter(e -> e.kind() == Entry.Kind.COMMAND).forEach(e -> states.put(id, e.body()));
+                output.committed().stream()
+                        .filter(e -> e.kind() == Entry.Kind.COMMAND)
+                        .forEach(e -> states.put(id, e.body()));
             }
         }
 
         private static long size(Message message) {
-            return message instanceof Message.Append a ? a.entries().stream().mapToLong(e -> e.body().length).sum()
+            return message instanceof Message.Append a
+                    ? a.entries().stream().mapToLong(e -> e.body().length).sum()
                     : message instanceof Message.Install i ? i.piece().length : 0;
         }
 
@@ -168,7 +182,8 @@
     @Test
     void aSilentFollowerIsSentNoMoreThanTheBoundAheadAndAllOnceItAnswers() {
         assertTrue(piledUp(Mutant.NONE) <= Raft.MOST_IN_FLIGHT + BODY);
-        assertTrue(piledUp(Mutant.NO_FLOW_CONTROL) > 2 * Raft.MOST_IN_FLIGHT, "without the guard it is sent everything");
+        assertTrue(
+                piledUp(Mutant.NO_FLOW_CONTROL) > 2 * Raft.MOST_IN_FLIGHT, "without the guard it is sent everything");
     }
 
     /** How many snapshots a follower is sent that has missed two entries when the log is compacted. */
@@ -223,10 +238,13 @@
             if (++rounds % 3 == 0 && rounds < 60) {
                 trio.heartbeat();
             }
-            long underWay = trio.wire.stream().filter(e -> e.message() instanceof Message.Install i && i.piece().length > 0).count();
+            long underWay = trio.wire.stream()
+                    .filter(e -> e.message() instanceof Message.Install i && i.piece().length > 0)
+                    .count();
             assertTrue(underWay <= 1, underWay + " pieces under way");
             byte[] state = trio.states.get(3L);
-            assertTrue(state.length == 0 || state.length == trio.states.get(1L).length, "part of a snapshot was applied");
+            assertTrue(
+                    state.length == 0 || state.length == trio.states.get(1L).length, "part of a snapshot was applied");
         }
         assertEquals(11, trio.pieces.size());
         assertTrue(trio.pieces.stream().allMatch(i -> i.piece().length <= Transfer.PIECE_BYTES));
@@ -267,7 +285,8 @@
         while (trio.pieces.size() < 7) {
             trio.step();
         }
-        assertEquals(1, trio.pieces.stream().map(i -> i.label().index()).distinct().count());
+        assertEquals(
+                1, trio.pieces.stream().map(i -> i.label().index()).distinct().count());
         trio.start(3);
         for (int i = 0; i < 4; i++) {
             trio.heartbeat();
@@ -286,8 +305,18 @@
         }
         trio.pieces.get(1).piece()[7]++;
         Message.Install spoilt = trio.pieces.get(1);
-        trio.rafts.get(3L).receive(trio.now, 1, new Message.Install(spoilt.term(), spoilt.label(), 2 * Transfer.PIECE_BYTES,
-                spoilt.piece(), spoilt.number(), spoilt.round()));
+        trio.rafts
+                .get(3L)
+                .receive(
+                        trio.now,
+                        1,
+                        new Message.Install(
+                                spoilt.term(),
+                                spoilt.label(),
+                                2 * Transfer.PIECE_BYTES,
+                                spoilt.piece(),
+                                spoilt.number(),
+                                spoilt.round()));
         trio.pump(3);
         for (int i = 0; i < 4; i++) {
             trio.heartbeat();
@@ -316,8 +345,12 @@
         follower.receive(trio.now, 1, new Message.Install(1, newer.label(), 60, new byte[40], 4, 0));
         Output output = follower.drain();
         assertEquals(newer.label(), output.restored().label());
-        assertEquals(new Message.InstallReply(1, 50, 60, 2, 0), output.messages().get(0).message());
-        assertEquals(new Message.AppendReply(1, true, 50, 0), ((Message.AppendReply) output.messages().get(1).message()).sent(0));
+        assertEquals(
+                new Message.InstallReply(1, 50, 60, 2, 0),
+                output.messages().get(0).message());
+        assertEquals(
+                new Message.AppendReply(1, true, 50, 0),
+                ((Message.AppendReply) output.messages().get(1).message()).sent(0));
     }
 
     @Test
@@ -354,7 +387,7 @@
                     case 2 -> trio.start(2);
                     case 3 -> trio.compact(trio.states.get(1L));
                     case 4 -> trio.heartbeat();
-                    default -> { }
+                    default -> {}
                 }
             }
             trio.silent = 0;
--- a/src/test/java/tinworks/raft/StrengthTest.java
+++ b/src/test/java/tinworks/raft/StrengthTest.java
@@ -16,7 +16,11 @@
  */
 class StrengthTest {
     private static final Timing IN_SERVICE = new Timing(120, 500);
-    private static final int SEEDS = 200, LOOK = 50, PLAN = 250, JOIN = 500, GONE = 2_500;
+    private static final int SEEDS = 200;
+    private static final int LOOK = 50;
+    private static final int PLAN = 250;
+    private static final int JOIN = 500;
+    private static final int GONE = 2_500;
     /** The shortest span after which another machine may be lost, and where a deployment counts 6 s. */
     private static final long SYNC = 4_000;
 
@@ -44,7 +48,9 @@
             return;
         }
         if (cluster.now % JOIN < LOOK) {
-            cluster.nodes.stream().filter(n -> n.raft != null && n.raft.isLeftOut()).forEach(n -> leader.raft.addLearner(n.member()));
+            cluster.nodes.stream()
+                    .filter(n -> n.raft != null && n.raft.isLeftOut())
+                    .forEach(n -> leader.raft.addLearner(n.member()));
         }
         if (cluster.now % PLAN < LOOK && leader.raft.mayChangeMembers()) {
             exchange(leader);
@@ -64,12 +70,18 @@
             }
         }
         for (Progress p : leader.raft.followers()) {
-            if (leader.raft.isVoter(p.member().id()) && learners.stream().anyMatch(l -> l.member().address().equals(p.member().address()))) {
+            if (leader.raft.isVoter(p.member().id())
+                    && learners.stream()
+                            .anyMatch(
+                                    l -> l.member().address().equals(p.member().address()))) {
                 gone.add(0, p);
             }
         }
         List<Member> voters = new ArrayList<>(leader.raft.members());
-        learners.stream().filter(Progress::caughtUp).findFirst().filter(ready -> !gone.isEmpty())
+        learners.stream()
+                .filter(Progress::caughtUp)
+                .findFirst()
+                .filter(ready -> !gone.isEmpty())
                 .ifPresent(ready -> voters.set(voters.indexOf(gone.get(0).member()), ready.member()));
         leader.raft.changeMembers(voters);
     }
@@ -79,7 +91,9 @@
     }
 
     private static boolean votesDone(Cluster cluster, Node node) {
-        return leads(cluster) && cluster.leader().raft.isVoter(node.id) && cluster.leader().raft.mayChangeMembers();
+        return leads(cluster)
+                && cluster.leader().raft.isVoter(node.id)
+                && cluster.leader().raft.mayChangeMembers();
     }
 
     private static void measure(String what, long bound, Loss loss) {
@@ -98,12 +112,16 @@
             cluster.checkKept(cluster.leader());
         }
         Arrays.sort(took);
-        System.out.println(what + ": half within " + took[SEEDS / 2] + " ms, all within " + took[SEEDS - 1] + " ms, bound " + bound);
+        System.out.println(what + ": half within " + took[SEEDS / 2] + " ms, all within " + took[SEEDS - 1]
+                + " ms, bound " + bound);
         assertTrue(took[SEEDS - 1] <= bound, what + " took " + took[SEEDS - 1] + " ms");
     }
 
     private static Node follower(Cluster cluster) {
-        return cluster.nodes.stream().filter(n -> n != cluster.leader() && cluster.leader().raft.isVoter(n.id)).findFirst().orElseThrow();
+        return cluster.nodes.stream()
+                .filter(n -> n != cluster.leader() && cluster.leader().raft.isVoter(n.id))
+                .findFirst()
+                .orElseThrow();
     }
 
     @Test
@@ -143,22 +161,24 @@
 
     @Test
     void aVoterWithoutItsDiskIsExchangedWhileItMayStillCountAsLost() {
-        measure("a voter's disk lost, the fourth in its place", SYNC, cluster -> wiped(cluster, follower(cluster)));
-        measure("the leader's disk lost, the fourth in its place", SYNC, cluster -> wiped(cluster, cluster.leader()));
+        measure("a voter's disk lost, the fourth in its place", SYNC, cluster -> wiped(follower(cluster)));
+        measure("the leader's disk lost, the fourth in its place", SYNC, cluster -> wiped(cluster.leader()));
         measure("a voter's disk lost, of three", SYNC, cluster -> {
             cluster.nodes.get(3).crash();
-            return wiped(cluster, follower(cluster));
+            return wiped(follower(cluster));
         });
         measure("the leader's disk lost, of three", SYNC, cluster -> {
             cluster.nodes.get(3).crash();
-            return wiped(cluster, cluster.leader());
+            return wiped(cluster.leader());
         });
     }
 
-    private static Predicate<Cluster> wiped(Cluster cluster, Node node) {
+    private static Predicate<Cluster> wiped(Node node) {
         long before = node.id;
         node.wipe();
-        return after -> leads(after) && !after.leader().raft.isVoter(before) && after.leader().raft.mayChangeMembers();
+        return after -> leads(after)
+                && !after.leader().raft.isVoter(before)
+                && after.leader().raft.mayChangeMembers();
     }
 
     @Test
--- a/src/test/java/tinworks/sim/WireTest.java
+++ b/src/test/java/tinworks/sim/WireTest.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
+/** The earlier simulator's lines. */
 class WireTest {
     private static final String BEGIN = "BEGIN\tgateway=3\tprng=7\taccounts=\tallowed.max_attempts=3"
             + "\tdiscovery=automatic\tgrades.count=1\tgrades.0.aim_ns=600000000\tgrades.0.deadline_ns=3000000000"
@@ -18,9 +19,11 @@
             + "\tobligations.cold_from=0.5\tobligations.drain_grace_ns=250000000\tobligations.overload_factor=2.5"
             + "\tobligations.overload_for_ns=1500000000\tobligations.warm_up_ns=20000000000"
             + "\tresolution_ns=5000000\tzone=a\tunheard_of=1\n";
-    private static final String ONE_SERVER = "POOL\tslot=0\trows_in=1\n"
-            + "ITEM\thost=host-a\tdc=a\tkind=k\tgroup=0\tstatus=1\tcapacity_hint=1\n"
-            + "FLEET\tgateway=3\tscope=3\tepoch=1\tslot=0\n";
+    private static final String ONE_SERVER = """
+                                             POOL\tslot=0\trows_in=1
+                                             ITEM\thost=host-a\tdc=a\tkind=k\tgroup=0\tstatus=1\tcapacity_hint=1
+                                             FLEET\tgateway=3\tscope=3\tepoch=1\tslot=0
+                                             """;
     private static final String ASK = "ASK\tgateway=3\trid=t/1\tband=read\texpires_in_ns=2000000000\n";
 
     private static String batch(int turn, String events) {
@@ -60,10 +63,12 @@
         assertMalformed(batch(1, "ASK\tgateway=x\n"), "line 2: gateway is not a whole number: 'x'");
         assertMalformed("BATCH\ttime_ns=1\n", "line 1: BATCH lacks turn");
         assertMalformed("BATCH\ttime_ns=1\tturn=1\n", "line 1: the input ends within a batch");
-        assertMalformed(batch(1, BEGIN.replace("\tzone=a", "\tzone=a\tgrades.0.late_worth=much")),
+        assertMalformed(
+                batch(1, BEGIN.replace("\tzone=a", "\tzone=a\tgrades.0.late_worth=much")),
                 "line 2: grades.0.late_worth is not a number: 'much'");
         assertMalformed(batch(1, BEGIN.replace("\tdiscovery=automatic", "")), "line 2: the settings lack discovery");
-        assertMalformed(batch(1, BEGIN + "FLEET\tgateway=3\tscope=3\tepoch=1\tslot=4\n"),
+        assertMalformed(
+                batch(1, BEGIN + "FLEET\tgateway=3\tscope=3\tepoch=1\tslot=4\n"),
                 "line 3: FLEET names slot 4, never filled");
     }
 
@@ -77,22 +82,31 @@
             String done = "DONE\tgateway=3\trid=t/1\tsend_no=0\thost=host-a\toutcome=" + code
                     + "\tdelay_seen_ns=5\tload=0.5,0.1\n";
             String input = batch(1, BEGIN + ONE_SERVER) + batch(2, ASK) + batch(3, done);
-            String late = batch(4, "EXPIRED\tgateway=3\trid=t/1\n" + "REMINDER\tgateway=3\tnonce=2\n");
+            String late = batch(4, """
+                                   EXPIRED\tgateway=3\trid=t/1
+                                   REMINDER\tgateway=3\tnonce=2
+                                   """);
             assertEquals(4, lines(answer(input + late), "NEXT").size(), code);
         }
-        assertMalformed(batch(1, BEGIN + ONE_SERVER + ASK + "DONE\tgateway=3\trid=t/1\tsend_no=0\thost=host-a"
-                + "\toutcome=lost\tdelay_seen_ns=5\n"), "line 7: unknown outcome 'lost'");
+        assertMalformed(
+                batch(
+                        1,
+                        BEGIN + ONE_SERVER + ASK + "DONE\tgateway=3\trid=t/1\tsend_no=0\thost=host-a"
+                                + "\toutcome=lost\tdelay_seen_ns=5\n"),
+                "line 7: unknown outcome 'lost'");
     }
 
     @Test
     void streamsProbesAndPeersAreRead() throws IOException {
-        String reply = answer(batch(1, BEGIN + ONE_SERVER + ASK
-                + "STREAMING\tgateway=3\trid=t/1\tsend_no=0\thost=host-a\tdelay_seen_ns=5\n"
-                + "PING_RESULT\tgateway=3\thost=host-a\toutcome=pass\tdelay_seen_ns=5\n"
-                + "WHISPER\tgateway=3\tneighbour=2\tbody=68692037\n"));
+        String reply = answer(batch(
+                1,
+                BEGIN + ONE_SERVER + ASK
+                        + "STREAMING\tgateway=3\trid=t/1\tsend_no=0\thost=host-a\tdelay_seen_ns=5\n"
+                        + "PING_RESULT\tgateway=3\thost=host-a\toutcome=pass\tdelay_seen_ns=5\n"
+                        + "WHISPER\tgateway=3\tneighbour=2\tbody=68692037\n"));
         assertEquals(1, lines(reply, "FORWARD").size());
-        assertMalformed(batch(1, BEGIN + "WHISPER\tgateway=3\tneighbour=2\tbody=6g\n"),
-                "line 3: body is not hex: '6g'");
+        assertMalformed(
+                batch(1, BEGIN + "WHISPER\tgateway=3\tneighbour=2\tbody=6g\n"), "line 3: body is not hex: '6g'");
     }
 
     @Test
@@ -131,14 +145,17 @@
         String alone = answer(batch(1, BEGIN + list) + batch(2, asks.toString()));
         String other = (BEGIN + list).replace("gateway=3", "gateway=4").replace("prng=7", "prng=8");
         String together = answer(batch(1, other + BEGIN + list) + batch(2, both.toString()));
-        assertEquals(alone.lines().filter(l -> l.contains("gateway=3")).toList(),
+        assertEquals(
+                alone.lines().filter(l -> l.contains("gateway=3")).toList(),
                 together.lines().filter(l -> l.contains("gateway=3")).toList());
     }
 
     @Test
     void anExceptionInTheModuleBecomesTheFailureAction() throws IOException {
         String reply = answer(batch(1, BEGIN + ONE_SERVER + ASK.replace("read", "unheard")));
-        assertEquals("GIVE_IN\tgateway=3\tmessage=java.lang.IllegalArgumentException: requestClass: unknown class"
-                + " unheard", lines(reply, "GIVE_IN").get(0));
+        assertEquals(
+                "GIVE_IN\tgateway=3\tmessage=java.lang.IllegalArgumentException: requestClass: unknown class"
+                        + " unheard",
+                lines(reply, "GIVE_IN").get(0));
     }
 }
--- a/src/test/java/tinworks/simulation/Machine.java
+++ b/src/test/java/tinworks/simulation/Machine.java
@@ -5,8 +5,8 @@
 
 /**
  * A machine and the one thread of its process: its steady clock runs a little wrong, it may be frozen, when what comes
- * queues up and time passes on, or slow, when each piece of work takes its time. What was begun in one life of the process
- * is never done in another.
+ * queues up and time passes on, or slow, when each piece of work takes its time. What was begun in one life of the
+ * process is never done in another.
  */
 public final class Machine {
     private static final double CLOCK_ERROR = 200e-6;
@@ -26,7 +26,7 @@
     private long busyUntil;
     private int pending;
 
-    private record Held(long life, Runnable work) { }
+    private record Held(long life, Runnable work) {}
 
     /** A machine without a process yet; the observer looks on after each piece of work. */
     public Machine(World world, String address, Runnable observer) {
--- a/src/test/java/tinworks/simulation/World.java
+++ b/src/test/java/tinworks/simulation/World.java
@@ -14,7 +14,7 @@
     private long now;
     private long order;
 
-    private record Event(long at, long order, Runnable work) { }
+    private record Event(long at, long order, Runnable work) {}
 
     /** A world at time 0. */
     public World(long seed) {
--- a/src/test/java/tinworks/standin/LedgerTest.java
+++ b/src/test/java/tinworks/standin/LedgerTest.java
@@ -4,6 +4,7 @@
 
 import org.junit.jupiter.api.Test;
 
+/** The ledger of what hosts ran. */
 class LedgerTest {
     private final Ledger ledger = new Ledger();
 
--- a/src/test/java/tinworks/standin/StandInTest.java
+++ b/src/test/java/tinworks/standin/StandInTest.java
@@ -22,11 +22,13 @@
 import tinworks.json.Json;
 import tinworks.node.NodeProcess;
 
+/** The stand-ins of hosts and of the platform. */
 @Timeout(value = 30, unit = TimeUnit.SECONDS)
 class StandInTest {
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
-    private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private final HttpClient client =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
     private final Ledger ledger = new Ledger();
 
     @AfterEach
@@ -35,9 +37,12 @@
     }
 
     private StandInHost host(String id, int slots, int queue, double workMillis) {
-        StandInHost host = NodeProcess.call(loop, () -> new StandInHost(loop,
-                new StandInHost.Nature(id, "s", "z", slots, queue, workMillis, 1, 0), 7, ledger));
-        NodeProcess.call(loop, () -> host.listen(new InetSocketAddress("127.0.0.1", 0))).syncUninterruptibly();
+        StandInHost host = NodeProcess.call(
+                loop,
+                () -> new StandInHost(
+                        loop, new StandInHost.Nature(id, "s", "z", slots, queue, workMillis, 1, 0), 7, ledger));
+        NodeProcess.call(loop, () -> host.listen(new InetSocketAddress("127.0.0.1", 0)))
+                .syncUninterruptibly();
         return host;
     }
 
@@ -46,7 +51,8 @@
             ledger.sent(id, true);
             return true;
         });
-        HttpRequest.Builder request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + host.address().getPort() + "/p/1"))
+        HttpRequest.Builder request = HttpRequest.newBuilder(
+                        URI.create("http://127.0.0.1:" + host.address().getPort() + "/p/1"))
                 .header("Attempt-Id", id);
         for (int i = 0; i < headers.length; i += 2) {
             request.header(headers[i], headers[i + 1]);
@@ -73,29 +79,36 @@
         for (int i = 0; i < 5; i++) {
             calls.add(ask(host, "r" + i + "-1"));
         }
-        List<Integer> statuses = calls.stream().map(call -> call.join().statusCode()).sorted().toList();
+        List<Integer> statuses =
+                calls.stream().map(call -> call.join().statusCode()).sorted().toList();
         assertEquals(List.of(200, 200, 503, 503, 503), statuses);
-        assertTrue(calls.stream().filter(call -> call.join().statusCode() == 503)
+        assertTrue(calls.stream()
+                .filter(call -> call.join().statusCode() == 503)
                 .allMatch(call -> call.join().headers().firstValue("Not-Run").isPresent()));
     }
 
     @Test
     void workStopsAtTheDeadlineWithoutAStamp() {
-        HttpResponse<String> late = ask(host("i-1", 1, 1, 60_000), "a-1", "Deadline-Ms", "30").join();
+        HttpResponse<String> late =
+                ask(host("i-1", 1, 1, 60_000), "a-1", "Deadline-Ms", "30").join();
         assertEquals(504, late.statusCode());
         assertFalse(late.headers().firstValue("Origin-Seal").isPresent());
         assertFalse(late.headers().firstValue("Not-Run").isPresent(), "it has run");
     }
 
     private HttpResponse<String> page(StandInPlatform<StandInHost> platform, String cursor) throws Exception {
-        return client.send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + platform.address().getPort() + "/hosts" + cursor))
-                .build(), HttpResponse.BodyHandlers.ofString());
+        return client.send(
+                HttpRequest.newBuilder(URI.create(
+                                "http://127.0.0.1:" + platform.address().getPort() + "/hosts" + cursor))
+                        .build(),
+                HttpResponse.BodyHandlers.ofString());
     }
 
     @Test
     void theListComesInPagesAfterItsLagAndWithinItsRate() throws Exception {
         StandInPlatform<StandInHost> platform = NodeProcess.call(loop, () -> new StandInPlatform<>(loop, 50, 30));
-        NodeProcess.call(loop, () -> platform.listen(new InetSocketAddress("127.0.0.1", 0))).syncUninterruptibly();
+        NodeProcess.call(loop, () -> platform.listen(new InetSocketAddress("127.0.0.1", 0)))
+                .syncUninterruptibly();
         List<StandInHost> hosts = new ArrayList<>();
         for (int i = 0; i < 60; i++) {
             hosts.add(host("i-" + i, 1, 1, 1));
@@ -110,7 +123,8 @@
             first = Json.read(page(platform, "").body());
         }
         assertEquals(50, first.field("hosts").entries().size());
-        Json second = Json.read(page(platform, "?cursor=" + first.field("nextCursor").text()).body());
+        Json second = Json.read(
+                page(platform, "?cursor=" + first.field("nextCursor").text()).body());
         assertEquals(10, second.field("hosts").entries().size());
         assertEquals(null, second.field("nextCursor").value());
         assertEquals(400, page(platform, "?cursor=x").statusCode());
--- a/src/test/java/tinworks/store/CoreStoreTest.java
+++ b/src/test/java/tinworks/store/CoreStoreTest.java
@@ -20,6 +20,7 @@
 import tinworks.raft.Snapshot;
 import tinworks.raft.Stored;
 
+/** What a core machine keeps on its disk comes back after a restart. */
 class CoreStoreTest {
     @TempDir
     private Path folder;
@@ -60,8 +61,8 @@
     }
 
     /**
-     * After power is lost, writes since the last sync may be there in part: what was synced before must be whole. A chunk's
-     * footer is written once all before it is synced, so some of the chunk is missing, or some of its footer.
+     * After power is lost, writes since the last sync may be there in part: what was synced before must be whole. A
+     * chunk's footer is written once all before it is synced, so some of the chunk is missing, or some of its footer.
      */
     @Test
     void tornWritesBehindTheLastSyncLeaveWhatWasSynced() throws Exception {
@@ -69,7 +70,8 @@
         store.found(42, HardState.NONE, Snapshot.NONE);
         store.write(output(new HardState(1, 1), null, 1, entry(1, 1)));
         byte[] synced = Files.readAllBytes(folder.resolve("state.mv"));
-        store.write(output(new HardState(2, 2), null, 2, entry(2, 2), new Entry(3, 2, Entry.Kind.COMMAND, new byte[9_000])));
+        store.write(output(
+                new HardState(2, 2), null, 2, entry(2, 2), new Entry(3, 2, Entry.Kind.COMMAND, new byte[9_000])));
         byte[] later = Files.readAllBytes(folder.resolve("state.mv"));
         assertArrayEquals(synced, Arrays.copyOf(later, synced.length), "what was synced is written over");
         SplittableRandom random = new SplittableRandom(5);
--- a/src/test/java/tinworks/store/CrashTest.java
+++ b/src/test/java/tinworks/store/CrashTest.java
@@ -28,6 +28,7 @@
     private static final int WRITES = 14;
     /** So little that a file is written anew within a few writes. */
     private static final long SPARE_BYTES = 60_000;
+
     private static final Snapshot FIRST = new Snapshot(0, 0, List.of(new Member(ID, "10.0.0.1:7")), new byte[0]);
 
     /** A machine's days: what it was told to write, what was acknowledged, and what must be on its disk. */
@@ -36,6 +37,7 @@
         private final SimulatedDisk disk;
         /** What the store holds after each write. */
         private final List<Stored> states = new ArrayList<>();
+
         private CoreStore store;
         private int synced;
 
@@ -83,7 +85,9 @@
                 Snapshot snapshot = new Snapshot(upTo.index(), upTo.term(), FIRST.members(), bytes());
                 return new Output(1, hard, snapshot, 0, List.of(), last, List.of(), null, List.of(), List.of());
             }
-            long from = entries.isEmpty() || random.nextInt(4) > 0 ? last + 1 : entries.get(entries.size() - 1).index();
+            long from = entries.isEmpty() || random.nextInt(4) > 0
+                    ? last + 1
+                    : entries.get(entries.size() - 1).index();
             List<Entry> more = new ArrayList<>();
             for (int i = 0; i <= random.nextInt(2); i++) {
                 more.add(new Entry(from + i, 1 + states.size(), Entry.Kind.COMMAND, bytes()));
@@ -139,8 +143,10 @@
     }
 
     private static boolean same(Stored one, Stored other) {
-        return one.hard().equals(other.hard()) && one.entries().equals(other.entries())
-                && one.snapshot().index() == other.snapshot().index() && one.snapshot().term() == other.snapshot().term()
+        return one.hard().equals(other.hard())
+                && one.entries().equals(other.entries())
+                && one.snapshot().index() == other.snapshot().index()
+                && one.snapshot().term() == other.snapshot().term()
                 && one.snapshot().members().equals(other.snapshot().members())
                 && Arrays.equals(one.snapshot().state(), other.snapshot().state());
     }
@@ -252,7 +258,7 @@
                 }
             });
             assertThrows(OutOfMemoryError.class, () -> machine.write(4));
-            machine.disk.onSync(() -> { });
+            machine.disk.onSync(() -> {});
             machine.disk.crash();
             machine.comeBack("after an error at sync " + sync);
             assertTrue(machine.write(1));
--- a/src/test/java/tinworks/store/DamageTest.java
+++ b/src/test/java/tinworks/store/DamageTest.java
@@ -26,11 +26,15 @@
 /** A file whose bytes were changed or lost on the disk is found out, or read as it was. */
 class DamageTest {
     private static final String FILE = "state.mv";
-    private static final int WRITES = 16, ROUNDS = 3_000, SECTOR = 512, HEADER = 8_192, FOOTER = 128;
-    private static final MVMap.Builder<Long, byte[]> LOG = new MVMap.Builder<Long, byte[]>().keyType(LongDataType.INSTANCE)
-            .valueType(ByteArrayDataType.INSTANCE);
-    private static final MVMap.Builder<String, byte[]> META = new MVMap.Builder<String, byte[]>()
-            .keyType(StringDataType.INSTANCE).valueType(ByteArrayDataType.INSTANCE);
+    private static final int WRITES = 16;
+    private static final int ROUNDS = 3_000;
+    private static final int SECTOR = 512;
+    private static final int HEADER = 8_192;
+    private static final int FOOTER = 128;
+    private static final MVMap.Builder<Long, byte[]> LOG =
+            new MVMap.Builder<Long, byte[]>().keyType(LongDataType.INSTANCE).valueType(ByteArrayDataType.INSTANCE);
+    private static final MVMap.Builder<String, byte[]> META =
+            new MVMap.Builder<String, byte[]>().keyType(StringDataType.INSTANCE).valueType(ByteArrayDataType.INSTANCE);
 
     private final List<String> states = new ArrayList<>();
 
@@ -44,16 +48,25 @@
             byte[] body = new byte[random.nextInt(3_000)];
             random.nextBytes(body);
             Snapshot snapshot = i % 7 == 0 ? new Snapshot(i - 2, 1, List.of(), body) : null;
-            store.write(new Output(1, new HardState(i, i), snapshot, i, List.of(new Entry(i, i, Entry.Kind.COMMAND, body)), i,
-                    List.of(), null, List.of(), List.of()));
+            store.write(new Output(
+                    1,
+                    new HardState(i, i),
+                    snapshot,
+                    i,
+                    List.of(new Entry(i, i, Entry.Kind.COMMAND, body)),
+                    i,
+                    List.of(),
+                    null,
+                    List.of(),
+                    List.of()));
             states.add(describe(store.load()));
         }
         return disk.read(FILE);
     }
 
     private static String describe(Stored stored) {
-        return stored.hard() + " " + stored.snapshot().index() + " " + Arrays.hashCode(stored.snapshot().state()) + " "
-                + stored.entries();
+        return stored.hard() + " " + stored.snapshot().index() + " "
+                + Arrays.hashCode(stored.snapshot().state()) + " " + stored.entries();
     }
 
     /** What a damaged file is read as: the number of the state, or -1 where it is found out. */
@@ -130,13 +143,24 @@
         byte[] before = disk.read(FILE);
         for (int i = 1; i <= 300; i++) {
             Snapshot snapshot = i % 5 == 0 ? new Snapshot(i - 1, 1, List.of(), new byte[6_000]) : null;
-            store.write(new Output(1, null, snapshot, i, List.of(new Entry(i, 1, Entry.Kind.COMMAND, new byte[6_000])), i,
-                    List.of(), null, List.of(), List.of()));
+            store.write(new Output(
+                    1,
+                    null,
+                    snapshot,
+                    i,
+                    List.of(new Entry(i, 1, Entry.Kind.COMMAND, new byte[6_000])),
+                    i,
+                    List.of(),
+                    null,
+                    List.of(),
+                    List.of()));
             if (i % 50 == 0) {
                 store.reopen();
             }
             byte[] after = disk.read(FILE);
-            assertArrayEquals(Arrays.copyOfRange(before, HEADER, before.length), Arrays.copyOfRange(after, HEADER, before.length),
+            assertArrayEquals(
+                    Arrays.copyOfRange(before, HEADER, before.length),
+                    Arrays.copyOfRange(after, HEADER, before.length),
                     "write " + i);
             before = after;
         }
@@ -155,7 +179,10 @@
         for (int i = 0; i < changes.size(); i++) {
             SimulatedDisk disk = new SimulatedDisk(7);
             disk.put(FILE, whole);
-            MVStore store = new MVStore.Builder().fileName(OrderedFile.path(disk.folder().path(FILE))).autoCommitDisabled().open();
+            MVStore store = new MVStore.Builder()
+                    .fileName(OrderedFile.path(disk.folder().path(FILE)))
+                    .autoCommitDisabled()
+                    .open();
             store.getFileStore().setReuseSpace(false);
             changes.get(i).accept(store.openMap("log", LOG), store.openMap("meta", META));
             store.commit();
--- a/src/test/java/tinworks/store/DiskUseTest.java
+++ b/src/test/java/tinworks/store/DiskUseTest.java
@@ -17,16 +17,21 @@
 import tinworks.raft.Snapshot;
 import tinworks.raft.Stored;
 
-/** How much of a real disk a store takes, and how long it takes to open, after many changes of a large configuration. */
+/**
+ * How much of a real disk a store takes, and how long it takes to open, after many changes of a large configuration.
+ */
 class DiskUseTest {
-    private static final int WRITES = 200, BODY_BYTES = 204_000, KEPT = 20;
-    private static final long MOST_BYTES = 40 << 20, SLOWEST_OPENING_MILLIS = 2_000;
+    private static final int WRITES = 200;
+    private static final int BODY_BYTES = 204_000;
+    private static final int KEPT = 20;
+    private static final long MOST_BYTES = 40 << 20;
+    private static final long SLOWEST_OPENING_MILLIS = 2_000;
 
     @TempDir
     private Path folder;
 
     /** What one run came to. */
-    private record Figures(long mostBytes, long lastBytes, long slowestWriteMillis, long openingMillis, Stored found) { }
+    private record Figures(long mostBytes, long lastBytes, long slowestWriteMillis, long openingMillis, Stored found) {}
 
     private static Figures run(Path folder, int writes, int bodyBytes, int kept) throws IOException, CoreStore.Damaged {
         CoreStore store = CoreStore.open(folder);
@@ -82,8 +87,10 @@
 
     /** By hand, for figures: folder, writes, bytes of each, entries kept before a snapshot. */
     public static void main(String[] args) throws Exception {
-        Figures figures = run(Path.of(args[0]), Integer.parseInt(args[1]), Integer.parseInt(args[2]), Integer.parseInt(args[3]));
-        System.out.printf("at most %d MB, in the end %d MB, slowest write %d ms, opening %d ms%n", figures.mostBytes >> 20,
-                figures.lastBytes >> 20, figures.slowestWriteMillis, figures.openingMillis);
+        Figures figures =
+                run(Path.of(args[0]), Integer.parseInt(args[1]), Integer.parseInt(args[2]), Integer.parseInt(args[3]));
+        System.out.printf(
+                "at most %d MB, in the end %d MB, slowest write %d ms, opening %d ms%n",
+                figures.mostBytes >> 20, figures.lastBytes >> 20, figures.slowestWriteMillis, figures.openingMillis);
     }
 }
--- a/src/test/java/tinworks/store/SimulatedDisk.java
+++ b/src/test/java/tinworks/store/SimulatedDisk.java
@@ -21,14 +21,16 @@
 /**
  * The disk of one machine in memory, seeded, which {@link CoreStore} runs on through MVStore. After a loss of power a
  * file holds what its last sync covered; of what was written since, each write is there, missing or torn by itself, and
- * at some losses none is. A file that was made, renamed or removed since the folder's last sync is kept or lost by itself.
+ * at some losses none is. A file that was made, renamed or removed since the folder's last sync is kept or lost by
+ * itself.
  *
- * <p>What was opened before a {@link #crash}, {@link #powerLoss} or {@link #wipe} is of a process that is gone: all that
- * it still does fails and changes nothing.
+ * <p>What was opened before a {@link #crash}, {@link #powerLoss} or {@link #wipe} is of a process that is gone: all
+ * that it still does fails and changes nothing.
  */
 public final class SimulatedDisk {
     /** Where the simulation's own file system hangs in MVStore's. */
     private static final String SCHEME = "simdisk";
+
     private static final int SECTOR = 512;
     private static final Map<Long, WeakReference<SimulatedDisk>> DISKS = new ConcurrentHashMap<>();
     private static final AtomicLong NEXT = new AtomicLong();
@@ -51,7 +53,7 @@
     private final SplittableRandom random;
     private final Map<String, Contents> names = new TreeMap<>();
     private final Map<String, Contents> syncedNames = new TreeMap<>();
-    private Runnable onSync = () -> { };
+    private Runnable onSync = () -> {};
     private Set<Sync> left = EnumSet.noneOf(Sync.class);
     private int life;
     private long operations;
@@ -92,14 +94,16 @@
         for (String name : all.keySet()) {
             Contents was = syncedNames.get(name);
             Contents is = names.get(name);
-            Contents chosen = was == is || !noneKept && random.nextBoolean() ? is : was;
+            Contents chosen = was == is || (!noneKept && random.nextBoolean()) ? is : was;
             if (chosen != null) {
                 kept.put(name, chosen);
             }
         }
         // A renamed file has its old name, its new one or none, but never both.
-        kept.entrySet().removeIf(old -> names.get(old.getKey()) != old.getValue()
-                && kept.entrySet().stream().anyMatch(other -> other != old && other.getValue() == old.getValue()));
+        kept.entrySet()
+                .removeIf(old -> names.get(old.getKey()) != old.getValue()
+                        && kept.entrySet().stream()
+                                .anyMatch(other -> other != old && other.getValue() == old.getValue()));
         return kept;
     }
 
@@ -129,8 +133,8 @@
     }
 
     /**
-     * Lets this many more operations (writes, cuts, syncs and changes of names) through. All later ones fail, as they come
-     * too late for the {@link #powerLoss} that the caller then makes.
+     * Lets this many more operations (writes, cuts, syncs and changes of names) through. All later ones fail, as they
+     * come too late for the {@link #powerLoss} that the caller then makes.
      */
     public synchronized void stopAfter(long more) {
         passing = more;
@@ -228,7 +232,7 @@
         hook.run();
     }
 
-    private record Written(int at, byte[] bytes) { }
+    private record Written(int at, byte[] bytes) {}
 
     /** A file; a {@link Written} without bytes cut it to a length. */
     private static final class Contents {
@@ -266,7 +270,8 @@
                 }
                 return;
             }
-            synced = Arrays.copyOf(synced, Math.max(synced.length, grown(synced.length, write.at + write.bytes.length)));
+            synced =
+                    Arrays.copyOf(synced, Math.max(synced.length, grown(synced.length, write.at + write.bytes.length)));
             System.arraycopy(write.bytes, 0, synced, write.at, write.bytes.length);
             syncedLength = Math.max(syncedLength, write.at + write.bytes.length);
         }
@@ -301,7 +306,8 @@
             }
             for (int from = 0; from < write.bytes.length; from += SECTOR) {
                 if (random.nextBoolean()) {
-                    settle(new Written(write.at + from,
+                    settle(new Written(
+                            write.at + from,
                             Arrays.copyOfRange(write.bytes, from, Math.min(write.bytes.length, from + SECTOR))));
                 }
             }
@@ -312,7 +318,7 @@
         private final int born = life;
 
         @Override
-        public void make() { }
+        public void make() {}
 
         @Override
         public String path(String file) {
@@ -401,6 +407,7 @@
             }
         }
 
+        @SuppressWarnings("UnsynchronizedOverridesSynchronized") // Guarded otherwise: no shared position is moved.
         @Override
         public int read(ByteBuffer into, long position) throws IOException {
             synchronized (SimulatedDisk.this) {
@@ -414,6 +421,7 @@
             }
         }
 
+        @SuppressWarnings("UnsynchronizedOverridesSynchronized") // Guarded otherwise: no shared position is moved.
         @Override
         public int write(ByteBuffer from, long position) throws IOException {
             synchronized (SimulatedDisk.this) {
@@ -474,7 +482,7 @@
                 }
 
                 @Override
-                public void release() { }
+                public void release() {}
             };
         }
     }
--- a/src/test/java/tinworks/store/SimulatedDiskTest.java
+++ b/src/test/java/tinworks/store/SimulatedDiskTest.java
@@ -18,8 +18,11 @@
 import tinworks.raft.Output;
 import tinworks.raft.Snapshot;
 
+/** The simulated disk keeps and loses what the real one may. */
 class SimulatedDiskTest {
-    private static final int DAYS = 40, LIVES = 6, WRITES = 20;
+    private static final int DAYS = 40;
+    private static final int LIVES = 6;
+    private static final int WRITES = 20;
 
     private static FileChannel open(SimulatedDisk disk, String name) throws IOException {
         return FilePath.get(disk.folder().path(name)).open("rw");
@@ -30,7 +33,9 @@
     }
 
     private static String left(SimulatedDisk disk, String name) {
-        return disk.files().contains(name) ? new String(disk.read(name), StandardCharsets.UTF_8).replace('\0', '.') : "none";
+        return disk.files().contains(name)
+                ? new String(disk.read(name), StandardCharsets.UTF_8).replace('\0', '.')
+                : "none";
     }
 
     @Test
@@ -66,7 +71,8 @@
             disk.powerLoss();
             seen.add(left(disk, "old") + " " + left(disk, "aside") + " " + left(disk, "new"));
         }
-        assertEquals(Set.of("o none none", "o none n", "none o none", "none o n", "none none none", "none none n"), seen);
+        assertEquals(
+                Set.of("o none none", "o none n", "none o none", "none o n", "none none none", "none none n"), seen);
     }
 
     @Test
@@ -84,8 +90,17 @@
                 assertEquals(index, store.load().entries().size());
                 for (int i = 0; i < WRITES; i++) {
                     index++;
-                    store.write(new Output(1, null, null, index, List.of(new Entry(index, 1, Entry.Kind.COMMAND, new byte[300])),
-                            index, List.of(), null, List.of(), List.of()));
+                    store.write(new Output(
+                            1,
+                            null,
+                            null,
+                            index,
+                            List.of(new Entry(index, 1, Entry.Kind.COMMAND, new byte[300])),
+                            index,
+                            List.of(),
+                            null,
+                            List.of(),
+                            List.of()));
                 }
                 disk.powerLoss();
             }
--- a/src/test/java/tinworks/system/WholeSystemTest.java
+++ b/src/test/java/tinworks/system/WholeSystemTest.java
@@ -39,6 +39,7 @@
 
     @TempDir
     private Path disks;
+
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private final List<CoreNode> cores = new ArrayList<>();
@@ -54,13 +55,21 @@
     void start() throws Exception {
         platform = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 0);
         host = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 0);
-        platform.createContext("/hosts", call -> answer(call, "{\"hosts\":[{\"svc\":\"s\",\"addr\":\"127.0.0.1:"
-                + host.getAddress().getPort() + "\",\"az\":\"z\",\"slots\":3,\"status\":\"ready\",\"warmupMs\":0,\"id\":\"i-1\"}],"
-                + "\"nextCursor\":null}"));
+        platform.createContext(
+                "/hosts",
+                call -> answer(
+                        call,
+                        "{\"hosts\":[{\"svc\":\"s\",\"addr\":\"127.0.0.1:"
+                                + host.getAddress().getPort()
+                                + "\",\"az\":\"z\",\"slots\":3,\"status\":\"ready\",\"warmupMs\":0,\"id\":\"i-1\"}],"
+                                + "\"nextCursor\":null}"));
         host.createContext("/", call -> {
             call.getResponseHeaders().add("Origin-Seal", "seal");
             call.getResponseHeaders().add("Attempt-Id", call.getRequestHeaders().getFirst("Attempt-Id"));
-            answer(call, "ran " + call.getRequestURI() + " for " + call.getRequestHeaders().getFirst("Want-Host"));
+            answer(
+                    call,
+                    "ran " + call.getRequestURI() + " for "
+                            + call.getRequestHeaders().getFirst("Want-Host"));
         });
         platform.start();
         host.start();
@@ -76,14 +85,17 @@
         for (int i = 0; i < 3; i++) {
             CoreStore store = CoreStore.open(disks.resolve("core" + i));
             store.found(i + 1, HardState.NONE, new Snapshot(0, 0, voters, new byte[0]));
-            long id = i + 1;
+            long id = i + 1L;
             BootSettings settings = settings("core-" + i, ip(i));
             CoreNode core = on(() -> new CoreNode(loop, settings, store, id, store.load()));
             cores.add(core);
-            on(core::start).forEach(bound -> assertTrue(bound.awaitUninterruptibly().isSuccess(), String.valueOf(bound.cause())));
+            on(core::start)
+                    .forEach(bound ->
+                            assertTrue(bound.awaitUninterruptibly().isSuccess(), String.valueOf(bound.cause())));
         }
         edge = on(() -> new EdgeNode(loop, new GatewayClock(), settings("edge-1", "127.0.0.9"), 77));
-        on(edge::start).forEach(bound -> assertTrue(bound.awaitUninterruptibly().isSuccess(), String.valueOf(bound.cause())));
+        on(edge::start)
+                .forEach(bound -> assertTrue(bound.awaitUninterruptibly().isSuccess(), String.valueOf(bound.cause())));
     }
 
     @AfterEach
@@ -105,9 +117,19 @@
     }
 
     private BootSettings settings(String node, String ip) {
-        return new BootSettings(node, "z", new InetSocketAddress(ip, http), new InetSocketAddress(ip, readyz),
-                new InetSocketAddress(ip, ctl), new InetSocketAddress(ip, inner),
-                List.of(ip(0) + ":" + inner, ip(1) + ":" + inner, ip(2) + ":" + inner), true, 1_000, null, 1, 6_000,
+        return new BootSettings(
+                node,
+                "z",
+                new InetSocketAddress(ip, http),
+                new InetSocketAddress(ip, readyz),
+                new InetSocketAddress(ip, ctl),
+                new InetSocketAddress(ip, inner),
+                List.of(ip(0) + ":" + inner, ip(1) + ":" + inner, ip(2) + ":" + inner),
+                true,
+                1_000,
+                null,
+                1,
+                6_000,
                 platform.getAddress());
     }
 
@@ -128,8 +150,9 @@
         try (Socket socket = new Socket()) {
             socket.connect(new InetSocketAddress(ip, port), 2_000);
             socket.setSoTimeout(5_000);
-            socket.getOutputStream().write((head + "\r\nConnection: close\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
-                    .getBytes(StandardCharsets.UTF_8));
+            socket.getOutputStream()
+                    .write((head + "\r\nConnection: close\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
+                            .getBytes(StandardCharsets.UTF_8));
             return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
         } catch (IOException e) {
             return "";
@@ -154,7 +177,11 @@
     }
 
     private String ask(String path, String id) throws IOException {
-        return call("127.0.0.9", http, "POST " + path + " HTTP/1.1\r\nHost: x.example\r\nDeadline-Ms: 3000\r\nAttempt-Id: " + id, "");
+        return call(
+                "127.0.0.9",
+                http,
+                "POST " + path + " HTTP/1.1\r\nHost: x.example\r\nDeadline-Ms: 3000\r\nAttempt-Id: " + id,
+                "");
     }
 
     private static boolean is(String answer, int status) {
@@ -166,7 +193,9 @@
         assertTrue(is(ask("/p/1", "a0"), 503), "without a configuration nothing is said of routes");
         await("the first configuration is taken", () -> is(replace(0, 0, configuration(2, "/p/")), 200));
         await("the edge is ready", () -> is(call("127.0.0.9", readyz, "GET /-/readyz HTTP/1.1\r\nHost: e", ""), 200));
-        await("a request is served", () -> ask("/p/1?x=1", "a" + System.nanoTime()).endsWith("ran /p/1?x=1 for i-1"));
+        await(
+                "a request is served",
+                () -> ask("/p/1?x=1", "a" + System.nanoTime()).endsWith("ran /p/1?x=1 for i-1"));
         assertTrue(is(ask("/q/1", "a2"), 404));
         String edgeMetrics = call("127.0.0.9", readyz, "GET /-/metrics HTTP/1.1\r\nHost: e", "");
         assertTrue(edgeMetrics.contains("tinworks_configuration_version 2.0"), edgeMetrics);
@@ -177,8 +206,9 @@
         assertTrue(is(replace(1, 1, configuration(3, "/p/")), 412), "built on a version that is not current");
         assertTrue(is(replace(2, 0, configuration(2, "/p/")), 200), "the same call again, elsewhere");
 
-        await("the lease vouches for what a core machine tells", () ->
-                call(ip(1), ctl, "GET /-/status HTTP/1.1\r\nHost: c", "").contains("\"fresh\":true")
+        await(
+                "the lease vouches for what a core machine tells",
+                () -> call(ip(1), ctl, "GET /-/status HTTP/1.1\r\nHost: c", "").contains("\"fresh\":true")
                         && is(call(ip(1), ctl, "GET /-/readyz HTTP/1.1\r\nHost: c", ""), 200));
 
         int leader = -1;
