--- a/src/main/java/tinworks/Main.java
+++ b/src/main/java/tinworks/Main.java
@@ -8,7 +8,8 @@
 import tinworks.edge.Edge;
 import tinworks.net.Server;
 import tinworks.node.NodeProcess;
-import tinworks.sim.Wire;
+import tinworks.sim.MalformedInput;
+import tinworks.sim.SimulatorAdapter;
 
 /**
  * The command line: {@code edge} and {@code core} are the system's processes, {@code serve} is the gateway of the
@@ -28,7 +29,7 @@
                 case "edge" -> Edge.run(NodeProcess.start(System.getenv()));
                 case "core" -> Core.run(NodeProcess.start(System.getenv()));
                 case "serve" -> Server.serve(System.getenv());
-                case "simhost" -> new Wire(System.in, System.out).run();
+                case "simhost" -> new SimulatorAdapter(System.in, System.out).run();
                 // Not at the platform's commands: the library that reads arguments costs a start too much.
                 default ->
                     System.exit(CommandLineTool.run(
@@ -36,7 +37,7 @@
                             new PrintWriter(System.err, true, StandardCharsets.UTF_8),
                             args));
             }
-        } catch (Wire.MalformedInput | IllegalArgumentException e) {
+        } catch (MalformedInput | IllegalArgumentException e) {
             fail(e.getMessage());
         } catch (IOException e) {
             fail("cannot read or write the wire: " + e.getMessage());
--- a/src/test/java/tinworks/sim/WireTest.java
+++ b/src/test/java/tinworks/sim/SimulatorAdapterTest.java
@@ -12,7 +12,7 @@
 import org.junit.jupiter.api.Test;
 
 /** The earlier simulator's lines. */
-class WireTest {
+class SimulatorAdapterTest {
     private static final String BEGIN = "BEGIN\tgateway=3\tprng=7\taccounts=\tallowed.max_attempts=3"
             + "\tdiscovery=automatic\tgrades.count=1\tgrades.0.aim_ns=600000000\tgrades.0.deadline_ns=3000000000"
             + "\tgrades.0.name=read\tgrades.0.semantics=safe\tgroup_size=2\tmy_number=0"
@@ -32,12 +32,12 @@
 
     private static String answer(String input) throws IOException {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
-        new Wire(new ByteArrayInputStream(input.getBytes(StandardCharsets.UTF_8)), out).run();
+        new SimulatorAdapter(new ByteArrayInputStream(input.getBytes(StandardCharsets.UTF_8)), out).run();
         return out.toString(StandardCharsets.UTF_8);
     }
 
     private static void assertMalformed(String input, String message) {
-        Wire.MalformedInput e = assertThrows(Wire.MalformedInput.class, () -> answer(input));
+        MalformedInput e = assertThrows(MalformedInput.class, () -> answer(input));
         assertEquals(message, e.getMessage());
     }
 
