Count a dead voter's silence across changes of leaders

Each leader counted a voter's 2.5 s of silence from the beginning of its own term (Raft.lead sets heardAt); a full disk changed the leader within that, so the dead voter still had its place 4 s after its successor's start, and the closing fault left two of five.

Core machines announce themselves to each other once a second; each now notes when it last heard each other one. A voter that doesn't answer the leader for 500 ms counts as silent for as long as nothing was heard of it (VoterPlan.silentMillis). Raft is unchanged.

--- a/src/main/java/tinworks/control/CoreMachine.java
+++ b/src/main/java/tinworks/control/CoreMachine.java
@@ -77,6 +77,7 @@
     private static final long PULL_AGAIN_MILLIS = 400;
     private static final long PLAN_MILLIS = 250;
     private static final long LOST_MILLIS = 3_000;
+    private static final long FORGET_MILLIS = 60_000;
 
     private final Identity self;
     private final long id;
@@ -90,6 +91,10 @@
     /** When each that is about to end said so. */
     private final Map<Long, Long> leaves = new HashMap<>();
 
+    /** When this machine last heard each other core machine, whoever led. */
+    private final Map<Long, Long> heardAt = new HashMap<>();
+
+    private final long startedAt;
     private final Set<String> announced = new HashSet<>();
     /** The term of the leader that told of {@link #announced}. */
     private long announcedTerm;
@@ -124,6 +129,7 @@
         id = self.id();
         long now = around.millis();
         raft = new Raft(id, stored, TIMING, id ^ now, now);
+        startedAt = now;
         touchedAt = now;
         plan = new VoterPlan(self.losses());
         agreement = new Agreement(raft, disk, around::millis, this);
@@ -247,6 +253,7 @@
 
     private void planVoters(long now) {
         leaves.values().removeIf(at -> now - at > LEAVE_MILLIS);
+        heardAt.values().removeIf(at -> now - at > FORGET_MILLIS);
         if (raft.role() != Raft.Role.LEADER) {
             joins.clear();
             return;
@@ -261,7 +268,7 @@
             seen.add(new VoterPlan.Seen(
                     p.member(),
                     p.caughtUp(),
-                    now - p.heardAt(),
+                    silentMillis(p, now),
                     leaves.containsKey(p.member().id())));
         }
         if (raft.mayChangeMembers()) {
@@ -275,6 +282,12 @@
         agreement.pump();
     }
 
+    private long silentMillis(Progress p, long now) {
+        // Of one that isn't remembered nothing was heard for longer than that, or since the start.
+        long lastHeardAt = heardAt.getOrDefault(p.member().id(), startedAt);
+        return VoterPlan.silentMillis(now - p.heardAt(), now - lastHeardAt);
+    }
+
     // ---- what it tells
 
     @Override
@@ -356,6 +369,9 @@
 
     @Override
     public void received(Conversation from, Signal signal) {
+        if (from.peer().part() == Part.CORE) {
+            heardAt.put(from.peer().id(), around.millis());
+        }
         if (signal instanceof Signal.Agreement s) {
             if (s.to() == id) {
                 agreement.receive(s.from(), s.message());
--- a/src/main/java/tinworks/control/VoterPlan.java
+++ b/src/main/java/tinworks/control/VoterPlan.java
@@ -43,6 +43,18 @@
         wanted = 2 * losses + 1;
     }
 
+    /**
+     * For how long a member counts as silent. Guards against each new leader counting a dead voter's silence anew; and
+     * against a leader that was frozen or cut off and has heard nobody: it waits for an answer first.
+     *
+     * @param unanswered for how long it hasn't answered the leader, from the beginning of the term at most
+     * @param unheard for how long the leader's machine has heard nothing of it, whoever led
+     */
+    static long silentMillis(long unanswered, long unheard) {
+        boolean gone = unanswered > ANSWER_MILLIS && unheard > GONE_MILLIS;
+        return gone ? Math.max(unanswered, unheard) : unanswered;
+    }
+
     /**
      * The voters that there should be instead, or nothing where they are well.
      *
--- a/src/test/java/tinworks/control/ScriptedDaysTest.java
+++ b/src/test/java/tinworks/control/ScriptedDaysTest.java
@@ -80,6 +80,16 @@
         play(5, OFTEN, "5000 lose m4 0 2300\n5400 cut m2 3000 0", Closing.WIPE_SOME_POWER_ALL);
     }
 
+    /** Found as seed 30254: each leader counted the silence of a dead voter anew. */
+    @Test
+    void aLostLeadersPlaceIsFilledThoughTheNextOnesDiskIsFull() {
+        play(5, OFTEN, """
+                5000 lose leader 0 1190
+                7400 full leader 2500 0
+                10200 wipe leader 500 0
+                10201 wipe other 500 0""", Closing.NONE);
+    }
+
     /** 4: members that start again in the middle of hundreds of changes catch up, also on a snapshot. */
     @ParameterizedTest
     @ValueSource(ints = {3, 4})
--- a/src/test/java/tinworks/control/VoterPlanTest.java
+++ b/src/test/java/tinworks/control/VoterPlanTest.java
@@ -186,6 +186,16 @@
                 five.next(now + 2_000, A.id(), next, List.of(alive(B), alive(C), silentSince, alive(E), alive(f))));
     }
 
+    @Test
+    void aVoterIsSilentForAsLongAsNothingWasHeardOfItOnceItDoesNotAnswer() {
+        long answered = VoterPlan.ANSWER_MILLIS;
+        long gone = VoterPlan.GONE_MILLIS + 1;
+        assertEquals(gone, VoterPlan.silentMillis(answered + 1, gone));
+        assertEquals(answered, VoterPlan.silentMillis(answered, gone), "the leader itself may have stood still");
+        assertEquals(answered + 1, VoterPlan.silentMillis(answered + 1, gone - 1));
+        assertEquals(gone + 1, VoterPlan.silentMillis(gone + 1, 0), "its disk stalls, though it says something");
+    }
+
     @Test
     void oneThatWasLetGoReplacesALostDiskAtOnceAndASilentVoterAfterItsRest() {
         assertEquals(Optional.of(List.of(A, B, D)), next(List.of(A, B, C), alive(B), silent(C), alive(D)));
