Let EdgeEndTest come to where an edge calls requests off, and fail if it does

Before the signal the test now waits until an overdue idem request has been called off and sent elsewhere, so that it can't pass where nothing is. Requests from before the signal are asked anew if they took longer than their aim, since what is overdue by then may rightly go elsewhere.

--- a/src/test/java/tinworks/edge/EdgeEndTest.java
+++ b/src/test/java/tinworks/edge/EdgeEndTest.java
@@ -44,6 +44,11 @@
     private static final long GRACE_MILLIS = 6_000;
     private static final long FIRST_HALF_NANOS = TimeUnit.MILLISECONDS.toNanos(GRACE_MILLIS / 2);
     private static final String SERVED = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nOrigin-Seal: s\r\nAttempt-Id: ";
+    /** More than the requests of a second, so that each host which has not answered in time is taken for silent. */
+    private static final int HOSTS = 240;
+
+    private static final int AIM_MILLIS = 500;
+    private static final int ROUNDS = 20;
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     /** Requests at work by their ids, and how often each came. */
@@ -58,7 +63,7 @@
 
     private static Route route(String name, Configuration.Type type) {
         return new Route(
-                name, EdgeFixture.DOMAIN, "/" + name + "/", type, 20_000, 400, 1, List.of(new Split("s", 1)), 2);
+                name, EdgeFixture.DOMAIN, "/" + name + "/", type, 20_000, AIM_MILLIS, 1, List.of(new Split("s", 1)), 2);
     }
 
     private static void await(String what, BooleanSupplier holds) throws InterruptedException {
@@ -92,14 +97,12 @@
         }
     }
 
-    @Test
-    void noRequestThatAHostWorksOnIsGivenUpInTheFirstHalfOfTheGrace() throws Exception {
-        List<Integer> ports = FreePorts.at("127.0.0.1", 4);
-        int http = ports.get(0);
+    /** A whole edge that serves, with {@link #HOSTS} hosts at one address. */
+    private EdgeNode serving(List<Integer> ports, ScriptedHost host) throws Exception {
         BootSettings settings = new BootSettings(
                 "e",
                 "z",
-                new InetSocketAddress("127.0.0.1", http),
+                new InetSocketAddress("127.0.0.1", ports.get(0)),
                 new InetSocketAddress("127.0.0.1", ports.get(1)),
                 null,
                 new InetSocketAddress("127.0.0.1", ports.get(2)),
@@ -115,25 +118,30 @@
                 List.of(route("i", Configuration.Type.IDEM), route("m", Configuration.Type.MUTATING)),
                 Map.of("s", new Service("s", "/", 100)),
                 Limits.USUAL);
-        try (ScriptedHost host = new ScriptedHost(this::host)) {
-            EdgeNode edge = NodeProcess.call(loop, () -> new EdgeNode(loop, new GatewayClock(), settings, 7));
-            for (ChannelFuture bound : NodeProcess.call(loop, edge::start)) {
-                bound.syncUninterruptibly();
-            }
-            List<Host> hosts = new ArrayList<>();
-            for (int i = 0; i < 24; i++) {
-                hosts.add(new Host("i-" + i, "s", "127.0.0.1:" + host.address().getPort(), "z", 3, false, 0));
-            }
-            NodeProcess.run(loop, () -> {
-                edge.listed(new HostList(new HostListVersion(1, 1), hosts));
-                edge.read(1, () -> configuration);
-            });
-            await("the edge serves", () -> serves(http, "first" + System.nanoTime()));
+        EdgeNode edge = NodeProcess.call(loop, () -> new EdgeNode(loop, new GatewayClock(), settings, 7));
+        for (ChannelFuture bound : NodeProcess.call(loop, edge::start)) {
+            bound.syncUninterruptibly();
+        }
+        List<Host> hosts = new ArrayList<>();
+        for (int i = 0; i < HOSTS; i++) {
+            hosts.add(new Host("i-" + i, "s", "127.0.0.1:" + host.address().getPort(), "z", 3, false, 0));
+        }
+        NodeProcess.run(loop, () -> {
+            edge.listed(new HostList(new HostListVersion(1, 1), hosts));
+            edge.read(1, () -> configuration);
+        });
+        await("the edge serves", () -> serves(ports.get(0), "first" + System.nanoTime()));
+        return edge;
+    }
 
-            Map<String, Client> waiting = new LinkedHashMap<>();
-            for (String id : List.of("held-i-before", "held-m-before", "turned-i-before", "turned-m-before")) {
-                ask(waiting, http, id);
-            }
+    @Test
+    void noRequestThatAHostWorksOnIsGivenUpInTheFirstHalfOfTheGrace() throws Exception {
+        List<Integer> ports = FreePorts.at("127.0.0.1", 4);
+        int http = ports.get(0);
+        try (ScriptedHost host = new ScriptedHost(this::host)) {
+            EdgeNode edge = serving(ports, host);
+            awaitSentElsewhere(http, "held-i-control");
+            Map<String, Client> waiting = askBeforeAnyIsOverdue(http);
             long began = System.nanoTime();
             CompletableFuture<Void> ended = NodeProcess.call(loop, edge::end);
             for (String id : List.of("held-i-after", "held-m-after", "turned-i-after", "turned-m-after")) {
@@ -169,8 +177,40 @@
         }
     }
 
+    /** Requests at their hosts, of which none has been there for its aim yet: what is overdue may be sent elsewhere. */
+    private Map<String, Client> askBeforeAnyIsOverdue(int port) throws Exception {
+        for (int round = 0; round < ROUNDS; round++) {
+            Map<String, Client> waiting = new LinkedHashMap<>();
+            long began = System.nanoTime();
+            for (String name : List.of("held-i-before-", "held-m-before-", "turned-i-before-", "turned-m-before-")) {
+                ask(waiting, port, name + round);
+            }
+            if (System.nanoTime() - began < TimeUnit.MILLISECONDS.toNanos(AIM_MILLIS)) {
+                return waiting;
+            }
+            for (Client client : waiting.values()) {
+                client.close();
+            }
+        }
+        throw new AssertionError("too slow a machine to have four requests at hosts within " + AIM_MILLIS + " ms");
+    }
+
+    /**
+     * Before the signal, what a silent host holds is called off and sent to another: without the guard it would be
+     * after it too.
+     */
+    private void awaitSentElsewhere(int port, String name) throws Exception {
+        Map<String, Client> control = new LinkedHashMap<>();
+        String id = ask(control, port, name);
+        await(id + " is sent to another host", () -> {
+            serves(port, "beside-" + System.nanoTime());
+            return came.get(id) == 2;
+        });
+        control.get(id).close();
+    }
+
     /** Until a host is at work on it; one that the edge refused before, on a busy machine, is asked anew. */
-    private void ask(Map<String, Client> waiting, int port, String name) throws Exception {
+    private String ask(Map<String, Client> waiting, int port, String name) throws Exception {
         for (int tries = 0; tries < 20; tries++) {
             String id = name + "-" + tries;
             Client client = new Client(port);
@@ -179,7 +219,7 @@
             await("a host at work on " + id + ", or a refusal", () -> atWork.containsKey(id) || available(client));
             if (atWork.containsKey(id)) {
                 waiting.put(id, client);
-                return;
+                return id;
             }
             assertEquals(503, client.read().status(), "no host is at work on it");
             client.close();
