Refuse what waits for a host before the process ends

Cause: only requests that came after the word to end had their deadline cut to it. One from before, with a deadline past the grace, that waited here for a host with room stayed without an answer until SIGKILL: LOST by the rule's words, as no host was at work on it.

Change: Choice.endsBeforeSweep goes by the end too.

Measured: SystemRulesTest.whatStillWaitsForAServerIsRefusedBeforeTheEnd failed before (0 refused, wanted 1) and passes now; ChoiceTest, RulesTest and GatewayTest pass.

--- a/src/main/java/tinworks/policy/Choice.java
+++ b/src/main/java/tinworks/policy/Choice.java
@@ -369,8 +369,12 @@
         }
     }
 
+    /**
+     * The gateway's end counts too: guards against leaving what waits without an answer, where nobody could give it
+     * later.
+     */
     private boolean endsBeforeSweep(Request r) {
-        return now + 2 * sweepNanos >= r.deadline;
+        return now + 2 * sweepNanos >= Math.min(r.deadline, endsAt);
     }
 
     /**
--- a/src/test/java/tinworks/policy/SystemRulesTest.java
+++ b/src/test/java/tinworks/policy/SystemRulesTest.java
@@ -294,6 +294,22 @@
         }
     }
 
+    /** Its deadline lies past the end, when nobody could answer it any more. */
+    @Test
+    void whatStillWaitsForAServerIsRefusedBeforeTheEnd() {
+        for (Effect effect : List.of(Effect.SAFE, Effect.UNSAFE)) {
+            Choice choice = choice(1, effect);
+            choice.on(0, new ListReceived(ListKind.WHOLE, List.of()));
+            choice.on(0, request(0));
+            choice.on(100 * MS, new Ending(500 * MS));
+            int before = sent.refused;
+            for (long now = 100 * MS; now < 600 * MS; now += 10 * MS) {
+                choice.on(now, new TimerFired(2));
+            }
+            assertEquals(1, sent.refused - before, () -> "refused by the end: " + effect);
+        }
+    }
+
     @Test
     void whatHasNoTryLeftIsNotCalledOff() {
         Choice choice = choice(10, Effect.SAFE);
