Let an answer go out whole before its idle connection is closed

Cause: a connection counts as idle once its answer has been handed on, though a slow client's kernel may not have taken all of it.

Change: Connection.closeWhenWritten closes such a connection behind its last byte; meanwhile it counts among those about to be closed, which go first where a place is needed. The end of the process waits for it, within the grace.

Measured: LastAnswersTest.anAnswerThatItsClientReadsSlowlyIsNotCutWhenTheEdgeStopsAccepting (12 MB to a client that reads slowly) failed before (cut) and passes now; ArrivalTest, GatewayTest, EdgeTest, BodiesTest and AtMostOnceTest pass.

--- a/src/main/java/tinworks/net/ClientServer.java
+++ b/src/main/java/tinworks/net/ClientServer.java
@@ -183,7 +183,7 @@
     public void stopAccepting() {
         ending = true;
         acceptor.close();
-        List.copyOf(idle).forEach(Connection::drop);
+        List.copyOf(idle).forEach(Connection::closeWhenWritten);
         List.copyOf(due).stream().filter(connection -> !connection.begun).forEach(Connection::drop);
     }
 
@@ -252,7 +252,7 @@
     private void endOverdue() {
         long unused = clock.nanos() - LONG_IDLE_NANOS;
         while (crowded() && !idle.isEmpty() && idle.iterator().next().idleSince <= unused) {
-            idle.iterator().next().drop();
+            idle.iterator().next().closeWhenWritten();
         }
         while (bounds.idleNanos() > 0
                 && !idle.isEmpty()
@@ -586,6 +586,24 @@
             }
         }
 
+        /**
+         * Closes it once its last answer has gone out. Guards against cutting the rest of an answer that its client
+         * reads slowly. A client that never reads keeps its place only until another needs it.
+         */
+        private void closeWhenWritten() {
+            ChannelFuture written = channel.writeAndFlush(Unpooled.EMPTY_BUFFER);
+            if (written.isDone()) {
+                drop();
+                return;
+            }
+            deaf = true;
+            closing = true;
+            channel.config().setAutoRead(false);
+            lingering.add(this);
+            place();
+            written.addListener(ChannelFutureListener.CLOSE);
+        }
+
         /** Closes it, and forgets it at once so that its place is free. */
         private void drop() {
             forget();
--- a/src/test/java/tinworks/edge/LastAnswersTest.java
+++ b/src/test/java/tinworks/edge/LastAnswersTest.java
@@ -1,9 +1,15 @@
 package tinworks.edge;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.BufferedInputStream;
+import java.io.InputStream;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -18,6 +24,11 @@
 /** What an edge that ends does with requests that it has read. */
 @Timeout(value = 60, unit = TimeUnit.SECONDS)
 class LastAnswersTest {
+    /** More than the buffers of a connection hold whose reader takes little. */
+    private static final int LARGE_BODY = 12 << 20;
+
+    private static final int SMALL_BUFFER = 4_096;
+
     private static final String SERVED = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nOrigin-Seal: s\r\nAttempt-Id: ";
 
     @Test
@@ -53,4 +64,38 @@
             assertNull(client.read());
         }
     }
+
+    /**
+     * It has begun before the end and says nothing of it, so its connection counts as idle while its rest still goes
+     * out.
+     */
+    @Test
+    void anAnswerThatItsClientReadsSlowlyIsNotCutWhenTheEdgeStopsAccepting() throws Exception {
+        try (ScriptedHost host = new ScriptedHost((socket, request) -> ScriptedHost.write(
+                        socket,
+                        "HTTP/1.1 200 OK\r\nContent-Length: " + LARGE_BODY
+                                + "\r\nOrigin-Seal: s\r\nAttempt-Id: a\r\n\r\n" + "x".repeat(LARGE_BODY)));
+                EdgeFixture edge = new EdgeFixture(new EdgeStyle(1));
+                Socket client = new Socket()) {
+            edge.host("h", host.address(), true);
+            edge.route("i", Configuration.Type.IDEM, 2, "h");
+            client.setReceiveBufferSize(SMALL_BUFFER);
+            client.setSoTimeout(EdgeFixture.PATIENCE_MILLIS);
+            client.connect(NodeProcess.call(edge.loop, edge.clients::address));
+            client.getOutputStream()
+                    .write(EdgeFixture.request("a", "i", "", 9_000, false).getBytes(StandardCharsets.US_ASCII));
+            InputStream in = new BufferedInputStream(client.getInputStream());
+            in.mark(1);
+            in.read();
+            in.reset();
+            NodeProcess.run(edge.loop, edge.clients::stopAccepting);
+            assertTrue(
+                    NodeProcess.call(edge.loop, edge.clients::holdsAny), "the process lives on until it has gone out");
+            Message answer = Message.read(in, true);
+            assertNotNull(answer, "cut");
+            assertEquals(LARGE_BODY, answer.body().length());
+            assertEquals(-1, in.read(), "its connection ends behind it");
+            assertFalse(NodeProcess.call(edge.loop, edge.clients::holdsAny));
+        }
+    }
 }
