Count an edge's grace from its signal, not from when its event loop gets to it

Cause: the time until which an edge answers what came after SIGTERM (5.5 s of 6) ran from when the event loop took up the end. On a tenth of a processor a pass of the loop may take hundreds of milliseconds, and all of that went off the half second before SIGKILL.

Change: the shutdown hook takes the time, and EdgeNode.end and the hook's own wait count from it. When answers begin to close connections and when accepting stops still counts from the loop, as readyz changes there.

--- a/src/main/java/tinworks/edge/Edge.java
+++ b/src/main/java/tinworks/edge/Edge.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeoutException;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import tinworks.channel.SteadyClock;
 import tinworks.node.BootSettings;
 import tinworks.node.NodeProcess;
 
@@ -34,13 +35,14 @@
         List<ChannelFuture> bound = process.call(node::start);
         process.awaitBound(bound);
         process.onChange(node::changed);
-        process.onEnd(() -> end(process, node, settings.graceMillis() - KILL_MARGIN_MILLIS));
+        process.onEnd(() -> end(process, node, SteadyClock.millis(), settings.graceMillis() - KILL_MARGIN_MILLIS));
     }
 
-    private static void end(NodeProcess process, EdgeNode node, long longestMillis) throws InterruptedException {
-        CompletableFuture<Void> ended = process.call(node::end);
+    private static void end(NodeProcess process, EdgeNode node, long signalledAtMillis, long longestMillis)
+            throws InterruptedException {
+        CompletableFuture<Void> ended = process.call(() -> node.end(signalledAtMillis));
         try {
-            ended.get(longestMillis, TimeUnit.MILLISECONDS);
+            ended.get(signalledAtMillis + longestMillis - SteadyClock.millis(), TimeUnit.MILLISECONDS);
         } catch (ExecutionException | TimeoutException e) {
             LOG.warn("ended with requests open: {}", e.toString());
         }
--- a/src/main/java/tinworks/edge/EdgeNode.java
+++ b/src/main/java/tinworks/edge/EdgeNode.java
@@ -181,12 +181,15 @@
     /**
      * Ends in good order: first it isn't ready any more and serves on, until the platform sends nobody; then its
      * answers end their connections; then it takes nobody in and finishes what it has. On the event loop.
+     *
+     * @param signalledAtMillis when the signal came, in {@link SteadyClock}'s time: the grace runs from then, also
+     *     where the event loop was at other work
      */
-    public CompletableFuture<Void> end() {
+    public CompletableFuture<Void> end(long signalledAtMillis) {
         if (!ending) {
             ending = true;
             long within = settings.graceMillis() - END_MARGIN_MILLIS;
-            endsAtMillis = SteadyClock.millis() + within;
+            endsAtMillis = signalledAtMillis + within;
             services.values().forEach(this::tellOfEnd);
             loop.schedule(clients::lastAnswers, Math.min(LAST_ANSWERS_MILLIS, within / 4), TimeUnit.MILLISECONDS);
             loop.schedule(
--- a/src/test/java/tinworks/edge/EdgeEndTest.java
+++ b/src/test/java/tinworks/edge/EdgeEndTest.java
@@ -25,6 +25,7 @@
 import tinworks.channel.HostList;
 import tinworks.channel.HostList.Host;
 import tinworks.channel.HostListVersion;
+import tinworks.channel.SteadyClock;
 import tinworks.config.Configuration;
 import tinworks.config.Configuration.Limits;
 import tinworks.config.Configuration.Route;
@@ -42,7 +43,8 @@
 @Timeout(value = 60, unit = TimeUnit.SECONDS)
 class EdgeEndTest {
     private static final long GRACE_MILLIS = 6_000;
-    private static final long FIRST_HALF_NANOS = TimeUnit.MILLISECONDS.toNanos(GRACE_MILLIS / 2);
+    private static final long FIRST_HALF_MILLIS = GRACE_MILLIS / 2;
+    private static final long FIRST_HALF_NANOS = TimeUnit.MILLISECONDS.toNanos(FIRST_HALF_MILLIS);
     private static final String SERVED = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nOrigin-Seal: s\r\nAttempt-Id: ";
     /** More than the requests of a second, so that each host which has not answered in time is taken for silent. */
     private static final int HOSTS = 240;
@@ -134,6 +136,28 @@
         return edge;
     }
 
+    /**
+     * A signal that the event loop gets to late: what no host answers is answered here while the process still lives.
+     */
+    @Test
+    void theGraceRunsFromTheSignalAndNotFromWhenTheEventLoopGetsToIt() throws Exception {
+        List<Integer> ports = FreePorts.at("127.0.0.1", 4);
+        try (ScriptedHost host = new ScriptedHost(this::host)) {
+            EdgeNode edge = serving(ports, host);
+            long signalledAt = SteadyClock.millis() - FIRST_HALF_MILLIS;
+            NodeProcess.call(loop, () -> edge.end(signalledAt));
+            Map<String, Client> waiting = new LinkedHashMap<>();
+            String id = ask(waiting, ports.get(0), "held-m-late");
+            try (Client client = waiting.get(id)) {
+                assertEquals(502, client.read().status(), "its host is still at work in the second half of the grace");
+                long after = SteadyClock.millis() - signalledAt;
+                assertTrue(
+                        after > FIRST_HALF_MILLIS && after < GRACE_MILLIS,
+                        "answered " + after + " ms after the signal");
+            }
+        }
+    }
+
     @Test
     void noRequestThatAHostWorksOnIsGivenUpInTheFirstHalfOfTheGrace() throws Exception {
         List<Integer> ports = FreePorts.at("127.0.0.1", 4);
@@ -143,7 +167,7 @@
             awaitSentElsewhere(http, "held-i-control");
             Map<String, Client> waiting = askBeforeAnyIsOverdue(http);
             long began = System.nanoTime();
-            CompletableFuture<Void> ended = NodeProcess.call(loop, edge::end);
+            CompletableFuture<Void> ended = NodeProcess.call(loop, () -> edge.end(SteadyClock.millis()));
             for (String id : List.of("held-i-after", "held-m-after", "turned-i-after", "turned-m-after")) {
                 ask(waiting, http, id);
             }
