Let a machine that lost its disk vote in place of its dead id at once

Where nobody has the log, the empty machine now comes in without it, if its earlier id doesn't answer for 500 ms. The change commits by a majority of the list before, without the dead id, so all that was committed is on a majority of the new list without the empty one: docs/design/control-safety-raft.md. It costs no majority that was there. Raft is unchanged.

The assertions of VoterPlanTest that were there stay as they were.

--- a/src/main/java/tinworks/control/VoterPlan.java
+++ b/src/main/java/tinworks/control/VoterPlan.java
@@ -75,12 +75,9 @@
             // The machine has come back without its disk: what voted under this id is no more.
             boolean replaced = voter.id() != self
                     && learners.stream().anyMatch(l -> l.member().address().equals(voter.address()));
-            if (replaced && !ready.isEmpty()) {
-                Member successor = ready.stream()
-                        .filter(m -> m.address().equals(voter.address()))
-                        .findFirst()
-                        .orElse(ready.get(0));
-                exchange(next, voter, successor, ready);
+            if (replaced) {
+                successor(voter, learners, ready, others)
+                        .ifPresent(successor -> exchange(next, voter, successor, ready));
             }
         }
         for (Seen other : others) {
@@ -115,6 +112,28 @@
         return at == null || silentSince + ANSWER_MILLIS < at;
     }
 
+    /**
+     * Who takes the place of a voter whose machine came back as somebody else: that one or another that has the log.
+     * Where nobody has it the new one comes in without it: it can vote, and the old one never will again.
+     */
+    private static Optional<Member> successor(
+            Member voter, List<Seen> learners, List<Member> ready, List<Seen> others) {
+        Member back = learners.stream()
+                .map(Seen::member)
+                .filter(m -> m.address().equals(voter.address()))
+                .findFirst()
+                .orElseThrow();
+        if (ready.isEmpty()) {
+            return answers(voter, others) ? Optional.empty() : Optional.of(back);
+        }
+        return Optional.of(ready.contains(back) ? back : ready.get(0));
+    }
+
+    /** Guards against a late word of an earlier life, which would put an id that is gone in place of one that votes. */
+    private static boolean answers(Member voter, List<Seen> others) {
+        return others.stream().anyMatch(o -> o.member().equals(voter) && o.silentMillis() <= ANSWER_MILLIS);
+    }
+
     private static void exchange(List<Member> next, Member gone, Member successor, List<Member> ready) {
         next.set(next.indexOf(gone), successor);
         ready.remove(successor);
--- a/src/test/java/tinworks/control/ScriptedDaysTest.java
+++ b/src/test/java/tinworks/control/ScriptedDaysTest.java
@@ -90,6 +90,15 @@
                 10201 wipe other 500 0""", Closing.NONE);
     }
 
+    /** Found as seed 1497: a machine that lost its disk and can't take the log yet can vote. */
+    @Test
+    void aVoterThatLostItsDiskVotesThoughTheNewOneIsFull() {
+        play(3, OFTEN, """
+                5000 wipe m3 500 0
+                5600 full m3 4000 0
+                9601 wipe leader 500 0""", Closing.NONE);
+    }
+
     /** 4: members that start again in the middle of hundreds of changes catch up, also on a snapshot. */
     @ParameterizedTest
     @ValueSource(ints = {3, 4})
--- a/src/test/java/tinworks/control/VoterPlanTest.java
+++ b/src/test/java/tinworks/control/VoterPlanTest.java
@@ -93,6 +93,21 @@
                 "its own place first");
     }
 
+    /** Its disk may be full, so that it never has the log; it can vote, and its earlier life never will. */
+    @Test
+    void aMachineThatCameBackEmptyReplacesItsSilentEarlierLifeWithoutTheLog() {
+        List<Member> voters = List.of(A, B, C);
+        Seen answers = silentFor(C, VoterPlan.ANSWER_MILLIS);
+        Seen gone = silentFor(C, VoterPlan.ANSWER_MILLIS + 1);
+        assertEquals(Optional.of(List.of(A, B, C2)), next(voters, alive(B), gone, behind(C2)));
+        assertEquals(
+                Optional.of(List.of(A, B, D)),
+                next(voters, alive(B), gone, behind(C2), alive(D)),
+                "who has the log first");
+        assertEquals(Optional.empty(), next(voters, alive(B), answers, behind(C2)), "a late word of an earlier life");
+        assertEquals(Optional.empty(), next(voters, silent(B), silent(C), behind(C2)), "one of three can't commit it");
+    }
+
     @Test
     void twoOfFiveChangePlacesAtOnce() {
         Member f = new Member(6, "f");
