Let RehearsalTest look at its own process's folders alone

Change: only folders with this process's id in their name are compared, which is how Rehearsal names them. A folder of its own left behind fails the test as before.

--- a/src/test/java/tinworks/net/RehearsalTest.java
+++ b/src/test/java/tinworks/net/RehearsalTest.java
@@ -20,10 +20,11 @@
         return GatewayConfig.read(Json.read("{\"seed\":\"2a\",\"settings\":" + settings + "}"), nowhere, nowhere);
     }
 
+    /** The folders of this process's rehearsals: those of other processes come and go meanwhile. */
     private static List<Path> folders() throws IOException {
+        String own = "rehearsal-" + ProcessHandle.current().pid() + "-";
         try (var files = Files.list(Path.of(System.getProperty("java.io.tmpdir")))) {
-            return files.filter(f -> f.getFileName().toString().startsWith("rehearsal"))
-                    .toList();
+            return files.filter(f -> f.getFileName().toString().startsWith(own)).toList();
         }
     }
 
