Start ReloadTest's process with SIGHUP's usual effect, so that it passes under nohup

Cause: a process inherits that SIGHUP is ignored, and Java's runtime refuses a handler for a signal that was ignored at its start. The test's own process was then deaf to the signal that the test sends.

A program under nohup stays deaf to SIGHUP, as its user asked; the assertions are unchanged.

--- a/src/test/java/tinworks/net/ReloadTest.java
+++ b/src/test/java/tinworks/net/ReloadTest.java
@@ -98,13 +98,19 @@
         }
     }
 
-    /** The whole process, since what ends a Java program on SIGHUP is its runtime. */
+    /**
+     * The whole process, since what ends a Java program on SIGHUP is its runtime. It begins with the signal's usual
+     * effect: where the tests ignore it, as under {@code nohup}, so would a process of theirs, and Java's runtime then
+     * takes no handler for it.
+     */
     @Test
     void aProcessLivesThroughHangUpsAndFollowsTheNewFile() throws Exception {
         List<Socket> watches = new CopyOnWriteArrayList<>();
         try (ScriptedHost first = discovery(1, watches);
                 ScriptedHost second = discovery(1, watches)) {
             ProcessBuilder program = new ProcessBuilder(
+                    "env",
+                    "--default-signal=HUP",
                     Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                     "-Xmx64m",
                     "-cp",
