--- a/src/main/java/tinworks/cli/LoadCommand.java
+++ b/src/main/java/tinworks/cli/LoadCommand.java
@@ -1,7 +1,6 @@
 package tinworks.cli;
 
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.io.PrintWriter;
@@ -22,6 +21,7 @@
 import tinworks.load.LoadClients;
 import tinworks.load.RequestKind;
 import tinworks.load.Results;
+import tinworks.net.ClosingEventLoopGroup;
 import tinworks.node.NodeProcess;
 
 /** Sends requests at times fixed beforehand, and reports how they were answered. */
@@ -119,7 +119,7 @@
             throw new ParameterException(
                     spec.commandLine(), "--prefix: wanted a path that begins and ends with /, not " + prefix);
         }
-        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        ClosingEventLoopGroup group = new ClosingEventLoopGroup(1, NioIoHandler.newFactory());
         try {
             if (warmUp > 0) {
                 play(group.next(), warmUp, null);
--- a/src/main/java/tinworks/demo/Changes.java
+++ b/src/main/java/tinworks/demo/Changes.java
@@ -1,7 +1,6 @@
 package tinworks.demo;
 
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.io.PrintWriter;
@@ -15,6 +14,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import tinworks.json.Json;
+import tinworks.net.ClosingEventLoopGroup;
 import tinworks.node.NodeProcess;
 import tinworks.standin.StandInHost;
 import tinworks.standin.StandInPlatform;
@@ -54,7 +54,7 @@
     private final Plan plan;
     private final PrintWriter out;
     private final Path folder;
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final ClosingEventLoopGroup group = new ClosingEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private final StandInPlatform<StandInHost> platform = new StandInPlatform<>(loop, 0, 50);
     private final Machines machines;
--- a/src/main/java/tinworks/demo/Demo.java
+++ b/src/main/java/tinworks/demo/Demo.java
@@ -1,7 +1,6 @@
 package tinworks.demo;
 
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.io.PrintWriter;
@@ -19,6 +18,7 @@
 import tinworks.load.LoadClients;
 import tinworks.load.RequestKind;
 import tinworks.load.Results;
+import tinworks.net.ClosingEventLoopGroup;
 import tinworks.node.NodeProcess;
 import tinworks.standin.Ledger;
 import tinworks.standin.StandInHost;
@@ -67,7 +67,7 @@
     private final Plan plan;
     private final PrintWriter out;
     private final Path folder;
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final ClosingEventLoopGroup group = new ClosingEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private final Ledger ledger = new Ledger();
     private final StandInPlatform<StandInHost> platform = new StandInPlatform<>(loop, LAG_MILLIS, PLATFORM_RATE);
--- a/src/main/java/tinworks/demo/Hollow.java
+++ b/src/main/java/tinworks/demo/Hollow.java
@@ -1,7 +1,6 @@
 package tinworks.demo;
 
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.io.PrintWriter;
@@ -25,6 +24,7 @@
 import tinworks.demo.HollowEdges.Heard;
 import tinworks.demo.HollowEdges.Seen;
 import tinworks.json.Json;
+import tinworks.net.ClosingEventLoopGroup;
 import tinworks.node.NodeProcess;
 import tinworks.standin.StandInHost;
 import tinworks.standin.StandInPlatform;
@@ -72,7 +72,7 @@
     private final Plan plan;
     private final PrintWriter out;
     private final Path folder;
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final ClosingEventLoopGroup group = new ClosingEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private final StandInPlatform<PaperHost> platform = new StandInPlatform<>(loop, 0, Integer.MAX_VALUE);
     private final Machines machines;
--- a/src/main/java/tinworks/demo/HollowEdges.java
+++ b/src/main/java/tinworks/demo/HollowEdges.java
@@ -1,7 +1,6 @@
 package tinworks.demo;
 
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.util.ArrayList;
 import java.util.List;
@@ -28,6 +27,7 @@
 import tinworks.channel.TcpLinks;
 import tinworks.config.Configuration;
 import tinworks.edge.CoreFollower;
+import tinworks.net.ClosingEventLoopGroup;
 import tinworks.node.NodeProcess;
 
 /**
@@ -64,7 +64,7 @@
     private static final int FEWEST_LOOPS = 2;
     private static final int KEPT_VERSIONS = 8;
 
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(
+    private final ClosingEventLoopGroup group = new ClosingEventLoopGroup(
             Math.max(FEWEST_LOOPS, Runtime.getRuntime().availableProcessors() / 4), NioIoHandler.newFactory());
     private final List<String> seeds;
     private final List<HollowEdge> edges = new ArrayList<>();
--- a/src/main/java/tinworks/net/Rehearsal.java
+++ b/src/main/java/tinworks/net/Rehearsal.java
@@ -8,7 +8,6 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
 import io.netty.channel.IoHandlerFactory;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.local.LocalAddress;
 import io.netty.channel.local.LocalIoHandler;
 import io.netty.channel.nio.NioIoHandler;
@@ -149,7 +148,7 @@
         // In memory a write on one loop would be read within the call: the far sides have a loop of their own, and
         // as each tells the other of its end, neither may end at once.
         boolean twoLoops = transport.equals(Transport.MEMORY);
-        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(twoLoops ? 2 : 1, io);
+        ClosingEventLoopGroup group = new ClosingEventLoopGroup(twoLoops ? 2 : 1, io);
         try {
             new Rehearsal(group.next(), group.next(), config, transport, stage, hosts)
                     .play()
--- a/src/test/java/tinworks/cli/CommandLineToolTest.java
+++ b/src/test/java/tinworks/cli/CommandLineToolTest.java
@@ -4,7 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.PrintWriter;
 import java.io.StringWriter;
@@ -18,6 +17,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import tinworks.config.ConfigurationHistory;
 import tinworks.json.Json;
+import tinworks.net.ClosingEventLoopGroup;
 import tinworks.node.NodeProcess;
 import tinworks.raft.Entry;
 import tinworks.raft.HardState;
@@ -101,7 +101,7 @@
 
     @Test
     void loadReportsWhatAServerAnswered() throws Exception {
-        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        ClosingEventLoopGroup group = new ClosingEventLoopGroup(1, NioIoHandler.newFactory());
         EventLoop loop = group.next();
         StandInHost host = NodeProcess.call(
                 loop,
--- a/src/test/java/tinworks/edge/EdgeEndTest.java
+++ b/src/test/java/tinworks/edge/EdgeEndTest.java
@@ -6,7 +6,6 @@
 
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -34,6 +33,7 @@
 import tinworks.demo.FreePorts;
 import tinworks.edge.EdgeFixture.Client;
 import tinworks.edge.EdgeFixture.Message;
+import tinworks.net.ClosingEventLoopGroup;
 import tinworks.net.GatewayClock;
 import tinworks.net.ScriptedHost;
 import tinworks.node.BootSettings;
@@ -51,7 +51,7 @@
 
     private static final int AIM_MILLIS = 500;
     private static final int ROUNDS = 20;
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final ClosingEventLoopGroup group = new ClosingEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     /** Requests at work by their ids, and how often each came. */
     private final Map<String, Socket> atWork = new ConcurrentHashMap<>();
--- a/src/test/java/tinworks/edge/EdgeFixture.java
+++ b/src/test/java/tinworks/edge/EdgeFixture.java
@@ -1,7 +1,6 @@
 package tinworks.edge;
 
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.BufferedInputStream;
 import java.io.IOException;
@@ -25,6 +24,7 @@
 import tinworks.config.Configuration.Service;
 import tinworks.config.Configuration.Split;
 import tinworks.net.ClientServer;
+import tinworks.net.ClosingEventLoopGroup;
 import tinworks.net.Forwarding;
 import tinworks.net.GatewayClock;
 import tinworks.net.HostPool;
@@ -49,7 +49,7 @@
     private static final long DIAL_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
     private static final long LONG_NANOS = TimeUnit.MILLISECONDS.toNanos(LONG_MILLIS);
 
-    final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    final ClosingEventLoopGroup group = new ClosingEventLoopGroup(1, NioIoHandler.newFactory());
     final EventLoop loop = group.next();
     final GatewayClock clock = new GatewayClock();
     final HostPool pool;
--- a/src/test/java/tinworks/edge/EdgeRehearsalTest.java
+++ b/src/test/java/tinworks/edge/EdgeRehearsalTest.java
@@ -4,20 +4,20 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import tinworks.net.ClosingEventLoopGroup;
 import tinworks.net.GatewayClock;
 import tinworks.node.NodeProcess;
 
 /** An edge's warm-up before it calls itself ready. */
 @Timeout(value = 60, unit = TimeUnit.SECONDS)
 class EdgeRehearsalTest {
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final ClosingEventLoopGroup group = new ClosingEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
 
     @AfterEach
--- a/src/test/java/tinworks/edge/StrayAnswersTest.java
+++ b/src/test/java/tinworks/edge/StrayAnswersTest.java
@@ -5,7 +5,6 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -21,6 +20,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import tinworks.net.ClosingEventLoopGroup;
 import tinworks.net.GatewayClock;
 import tinworks.net.HostPool;
 import tinworks.net.ScriptedHost;
@@ -32,7 +32,7 @@
 class StrayAnswersTest {
     private static final long LONG_NANOS = TimeUnit.SECONDS.toNanos(20);
     private static final long SHORT_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final ClosingEventLoopGroup group = new ClosingEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private final HostPool pool = new HostPool(
             loop,
--- a/src/test/java/tinworks/load/LoadClientsTest.java
+++ b/src/test/java/tinworks/load/LoadClientsTest.java
@@ -5,7 +5,6 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -21,6 +20,7 @@
 import org.junit.jupiter.api.Timeout;
 import tinworks.net.ClientServer;
 import tinworks.net.ClientServer.Reply;
+import tinworks.net.ClosingEventLoopGroup;
 import tinworks.net.GatewayClock;
 import tinworks.net.Transport;
 import tinworks.node.NodeProcess;
@@ -30,7 +30,7 @@
 class LoadClientsTest {
     private static final int OK = 200;
 
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final ClosingEventLoopGroup group = new ClosingEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private final Map<String, List<String>> triesByRequest = new HashMap<>();
     private final List<String> promises = new ArrayList<>();
--- a/src/test/java/tinworks/net/BodiesTest.java
+++ b/src/test/java/tinworks/net/BodiesTest.java
@@ -5,7 +5,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -26,7 +25,7 @@
 class BodiesTest {
     private static final int LONGEST = 1 << 20;
 
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final ClosingEventLoopGroup group = new ClosingEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private final ByteBudget bodies = new ByteBudget(2 * LONGEST);
     private ClientServer server;
--- a/src/test/java/tinworks/net/DiscoveryTest.java
+++ b/src/test/java/tinworks/net/DiscoveryTest.java
@@ -3,7 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -17,7 +16,7 @@
 
 /** How a watch ends: each is told once, whatever the far side does. */
 class DiscoveryTest {
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final ClosingEventLoopGroup group = new ClosingEventLoopGroup(1, NioIoHandler.newFactory());
     private final BlockingQueue<String> told = new LinkedBlockingQueue<>();
 
     @AfterEach
--- a/src/test/java/tinworks/net/GatewayFixture.java
+++ b/src/test/java/tinworks/net/GatewayFixture.java
@@ -2,7 +2,6 @@
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.BufferedInputStream;
 import java.io.IOException;
@@ -32,7 +31,7 @@
              "obligations":{"drain_grace_ns":1000000000,"ask_within_ns":10000000000,"cold_from":0.5,
                             "warm_up_ns":1000000000,"overload_factor":2.5,"overload_for_ns":1500000000}}""";
 
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final ClosingEventLoopGroup group = new ClosingEventLoopGroup(1, NioIoHandler.newFactory());
     private final List<Socket> clients = new ArrayList<>();
     private final ScriptedHost ownDiscovery;
     final Gateway gateway;
--- a/src/test/java/tinworks/net/PeersTest.java
+++ b/src/test/java/tinworks/net/PeersTest.java
@@ -5,7 +5,6 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
-import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
@@ -21,7 +20,7 @@
 
 /** Reports between gateways of the earlier protocol. */
 class PeersTest {
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final ClosingEventLoopGroup group = new ClosingEventLoopGroup(1, NioIoHandler.newFactory());
     private final BlockingQueue<String> said = new LinkedBlockingQueue<>();
 
     @AfterEach
--- a/src/test/java/tinworks/standin/StandInTest.java
+++ b/src/test/java/tinworks/standin/StandInTest.java
@@ -5,7 +5,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.net.InetSocketAddress;
 import java.net.URI;
@@ -20,12 +19,13 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import tinworks.json.Json;
+import tinworks.net.ClosingEventLoopGroup;
 import tinworks.node.NodeProcess;
 
 /** The stand-ins of hosts and of the platform. */
 @Timeout(value = 30, unit = TimeUnit.SECONDS)
 class StandInTest {
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final ClosingEventLoopGroup group = new ClosingEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private final HttpClient client =
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
--- a/src/test/java/tinworks/system/WholeSystemTest.java
+++ b/src/test/java/tinworks/system/WholeSystemTest.java
@@ -5,7 +5,6 @@
 
 import com.sun.net.httpserver.HttpServer;
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -24,6 +23,7 @@
 import tinworks.control.CoreNode;
 import tinworks.demo.FreePorts;
 import tinworks.edge.EdgeNode;
+import tinworks.net.ClosingEventLoopGroup;
 import tinworks.net.GatewayClock;
 import tinworks.node.BootSettings;
 import tinworks.node.NodeProcess;
@@ -40,7 +40,7 @@
     @TempDir
     private Path disks;
 
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final ClosingEventLoopGroup group = new ClosingEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private final List<CoreNode> cores = new ArrayList<>();
     private HttpServer platform;
