Hold a request to the strictest version of its route since it came

A decision module read a request's tries and kind from its route's present version. A version that came while a request was under way could so give it more hosts than its route allowed when it came; and one that made a mutating route idem let a request that might have run go to a second host, or be answered 503, which promises that it never ran (BUDGET, TWICE, REFUSED).

Each request now keeps the fewest tries and the gravest kind of all versions since it came (Choice.restrict). A version that allows less holds at once, as before. Choice is no longer final, so that a test can take the guard out.

--- a/src/main/java/tinworks/policy/Choice.java
+++ b/src/main/java/tinworks/policy/Choice.java
@@ -52,7 +52,7 @@
  * it. Every send passes {@link #maySend} and the conditions in {@link #draw}, every refusal {@link #mayRefuse}.
  * Single-threaded, without a clock of its own, all chance from one seed.
  */
-public final class Choice {
+public class Choice {
     /** The paper's learning rate, and a fifth of its interval: unlike machines are told apart in seconds. */
     private static final double ETA = 0.2;
 
@@ -268,12 +268,29 @@
     /** A new version in the middle of a tick: shares, samples and limits stay as they are. */
     private void reconfigured(Reconfigured e) {
         takeClasses(e.classes());
+        for (Request r : open.values()) {
+            Kind kind = kinds.get(r.kind.spec.name());
+            if (kind != null) {
+                restrict(r, kind.spec);
+            }
+        }
         gateways = e.gateways();
         cutPortions();
         dispatch();
         sweepLater();
     }
 
+    /**
+     * Guards against a version that comes amid a request allowing more than its route did when it came: a further host,
+     * a second run of what must not run twice, or a promise that it never ran.
+     */
+    void restrict(Request r, RequestClass version) {
+        r.tries = Math.min(r.tries, version.tries());
+        if (version.effect().compareTo(r.strictest.effect()) > 0) {
+            r.strictest = version;
+        }
+    }
+
     private void timer(long token) {
         if (token == STEP_TOKEN) {
             step();
@@ -604,11 +621,11 @@
     }
 
     private int mostAttempts(Request r) {
-        return Math.min(Math.min(settings.allowed().maxAttempts(), r.kind.spec.tries()), Long.SIZE - 1);
+        return Math.min(Math.min(settings.allowed().maxAttempts(), r.tries), Long.SIZE - 1);
     }
 
     private boolean effectAllows(Request r, Server s) {
-        RequestClass c = r.kind.spec;
+        RequestClass c = r.strictest;
         Attempt first = r.firstThatMayRun();
         if (c.effect() == Effect.SAFE || first == null) {
             return true;
@@ -624,7 +641,7 @@
 
     /** The one guard that every refusal passes: it tells the client that a further try is harmless. */
     private static boolean mayRefuse(Request r) {
-        RequestClass c = r.kind.spec;
+        RequestClass c = r.strictest;
         return c.effect() == Effect.SAFE
                 || r.firstThatMayRun() == null
                 || (c.effect() == Effect.KEYED && c.group() == Group.ALL);
@@ -690,7 +707,7 @@
     private void tryAgain(Request r, Outcome outcome) {
         boolean arrived = outcome == Outcome.FULL && rules.furtherArrivals() > 0;
         double cost = outcome.provesItNeverRan() && !arrived ? 0 : 1;
-        boolean may = r.kind.spec.effect() != Effect.UNSAFE || r.firstThatMayRun() == null;
+        boolean may = r.strictest.effect() != Effect.UNSAFE || r.firstThatMayRun() == null;
         boolean left = r.attempts.size() < mostAttempts(r) && now < r.deadline;
         if (may && left && extra >= cost) {
             extra -= cost;
@@ -892,7 +909,7 @@
     }
 
     private boolean mayCallOff(Request r) {
-        return r.kind.spec.effect() == Effect.SAFE && settings.allowed().cancel() && !r.concluded && !r.streaming;
+        return r.strictest.effect() == Effect.SAFE && settings.allowed().cancel() && !r.concluded && !r.streaming;
     }
 
     /**
--- a/src/main/java/tinworks/policy/State.java
+++ b/src/main/java/tinworks/policy/State.java
@@ -104,6 +104,10 @@
         boolean concluded;
         boolean streaming;
         double value;
+        /** The fewest tries, and the class of the gravest effect, of the versions since it came. */
+        int tries;
+
+        RequestClass strictest;
 
         Request(String id, Kind kind, boolean overShare, long firstAsked, long deadline) {
             this.id = id;
@@ -111,6 +115,8 @@
             this.overShare = overShare;
             arrivedAt = firstAsked;
             this.deadline = deadline;
+            tries = kind.spec.tries();
+            strictest = kind.spec;
         }
 
         /** Whether an attempt of it went to the server. */
