Walk through failures with seals, HEAD, and hosts that all end alike

Hosts now seal failures with a seal that names the status; each ending is played at every host that a request reaches as well, with three hosts for two tries; a failure cut at each byte, one with a status without a name, and HEAD are new. Each answer's seal has to name its status, and each request's hosts are counted. A mutant whose own answers keep a host's seal is caught.

--- a/src/test/java/tinworks/edge/AtMostOnceTest.java
+++ b/src/test/java/tinworks/edge/AtMostOnceTest.java
@@ -3,10 +3,12 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 
+import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -33,6 +35,7 @@
 import tinworks.net.ClientServer.Reply;
 import tinworks.net.HostPool.Answer;
 import tinworks.net.HostPool.Whose;
+import tinworks.net.ScriptedHost;
 import tinworks.policy.Protocol.Outcome;
 
 /** The table of docs/design/at-most-once.md, and that each guard it names is needed. */
@@ -133,6 +136,20 @@
                             }
                         },
                         EnumSet.of(Ending.BUSY, Ending.TOO_MANY, Ending.TOO_LATE)),
+                new Mutant(
+                        "an own answer keeps a host's headers",
+                        new EdgeStyle(1) {
+                            @Override
+                            public void failed(Reply reply, Answer last) {
+                                DefaultHttpHeaders headers = new DefaultHttpHeaders();
+                                if (last != null && last.head().headers().contains("Origin-Seal")) {
+                                    headers.set(
+                                            "Origin-Seal", last.head().headers().get("Origin-Seal"));
+                                }
+                                reply.write(HttpResponseStatus.BAD_GATEWAY, headers, Unpooled.EMPTY_BUFFER, 0);
+                            }
+                        },
+                        EnumSet.of(Ending.BUSY, Ending.TOO_MANY, Ending.TOO_LATE, Ending.FAILED, Ending.FAILED_ODDLY)),
                 new Mutant(
                         "what failed and may have run is refused",
                         new EdgeStyle(1) {
@@ -295,4 +312,35 @@
                         Configuration.Type.MUTATING),
                 "without the guard it meets a reset, and nobody knows whether it ran");
     }
+
+    /** MIXED, where an answer is its head alone. */
+    @ParameterizedTest
+    @CsvSource({
+        "200 OK,200",
+        "204 Empty,204",
+        "404 Absent,404",
+        "500 Failed,500",
+        "503 Busy,502",
+        "408 Late,502",
+        "cut,502"
+    })
+    void theAnswerToAHeadBearsTheSealOfItsHostOnlyWithTheStatusThatItGave(String given, int wanted) throws Exception {
+        try (ScriptedHost host = new ScriptedHost((socket, request) -> {
+                    String head = "HTTP/1.1 " + (given.equals("cut") ? "500 Failed" : given)
+                            + "\r\nContent-Length: 9\r\nAttempt-Id: h\r\nOrigin-Seal: s\r\n";
+                    ScriptedHost.write(socket, given.equals("cut") ? head : head + "\r\n");
+                    if (given.equals("cut")) {
+                        socket.close();
+                    }
+                });
+                EdgeFixture edge = new EdgeFixture(new EdgeStyle(1));
+                Client client = edge.client()) {
+            edge.host("h", host.address(), true);
+            edge.route("m", Configuration.Type.MUTATING, 2, "h");
+            client.write(EdgeFixture.request("h", "m", "", 2_000, false).replaceFirst("GET", "HEAD"));
+            EdgeFixture.Message answer = client.readHead();
+            assertEquals(wanted, answer.status());
+            assertEquals(wanted == 502 ? null : "s", answer.headers().get("origin-seal"));
+        }
+    }
 }
--- a/src/test/java/tinworks/edge/AtMostOnceWalk.java
+++ b/src/test/java/tinworks/edge/AtMostOnceWalk.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 import tinworks.config.Configuration;
 import tinworks.edge.EdgeFixture.Client;
 import tinworks.edge.EdgeFixture.Message;
@@ -24,8 +25,8 @@
  * clients.
  */
 final class AtMostOnceWalk {
-    /** One cell of the table at one byte. */
-    record Case(Ending ending, int position, boolean mutating, boolean reused) {}
+    /** One cell of the table at one byte: at the first host that the request reaches, or at each. */
+    record Case(Ending ending, int position, boolean mutating, boolean reused, boolean everywhere) {}
 
     /** What was played, how often again as it had not come about, and what broke a rule. */
     record Report(int played, int again, Map<Ending, Integer> byEnding, List<String> faults) {}
@@ -37,6 +38,7 @@
     private static final int MOST_AGAIN = 30;
     private static final int FRESH_EVERY = 8;
     private static final int KINDS = 4;
+    private static final int TRIES = 2;
 
     private final EdgeFixture edge;
     private final List<String> faults = EndingHost.faults();
@@ -50,17 +52,23 @@
 
     /**
      * Each ending at each byte. Where all is sent, in two parts, each byte is played for one kind and use in turn;
-     * else, or where {@code all} are wanted, for both kinds and both uses.
+     * else, or where {@code all} are wanted, for both kinds and both uses. Beside these each ending is played at each
+     * host that the request reaches, each byte for one kind and use in turn.
      */
     static List<Case> cases(boolean all, Predicate<Case> wanted) {
         List<Case> cases = new ArrayList<>();
         for (Ending ending : Ending.values()) {
             for (int position = 0; position < ending.positions(); position++) {
                 for (int kind = 0; kind < KINDS; kind++) {
-                    Case one = new Case(ending, position, kind % 2 == 0, kind < 2);
-                    if ((all || ending.isCut() || position % KINDS == kind) && wanted.test(one)) {
+                    boolean inTurn = position % KINDS == kind;
+                    Case one = new Case(ending, position, kind % 2 == 0, kind < 2, false);
+                    if ((all || ending.isCut() || inTurn) && wanted.test(one)) {
                         cases.add(one);
                     }
+                    Case everywhere = new Case(ending, position, one.mutating, one.reused, true);
+                    if (inTurn && ending.mayBeEverywhere() && wanted.test(everywhere)) {
+                        cases.add(everywhere);
+                    }
                 }
             }
         }
@@ -93,7 +101,8 @@
     private void work(int number, List<Case> cases) {
         try (EndingHost a = new EndingHost("a" + number, asked, faults);
                 EndingHost b = new EndingHost("b" + number, asked, faults);
-                Worker worker = new Worker(number, a, b)) {
+                EndingHost c = new EndingHost("c" + number, asked, faults);
+                Worker worker = new Worker(number, a, b, c)) {
             for (Case one : cases) {
                 int tries = 0;
                 while (!worker.play(one)) {
@@ -111,7 +120,7 @@
         }
     }
 
-    /** Two hosts, and clients that ask for one case after the other. */
+    /** One host more than a request has tries, and clients that ask for one case after the other. */
     private final class Worker implements AutoCloseable {
         private final EndingHost[] hosts;
         private final String number;
@@ -132,7 +141,7 @@
             between = edge.client();
             for (EndingHost host : hosts) {
                 edge.host(host.id(), host.address(), true);
-                edge.route("warm-" + host.id(), Configuration.Type.IDEM, 2, host.id());
+                edge.route("warm-" + host.id(), Configuration.Type.IDEM, TRIES, host.id());
             }
         }
 
@@ -170,6 +179,10 @@
             }
         }
 
+        private String[] names() {
+            return Stream.of(hosts).map(EndingHost::id).toArray(String[]::new);
+        }
+
         /** Whether it came about. */
         boolean play(Case one) throws IOException, InterruptedException {
             Ending ending = one.ending;
@@ -178,21 +191,17 @@
             }
             edge.hosts(one.reused, hosts);
             if (one.reused) {
-                warm(hosts[0]);
-                warm(hosts[1]);
+                for (EndingHost host : hosts) {
+                    warm(host);
+                }
             }
             String route = (one.mutating ? "mutating-" : "idem-") + number;
             String plain = "plain-" + number;
-            edge.route(
-                    route,
-                    one.mutating ? Configuration.Type.MUTATING : Configuration.Type.IDEM,
-                    2,
-                    hosts[0].id(),
-                    hosts[1].id());
+            edge.route(route, one.mutating ? Configuration.Type.MUTATING : Configuration.Type.IDEM, TRIES, names());
             if (++played % FRESH_EVERY == 1) {
-                edge.route(plain, Configuration.Type.IDEM, 2, hosts[0].id(), hosts[1].id());
+                edge.route(plain, Configuration.Type.IDEM, TRIES, names());
             }
-            Play play = new Play(ending, one.position, next());
+            Play play = new Play(ending, one.position, next(), one.everywhere);
             if (one.mutating) {
                 mutatingIds.add(play.id);
             }
@@ -230,7 +239,7 @@
                 faults.add("the host is not done with " + one);
             }
             boolean asWanted = play.reused == one.reused;
-            boolean lives = ending.lives(one.position) && one.reused && !others && asWanted;
+            boolean lives = ending.lives(one.position) && one.reused && !others && asWanted && !one.everywhere;
             for (EndingHost host : hosts) {
                 host.play = null;
             }
@@ -279,6 +288,10 @@
             if (one.mutating && (status == 429 || status == 503 || status == 408 || status == 421)) {
                 promised.put(play.id, status);
             }
+            judgeSeal(one, play, answer);
+            if (sum(play.id, true) > TRIES) {
+                faults.add("BUDGET: reached " + sum(play.id, true) + " hosts: " + one);
+            }
             if (!play.isTaken()) {
                 return; // its time ran out, or its connection broke, before it reached a host
             }
@@ -286,15 +299,9 @@
             if (status == 200) {
                 own(answer, play.id, one.toString());
             }
-            int wanted = switch (known) {
-                case SERVED, NOT_RUN -> 200;
-                case FAILED -> one.mutating ? 500 : 200;
-                case UNKNOWN -> one.mutating ? 502 : 200;
-                case TIMED_OUT -> one.mutating ? 502 : 503;
-                case SERVED_OR_UNKNOWN -> status == 200 || status == 502 ? status : 200;
-                case SERVED_OR_LATE -> status == 200 ? 200 : one.mutating ? 502 : 503;
-                case FAILED_OR_LATE -> one.mutating ? status == 500 ? 500 : 502 : status == 200 ? 200 : 503;
-            };
+            int wanted = one.everywhere
+                    ? wantedWhereAllEndSo(known, one.mutating, status)
+                    : wanted(known, one.mutating, status);
             if (status != wanted) {
                 faults.add("answered " + status + ", not " + wanted + ": " + one + " on a "
                         + (play.reused ? "used" : "new") + " connection");
@@ -305,6 +312,39 @@
             }
         }
 
+        /** MIXED: a host's seal goes with the status that the host gave, and never with an answer of the edge's own. */
+        private void judgeSeal(Case one, Play play, Message answer) {
+            String seal = answer == null ? null : answer.headers().get("origin-seal");
+            if (seal != null && !seal.equals(EndingHost.seal(play.id, answer.status()))) {
+                faults.add("MIXED: " + answer.status() + " bears " + seal + ": " + one);
+            }
+        }
+
+        /** Where the other hosts serve. */
+        private int wanted(Known known, boolean mutating, int status) {
+            return switch (known) {
+                case SERVED, NOT_RUN -> 200;
+                case FAILED -> mutating ? 500 : 200;
+                case FAILED_ODDLY -> mutating ? EndingHost.ODD_STATUS : 200;
+                case UNKNOWN -> mutating ? 502 : 200;
+                case TIMED_OUT -> mutating ? 502 : 503;
+                case SERVED_OR_UNKNOWN -> status == 200 || status == 502 ? status : 200;
+                case SERVED_OR_LATE -> status == 200 ? 200 : mutating ? 502 : 503;
+                case FAILED_OR_LATE -> mutating ? status == 500 ? 500 : 502 : status == 200 ? 200 : 503;
+            };
+        }
+
+        /** Where no host serves an idem request is refused, and a mutating one too if none ran it. */
+        private int wantedWhereAllEndSo(Known known, boolean mutating, int status) {
+            return switch (known) {
+                case SERVED -> 200;
+                case NOT_RUN -> 503;
+                case SERVED_OR_UNKNOWN -> status == 200 ? 200 : mutating ? 502 : 503;
+                case FAILED, FAILED_ODDLY, UNKNOWN, TIMED_OUT, SERVED_OR_LATE, FAILED_OR_LATE ->
+                    mutating || status == 200 ? wanted(known, mutating, status) : 503;
+            };
+        }
+
         /** TWICE and REFUSED, once all that was sent has come. */
         void judgeAll() {
             for (String id : mutatingIds) {
--- a/src/test/java/tinworks/edge/EndingHost.java
+++ b/src/test/java/tinworks/edge/EndingHost.java
@@ -28,6 +28,7 @@
     enum Known {
         SERVED,
         FAILED,
+        FAILED_ODDLY,
         NOT_RUN,
         UNKNOWN,
         TIMED_OUT,
@@ -88,11 +89,11 @@
                 At.SPLIT,
                 Known.NOT_RUN,
                 true,
-                id -> answer(id, "503 Full", "Not-Run: 1\r\nRetry-After: 1"),
+                id -> failure(id, "503 Full", "Not-Run: 1\r\nRetry-After: 1"),
                 Then.STAYS),
-        NOT_RUN_429(At.SPLIT, Known.NOT_RUN, true, id -> answer(id, "429 Full", "Not-Run: 1"), Then.STAYS),
-        NOT_RUN_400(At.SPLIT, Known.NOT_RUN, true, id -> answer(id, "400 Bad", "Not-Run: 1"), Then.STAYS),
-        MISDIRECTED(At.SPLIT, Known.NOT_RUN, true, id -> answer(id, "421 Other", "Not-Run: 1"), Then.STAYS),
+        NOT_RUN_429(At.SPLIT, Known.NOT_RUN, true, id -> failure(id, "429 Full", "Not-Run: 1"), Then.STAYS),
+        NOT_RUN_400(At.SPLIT, Known.NOT_RUN, true, id -> failure(id, "400 Bad", "Not-Run: 1"), Then.STAYS),
+        MISDIRECTED(At.SPLIT, Known.NOT_RUN, true, id -> failure(id, "421 Other", "Not-Run: 1"), Then.STAYS),
         NOT_RUN_CUT(At.CUT, Known.UNKNOWN, false, id -> answer(id, "503 Full", "Not-Run: 1"), Then.CLOSES),
         NOT_RUN_RESET(At.CUT, Known.UNKNOWN, false, id -> answer(id, "429 Full", "Not-Run: 1"), Then.RESETS),
         MISDIRECTED_CUT(At.CUT, Known.UNKNOWN, false, id -> answer(id, "421 Other", "Not-Run: 1"), Then.CLOSES),
@@ -103,10 +104,12 @@
                 true,
                 id -> answer(id, "200 OK", "Not-Run: 1\r\nOrigin-Seal: s" + id),
                 Then.STAYS),
-        BUSY(At.SPLIT, Known.UNKNOWN, true, id -> answer(id, "503 Busy", "Retry-After: 1"), Then.STAYS),
-        TOO_MANY(At.SPLIT, Known.UNKNOWN, true, id -> answer(id, "429 Busy", "Retry-After: 1"), Then.STAYS),
-        TOO_LATE(At.SPLIT, Known.UNKNOWN, true, id -> answer(id, "408 Late", "X-A: a"), Then.STAYS),
-        FAILED(At.SPLIT, Known.FAILED, true, id -> answer(id, "500 Failed", "X-A: a"), Then.STAYS),
+        BUSY(At.SPLIT, Known.UNKNOWN, true, id -> failure(id, "503 Busy", "Retry-After: 1"), Then.STAYS),
+        TOO_MANY(At.SPLIT, Known.UNKNOWN, true, id -> failure(id, "429 Busy", "Retry-After: 1"), Then.STAYS),
+        TOO_LATE(At.SPLIT, Known.UNKNOWN, true, id -> failure(id, "408 Late", "X-A: a"), Then.STAYS),
+        FAILED(At.SPLIT, Known.FAILED, true, id -> failure(id, "500 Failed", "X-A: a"), Then.STAYS),
+        FAILED_CUT(At.CUT, Known.UNKNOWN, false, id -> failure(id, "500 Failed", "X-A: a"), Then.CLOSES),
+        FAILED_ODDLY(At.SPLIT, Known.FAILED_ODDLY, true, id -> failure(id, ODD_STATUS + " Odd", "X-A: a"), Then.STAYS),
         UNSEALED(At.SPLIT, Known.UNKNOWN, true, id -> answer(id, "200 OK", "X-A: a"), Then.STAYS),
         ENCODED(
                 At.SPLIT,
@@ -152,6 +155,7 @@
             }
             return switch (this) {
                 case CLOSE, CLOSE_CHUNKED, CLOSE_HINTED, SILENCE -> Known.SERVED;
+                case FAILED_CUT -> Known.FAILED;
                 case RESET -> Known.SERVED_OR_UNKNOWN;
                 case NOT_RUN_CUT, MISDIRECTED_CUT, NOT_RUN_RESET -> Known.NOT_RUN;
                 default -> known;
@@ -163,6 +167,11 @@
             return lives || (this == SURPLUS && position == 0);
         }
 
+        /** Whether it can be played at more hosts than one: the edge goes on to another. */
+        boolean mayBeEverywhere() {
+            return at != At.REQUEST && this != LEFT && !waitsLong();
+        }
+
         boolean isCut() {
             return at != At.SPLIT;
         }
@@ -181,21 +190,24 @@
         final CountDownLatch begun = new CountDownLatch(1);
         /** The host has done its part, and seen its connection closed where it waited for that. */
         final CountDownLatch done = new CountDownLatch(1);
+        /** Each host that it reaches ends it so, not only the first. */
+        private final boolean everywhere;
 
         private final AtomicBoolean taken = new AtomicBoolean();
         volatile EndingHost host;
         volatile Connection connection;
         volatile boolean reused;
 
-        Play(Ending ending, int position, String id) {
+        Play(Ending ending, int position, String id, boolean everywhere) {
             this.ending = ending;
             this.position = position;
             this.id = id;
+            this.everywhere = everywhere;
         }
 
         private boolean take(EndingHost at, Connection on) {
             if (!taken.compareAndSet(false, true)) {
-                return false;
+                return everywhere;
             }
             host = at;
             connection = on;
@@ -223,6 +235,7 @@
     }
 
     static final String ID = "0000000";
+    static final int ODD_STATUS = 507;
     private static final int LONGEST_REQUEST = 190;
     private static final long FORGETS_NANOS = TimeUnit.MILLISECONDS.toNanos(170);
     private static final String HINT = "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n";
@@ -275,6 +288,16 @@
                 + (id.isEmpty() ? "" : "Attempt-Id: " + id + "\r\n") + headers + "\r\n\r\n" + body(id);
     }
 
+    /** A host's own failure bears its seal too. */
+    private static String failure(String id, String status, String headers) {
+        return answer(id, status, headers + "\r\nOrigin-Seal: " + seal(id, Integer.parseInt(status.split(" ")[0])));
+    }
+
+    /** What a host seals an answer with that has this status. */
+    static String seal(String id, int status) {
+        return status == 200 ? "s" + id : "f" + id + "-" + status;
+    }
+
     private static String own(String id) {
         return answer(id, "200 OK", "Origin-Seal: s" + id);
     }
@@ -427,7 +450,7 @@
         Play now = play;
         boolean turnedAway = now != null
                 && now.id.equals(request)
-                && !now.isTaken()
+                && (now.everywhere || !now.isTaken())
                 && now.ending.known(now.position) == Known.NOT_RUN;
         if (!turnedAway) {
             runs.merge(request, 1, Integer::sum);
@@ -449,7 +472,7 @@
         } else {
             String first = ending == Ending.SURPLUS ? own(now.id) : "";
             String behind = ending == Ending.GARBLED
-                    ? answer(now.id, "500 Failed", "Origin-Seal: s" + now.id)
+                    ? failure(now.id, "500 Failed", "X-A: a")
                     : ending == Ending.GARBLED_PROMISE ? own(now.id) : "";
             write(connection, first + text.substring(0, now.position) + behind);
         }
