Take the time that a request lay unread off its time-out

A request's time-out counted from when it was read.

LoopLag took a wait at the sockets that ended within 2 ms of its start for one that found something there; on a busy machine the thread is held up for longer, and it told 0 for what had lain 212 ms.

BlockedLoopTest and LoopLagTest fail without these (the host given 4,999 ms; 0 told); a test beside them takes the lag away.

--- a/src/main/java/tinworks/edge/Requests.java
+++ b/src/main/java/tinworks/edge/Requests.java
@@ -68,14 +68,15 @@
         long now = clock.nanos();
         long left = TimeUnit.MILLISECONDS.toNanos(Math.min(route.timeoutMs(), deadline(request, route)))
                 - (now - arrivedAt);
-        if (left <= 0) {
+        long heldUp = reply.heldUpNanos();
+        if (left <= heldUp) {
             style.refused(reply, 0);
             return;
         }
         services.get(draw(route))
                 .begin(
                         now,
-                        new RequestArrived(ids.get(0), target.className(), null, null, left, 0, false),
+                        new RequestArrived(ids.get(0), target.className(), null, null, left, 0, false, heldUp),
                         request,
                         reply);
     }
--- a/src/main/java/tinworks/net/ClientServer.java
+++ b/src/main/java/tinworks/net/ClientServer.java
@@ -278,6 +278,7 @@
         private Runnable written = () -> {};
         private FullHttpRequest kept;
         private long taken;
+        private long heldUpNanos;
         private boolean done;
 
         private Reply(Connection connection, boolean keepAlive, boolean headAlone) {
@@ -286,6 +287,11 @@
             this.headAlone = headAlone;
         }
 
+        private void answers(Arrived arrived) {
+            taken = arrived.taken;
+            heldUpNanos = arrived.heldUp;
+        }
+
         /** What to do when the client leaves before its answer. */
         public void onLeft(Runnable action) {
             left = action;
@@ -296,6 +302,11 @@
             written = action;
         }
 
+        /** How long the request may have lain here before it was read, in nanoseconds. */
+        public long heldUpNanos() {
+            return heldUpNanos;
+        }
+
         /** Keeps the request and its body beyond the call of {@link Listener#requested}, until {@link #dropBody}. */
         public void keepBody(FullHttpRequest request) {
             kept = request.retain();
@@ -365,8 +376,11 @@
         return millis / 1_000 + "." + part.substring(1);
     }
 
-    /** A request, or what came in place of one, and when its last byte came. */
-    private record Arrived(FullHttpRequest request, long at, long taken) {}
+    /**
+     * A request, or what came in place of one, when its last byte was read, and how long that may have lain here
+     * before.
+     */
+    private record Arrived(FullHttpRequest request, long at, long heldUp, long taken) {}
 
     private static final class Decoder extends HttpRequestDecoder {
         /** A part of a head has been read, and its end has not. */
@@ -405,6 +419,10 @@
         private final ArrayDeque<Arrived> pipelined = new ArrayDeque<>();
 
         private Reply open;
+        /** When it was accepted, and how long it may have waited for that. */
+        private long acceptedAt;
+
+        private long acceptedLateBy;
         /** Since when the next request is due: the connect, or its first byte. */
         private long dueSince;
 
@@ -425,7 +443,9 @@
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             connections.add(this);
-            dueSince = clock.nanos();
+            acceptedAt = clock.nanos();
+            acceptedLateBy = clock.heldUpNanos();
+            dueSince = acceptedAt;
             due.add(this);
             bound();
         }
@@ -448,7 +468,7 @@
                 deaf = true;
                 channel.config().setAutoRead(request.decoderResult().cause() instanceof RequestAssembler.NoRoom);
             }
-            Arrived arrived = new Arrived(request, clock.nanos(), assembler.handOver());
+            Arrived arrived = new Arrived(request, clock.nanos(), heldUpNanos(), assembler.handOver());
             if (isFree()) {
                 take(arrived);
             } else {
@@ -458,6 +478,13 @@
             }
         }
 
+        /** What came right behind its connect lay here for as long as the connection waited to be accepted. */
+        private long heldUpNanos() {
+            long heldUp = clock.heldUpNanos();
+            long sinceAccepted = clock.nanos() - acceptedAt;
+            return !asked && sinceAccepted <= heldUp + acceptedLateBy ? sinceAccepted + acceptedLateBy : heldUp;
+        }
+
         /** The limit counts from a request's first byte, and no later byte renews it. */
         @Override
         public void channelReadComplete(ChannelHandlerContext ctx) {
@@ -498,7 +525,7 @@
                     this,
                     readable && !probes && HttpUtil.isKeepAlive(request),
                     request.method().equals(HttpMethod.HEAD));
-            reply.taken = arrived.taken;
+            reply.answers(arrived);
             open = reply;
             place();
             try {
--- a/src/main/java/tinworks/net/LoopLag.java
+++ b/src/main/java/tinworks/net/LoopLag.java
@@ -5,18 +5,22 @@
 import io.netty.channel.IoHandlerContext;
 import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.IoRegistration;
+import io.netty.channel.SelectStrategy;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.IntSupplier;
 import io.netty.util.concurrent.ThreadAwareExecutor;
+import java.nio.channels.spi.SelectorProvider;
 
 /**
  * How long what comes from the network may lie unread because the event loop is at other work. A pass of the loop looks
  * at its sockets, reads what is there, and then runs what is due; whatever arrives meanwhile waits for the next look.
  * Guards against a gateway that takes its own stall for its hosts'.
  *
- * <p>Stands round an {@link IoHandler} of one event loop; all but {@link #newHandler} belongs to that loop.
+ * <p>Stands round the {@link IoHandler} of one event loop; all but {@link #newHandler} belongs to that loop.
  */
 public final class LoopLag implements IoHandlerFactory {
-    /** A look at the sockets that returns sooner found something there already. */
-    private static final long AT_ONCE_NANOS = 2_000_000L;
+    /** Work for so long is worth a look of its own at what came meanwhile. */
+    private static final long LONG_WORK_NANOS = 2_000_000L;
 
     private final IoHandlerFactory wrapped;
     /** When this pass began to look; when the last look ended; how long the pass before this one was at work. */
@@ -28,10 +32,26 @@
     private long firstAt;
 
     private boolean reading;
+    /** What is read now was there when this pass began to look. */
+    private boolean wasThere;
 
     /** Watches the one handler that this factory makes. */
-    public LoopLag(IoHandlerFactory wrapped) {
-        this.wrapped = wrapped;
+    public LoopLag() {
+        wrapped = NioIoHandler.newFactory(SelectorProvider.provider(), () -> this::select);
+    }
+
+    /**
+     * Guards against taking what came while the loop was at work for what came while it waited: after long work it
+     * looks before it waits. How soon a wait ends doesn't tell, as on a small part of a core the thread itself is held
+     * up.
+     */
+    private int select(IntSupplier selectNow, boolean hasTasks) throws Exception {
+        if (!hasTasks && workBefore < LONG_WORK_NANOS) {
+            return SelectStrategy.SELECT;
+        }
+        int ready = selectNow.get();
+        wasThere = ready > 0;
+        return hasTasks || wasThere ? ready : SelectStrategy.SELECT;
     }
 
     /** The most that something which is told now can have waited here, in nanoseconds. */
@@ -40,8 +60,11 @@
         if (!reading) {
             return now - lookedAt;
         }
+        if (wasThere) {
+            return now - enteredAt + workBefore;
+        }
         firstAt = firstAt == 0 ? now : firstAt;
-        return now - firstAt + (firstAt - enteredAt < AT_ONCE_NANOS ? workBefore : 0);
+        return now - firstAt;
     }
 
     @Override
@@ -68,6 +91,7 @@
             enteredAt = System.nanoTime();
             workBefore = enteredAt - lookedAt;
             firstAt = 0;
+            wasThere = false;
             reading = true;
             context.asked = asked;
             context.active = 0;
--- a/src/main/java/tinworks/node/NodeProcess.java
+++ b/src/main/java/tinworks/node/NodeProcess.java
@@ -3,7 +3,6 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.internal.logging.InternalLoggerFactory;
 import io.netty.util.internal.logging.Slf4JLoggerFactory;
 import java.util.List;
@@ -38,7 +37,7 @@
     private final Map<String, String> environment;
     private final MultiThreadIoEventLoopGroup group;
     private final EventLoop loop;
-    private final LoopLag lag = new LoopLag(NioIoHandler.newFactory());
+    private final LoopLag lag = new LoopLag();
     private final BootSettings settings;
     /** The settings file as it was last read. */
     private String text;
--- a/src/main/java/tinworks/policy/Choice.java
+++ b/src/main/java/tinworks/policy/Choice.java
@@ -308,8 +308,10 @@
         if (kind == null) {
             throw new IllegalArgumentException("requestClass: unknown class " + e.requestClass());
         }
+        // Guards against holding a request past its time-out by the time that it lay here, unread.
+        long left = e.expiresInNanos() - e.heldUpNanos();
         // Guards against owing an answer past the gateway's end, where nobody could give it.
-        long deadline = Math.min(now + e.expiresInNanos(), endsAt);
+        long deadline = Math.min(now + left, endsAt);
         Request r = new Request(e.id(), kind, overShare(e.tenant()), firstAsked(e, kind), deadline);
         open.put(r.id, r);
         arrivals++;
--- a/src/main/java/tinworks/policy/Protocol.java
+++ b/src/main/java/tinworks/policy/Protocol.java
@@ -228,7 +228,11 @@
     /** The server list, or changes to it; empty where a call failed. */
     record ListReceived(ListKind kind, List<ServerInfo> servers) implements Event {}
 
-    /** A request; {@code tenant} and {@code key} may be null, {@code workNanos} is 0 where unknown. */
+    /**
+     * A request; {@code tenant} and {@code key} may be null, {@code workNanos} is 0 where unknown.
+     *
+     * @param heldUpNanos the part of {@code expiresInNanos} that may have passed here before the request was read
+     */
     record RequestArrived(
             String id,
             String requestClass,
@@ -236,8 +240,21 @@
             String key,
             long expiresInNanos,
             long workNanos,
-            boolean retry)
-            implements Event {}
+            boolean retry,
+            long heldUpNanos)
+            implements Event {
+        /** One that was read as soon as it came. */
+        public RequestArrived(
+                String id,
+                String requestClass,
+                String tenant,
+                String key,
+                long expiresInNanos,
+                long workNanos,
+                boolean retry) {
+            this(id, requestClass, tenant, key, expiresInNanos, workNanos, retry, 0);
+        }
+    }
 
     /** The client left, or the answer is overdue: nothing is owed any more. */
     record ClientLeft(String id) implements Event {}
--- a/src/test/java/tinworks/edge/EdgeFixture.java
+++ b/src/test/java/tinworks/edge/EdgeFixture.java
@@ -1,7 +1,6 @@
 package tinworks.edge;
 
 import io.netty.channel.EventLoop;
-import io.netty.channel.nio.NioIoHandler;
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
@@ -28,6 +27,7 @@
 import tinworks.net.Forwarding;
 import tinworks.net.GatewayClock;
 import tinworks.net.HostPool;
+import tinworks.net.LoopLag;
 import tinworks.net.Transport;
 import tinworks.node.NodeProcess;
 import tinworks.policy.Protocol.Event;
@@ -49,9 +49,10 @@
     private static final long DIAL_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
     private static final long LONG_NANOS = TimeUnit.MILLISECONDS.toNanos(LONG_MILLIS);
 
-    final ClosingEventLoopGroup group = new ClosingEventLoopGroup(1, NioIoHandler.newFactory());
+    private final LoopLag lag = new LoopLag();
+    final ClosingEventLoopGroup group = new ClosingEventLoopGroup(1, lag);
     final EventLoop loop = group.next();
-    final GatewayClock clock = new GatewayClock();
+    final GatewayClock clock;
     final HostPool pool;
     final ClientServer clients;
     private final EdgeStyle style;
@@ -61,7 +62,13 @@
     private final Set<String> mutating = new HashSet<>();
 
     EdgeFixture(EdgeStyle style) {
+        this(style, true);
+    }
+
+    /** One whose clock knows, or doesn't, how far the event loop is behind. */
+    EdgeFixture(EdgeStyle style, boolean watched) {
         this.style = style;
+        clock = watched ? new GatewayClock(lag::nanos) : new GatewayClock();
         pool = new HostPool(
                 loop, Transport.TCP, clock, new HostPool.Bounds(DIAL_NANOS, LONG_NANOS, CONNECTIONS, LARGEST), style);
         requests = new Requests(clock, new SplittableRandom(1), style, services);
@@ -91,13 +98,18 @@
 
     /** A route of a service of its own, whose module knows these hosts; told again, the module is a new one. */
     void route(String name, Configuration.Type type, int tries, String... hosts) {
+        route(name, type, LONG_MILLIS, tries, hosts);
+    }
+
+    /** The same with a time-out. */
+    void route(String name, Configuration.Type type, long timeoutMillis, int tries, String... hosts) {
         Route route = new Route(
                 name,
                 DOMAIN,
                 "/" + name + "/",
                 type,
-                LONG_MILLIS,
-                LONG_MILLIS / 2,
+                timeoutMillis,
+                timeoutMillis / 2,
                 1,
                 List.of(new Split(name, 1)),
                 tries);
