Leave no kind of request out while another comes in a burst

What is shed, and what goes first of what is held, went by worth for work alone.

Each module now counts the requests of each class, and how many went to a server, over about the last minute. A class of which less than half of the part of all goes out isn't shed and goes first (Choice.starved). It does nothing where a service has one class, and in calm times.

--- a/src/main/java/tinworks/edge/ServiceSettings.java
+++ b/src/main/java/tinworks/edge/ServiceSettings.java
@@ -31,6 +31,8 @@
     private static final double FURTHER_ARRIVALS = 30;
     /** Of a hundred requests one needs three times the work or more, wherever it runs: nearly all of its aim. */
     private static final double LONG_WORK = 2.5;
+    /** The rule asks for a quarter; what is sent isn't all served, and each edge counts for itself. */
+    private static final double LEAST_PART = 0.5;
 
     private static final int MOST_TRIES = 32;
     private static final int NO_NUMBER = -1;
@@ -89,7 +91,8 @@
                 NO_COLD_BUDGET,
                 TimeUnit.SECONDS.toNanos(1),
                 FURTHER_ARRIVALS,
-                LONG_WORK);
+                LONG_WORK,
+                LEAST_PART);
         return new Settings(
                 gateways,
                 NO_NUMBER,
--- a/src/main/java/tinworks/policy/Choice.java
+++ b/src/main/java/tinworks/policy/Choice.java
@@ -135,6 +135,8 @@
     private static final int MOST_VOTES = 40;
 
     private static final int LEAST_SAMPLES = 20;
+    /** What a tick leaves of the counts by which classes are compared: they are about the last minute's. */
+    private static final double KEPT_OF_COUNTS = 0.98;
 
     private static final double MEAN_SAMPLES = 100;
     private static final double SECOND_NANOS = 1e9;
@@ -167,6 +169,8 @@
     private double pressure;
     private double leastPressure;
     private double bestValue;
+    private double asked;
+    private double sent;
     private int gateways;
     private int inFlight;
     private int inDoubt;
@@ -315,6 +319,8 @@
         Request r = new Request(e.id(), kind, overShare(e.tenant()), firstAsked(e, kind), deadline);
         open.put(r.id, r);
         arrivals++;
+        kind.asked++;
+        asked++;
         extra = Math.min(mostExtra(), extra + EXTRA_PER_REQUEST);
         r.value = value(r);
         if (shed(r)) {
@@ -327,6 +333,9 @@
 
     /** Guards against answering all and nothing in time: least worth for its work is shed first. */
     private boolean shed(Request r) {
+        if (starved(r.kind)) {
+            return false;
+        }
         double rank = bestValue / Math.max(r.value, Double.MIN_NORMAL);
         double admitted = 1 + ZONES_OPEN - pressure;
         // Guards against a class of which none is ever admitted, and so none teaches that there is room again.
@@ -334,6 +343,14 @@
         return admitted < 1 && random.nextDouble() >= Math.max(least, Math.pow(admitted, Math.max(1, rank)));
     }
 
+    /**
+     * Guards against a class of which nearly nothing is served while a burst of another, worth more for its work, takes
+     * all that there is: of each goes out a part of what goes out of all.
+     */
+    private boolean starved(Kind kind) {
+        return rules.leastPart() > 0 && kind.sent + 1 < rules.leastPart() * kind.asked * sent / asked;
+    }
+
     /** Worth for work: less of it outside the tenant's share, or when it can only be answered late. */
     private double value(Request r) {
         RequestClass c = r.kind.spec;
@@ -408,22 +425,35 @@
     }
 
     /**
-     * Sends what is held while a server has room: best worth for its work first and, guarding against sending in
-     * overload only what is about to miss its aim, the newest of these first.
+     * Sends what is held while a server has room: what is of a starved class, then best worth for its work first and,
+     * guarding against sending in overload only what is about to miss its aim, the newest of these first.
      */
     private void dispatch() {
-        while (!held.isEmpty()) {
-            Request r = null;
-            for (Request other : held) {
-                r = r == null || other.value >= r.value ? other : r;
-            }
-            Server s = draw(r);
-            if (s == null) {
-                return;
+        boolean sends = true;
+        while (sends && !held.isEmpty()) {
+            Request starved = best(true);
+            sends = (starved != null && sendWhereRoom(starved)) || sendWhereRoom(best(false));
+        }
+    }
+
+    /** Of the requests that are held, or of those among them whose class is starved; null where there is none. */
+    private Request best(boolean ofStarved) {
+        Request best = null;
+        for (Request r : held) {
+            if ((best == null || r.value >= best.value) && (!ofStarved || starved(r.kind))) {
+                best = r;
             }
+        }
+        return best;
+    }
+
+    private boolean sendWhereRoom(Request r) {
+        Server s = draw(r);
+        if (s != null) {
             held.remove(r);
             send(r, s);
         }
+        return s != null;
     }
 
     /** A server at random in proportion to share x gates, or null where none may take the request now. */
@@ -668,6 +698,10 @@
     private void send(Request r, Server s) {
         Attempt a = new Attempt(r, s, r.attempts.size(), now);
         r.attempts.add(a);
+        if (a.number() == 0) {
+            r.kind.sent++;
+            sent++;
+        }
         r.outstanding++;
         s.waiting.add(a);
         s.inFlight++;
@@ -966,6 +1000,7 @@
         warmRate = Math.max(warmRate * 0.95, warmRate());
         rankClasses();
         relax();
+        fadeCounts();
         arrivals = 0;
         answers = 0;
         refusals = 0;
@@ -983,6 +1018,15 @@
         pressure = Math.max(leastPressure, pressure - RELAX_PER_TICK * (1 - known));
     }
 
+    private void fadeCounts() {
+        asked *= KEPT_OF_COUNTS;
+        sent *= KEPT_OF_COUNTS;
+        for (Kind k : kinds.values()) {
+            k.asked *= KEPT_OF_COUNTS;
+            k.sent *= KEPT_OF_COUNTS;
+        }
+    }
+
     private void normalise() {
         double sum = ready.stream().mapToDouble(s -> s.share).sum();
         for (Server s : ready) {
--- a/src/main/java/tinworks/policy/Protocol.java
+++ b/src/main/java/tinworks/policy/Protocol.java
@@ -124,6 +124,8 @@
      *     service, and then every arrival counts, turned away or not; 0 where only those count that may have run
      * @param longWork how many times as long an attempt may take, before it counts as overdue, as where work hardly
      *     differs; above 1 also what is overdue at a silent server is called off
+     * @param leastPart of each class so much of the part of all requests that is sent goes out at least; 0 where
+     *     nothing asks for that
      */
     record Rules(
             long answerSlackNanos,
@@ -134,7 +136,8 @@
             double overloadFactor,
             long overloadForNanos,
             double furtherArrivals,
-            double longWork) {
+            double longWork,
+            double leastPart) {
         /** Those of a deployment that doesn't count arrivals, and whose requests need about the same work. */
         public Rules(
                 long answerSlackNanos,
@@ -153,7 +156,8 @@
                     overloadFactor,
                     overloadForNanos,
                     0,
-                    1);
+                    1,
+                    0);
         }
     }
 
@@ -190,6 +194,7 @@
             require(rules.coldFrom() > 0 && rules.coldFrom() <= 1, "coldFrom", rules.coldFrom());
             require(rules.furtherArrivals() >= 0, "furtherArrivals", rules.furtherArrivals());
             require(rules.longWork() >= 1, "longWork", rules.longWork());
+            require(rules.leastPart() >= 0 && rules.leastPart() < 1, "leastPart", rules.leastPart());
             require(rules.warmUpNanos() >= 0, "warmUpNanos", rules.warmUpNanos());
             require(rules.drainGraceNanos() >= 0, "drainGraceNanos", rules.drainGraceNanos());
             require(rules.overloadFactor() > 0, "overloadFactor", rules.overloadFactor());
--- a/src/main/java/tinworks/policy/State.java
+++ b/src/main/java/tinworks/policy/State.java
@@ -145,6 +145,10 @@
         long usualTimeOut;
         int votes;
         boolean failsEverywhere;
+        /** Its requests of about the last minute, and how many of them went to a server. */
+        double asked;
+
+        double sent;
 
         Kind(RequestClass spec, double firstLatency) {
             this.spec = spec;
--- a/src/test/java/tinworks/policy/SystemRulesTest.java
+++ b/src/test/java/tinworks/policy/SystemRulesTest.java
@@ -77,7 +77,7 @@
     }
 
     private Choice choice(int gateways, Effect effect) {
-        Rules rules = new Rules(0, 0, Long.MAX_VALUE, 0.5, 3 * SECOND, 1e9, SECOND, 30, 2.5);
+        Rules rules = new Rules(0, 0, Long.MAX_VALUE, 0.5, 3 * SECOND, 1e9, SECOND, 30, 2.5, 0.5);
         Choice choice = new Choice(
                 new Settings(
                         gateways,
--- a/src/test/java/tinworks/policy/TryBudgetTest.java
+++ b/src/test/java/tinworks/policy/TryBudgetTest.java
@@ -110,7 +110,7 @@
 
         World(Maker maker) {
             ROUTES.forEach(name -> routes.put(name, version(name, 2, Effect.SAFE)));
-            Rules rules = new Rules(0, 0, Long.MAX_VALUE, 0.5, 3 * SECOND, 1e9, SECOND, 30, 2.5);
+            Rules rules = new Rules(0, 0, Long.MAX_VALUE, 0.5, 3 * SECOND, 1e9, SECOND, 30, 2.5, 0.5);
             choice = maker.make(
                     new Settings(1, -1, "z", false, MS, classes(), List.of(), 1, new Allowed(32, true, false), rules),
                     this);
