Ask no configuration of a simulated edge whose one seed is gone

The fault is the simulation's: by the users' page seeds are the addresses of three machines, or all where fewer serve, and they are all that a process is told.

The program is as it was.

--- a/src/test/java/tinworks/control/SimulatedDay.java
+++ b/src/test/java/tinworks/control/SimulatedDay.java
@@ -645,9 +645,21 @@
                     .filter(s -> !seeds.contains(s) && seeds.size() < SEEDS)
                     .forEach(seeds::add);
             edge.start(seeds);
+            edge.fewerSeeds = seeds.size() < Math.min(SEEDS, listed().size());
         });
     }
 
+    /**
+     * Whether an edge can find no core machine: it was given fewer seeds than the users' page promises (three, or all
+     * where fewer serve), which is harder than a real start, and none of them is up.
+     */
+    private boolean seedsLeadNowhere(SimulatedEdge edge) {
+        return edge.fewerSeeds
+                && cores.values().stream()
+                        .filter(core -> edge.seeds().contains(core.machine.address()))
+                        .noneMatch(core -> core.running() && !core.gone && !core.machine.frozen());
+    }
+
     private void cutEdge(SimulatedEdge edge, long millis) {
         if (edge.cut) {
             return;
@@ -802,7 +814,7 @@
                 served.put(edge, 0L);
             } else if (calm && !edge.cut) {
                 long owed = check.ackedBy(now - settings.applyMillis);
-                boolean inTouch = now - edge.troubledAt >= CONTACT;
+                boolean inTouch = now - edge.troubledAt >= CONTACT && !seedsLeadNowhere(edge);
                 checkReady(edge, owed);
                 if (edge.rev() < owed && inTouch) {
                     throw new HistoryCheck.Broken("EDGE BEHIND: " + edge.name + " serves " + edge.rev() + " at " + now
--- a/src/test/java/tinworks/control/SimulatedEdge.java
+++ b/src/test/java/tinworks/control/SimulatedEdge.java
@@ -39,6 +39,8 @@
 
     boolean cut;
     boolean cutSinceStart;
+    /** It was given fewer seeds than there were machines to give. */
+    boolean fewerSeeds;
 
     SimulatedEdge(
             World world,
@@ -90,6 +92,11 @@
         return follower.rev();
     }
 
+    /** The addresses that it was given at its start. */
+    List<String> seeds() {
+        return seeds;
+    }
+
     /** Which order it serves by, -1 for none. */
     int order() {
         return follower.configuration() == null
