--- a/src/test/java/tinworks/control/SimulatedDay.java
+++ b/src/test/java/tinworks/control/SimulatedDay.java
@@ -921,6 +921,9 @@
 
     /** All that was acknowledged is sent once more, and read back. */
     private void finish() {
+        // What is sent here would set off a trouble that has waited since, and the reader below relies on a calm core.
+        afterAck.clear();
+        afterSend.clear();
         check.orders.stream().filter(o -> o.ackedAt >= 0).forEach(operators::repeat);
         Order[] shown = new Order[1];
         operators.show(answered -> shown[0] = answered);
