End a voter's wait after its start by its last leader's word

A member that started again denied its vote for 500 ms, since it may have promised a lease before. After all processes were killed nobody could be elected before that, and edges had their configuration some 0.4 s later than before the wait came in.

The only lease that a forgotten promise can hold up is that of the leader which the member followed last. Its id is now written with term and vote before the first answer to it (HardState.lastLeader); after its start the member asks that one with each look whether it leads (LeaseQuery), and votes as soon as it answers that it doesn't (LeaseEnded). One that led itself waits for nobody. The channel's version is 7; a store without the id is read, and its member waits as before.

--- a/src/main/java/tinworks/channel/SignalCodec.java
+++ b/src/main/java/tinworks/channel/SignalCodec.java
@@ -28,6 +28,8 @@
 import tinworks.raft.Message.HandOver;
 import tinworks.raft.Message.Install;
 import tinworks.raft.Message.InstallReply;
+import tinworks.raft.Message.LeaseEnded;
+import tinworks.raft.Message.LeaseQuery;
 import tinworks.raft.Message.VoteReply;
 import tinworks.raft.Message.VoteRequest;
 import tinworks.raft.Snapshot;
@@ -41,7 +43,7 @@
     /** The first four bytes of a Hello: {@code TWCH}. */
     static final int MAGIC = 0x54574348;
     /** Raised whenever the bytes change; a connection between two versions is closed at its Hello. */
-    static final short VERSION = 6;
+    static final short VERSION = 7;
     /** The longest frame: a configuration of the longest body, and what stands round it. */
     static final int LONGEST = 16 << 20;
 
@@ -66,6 +68,8 @@
     private static final byte INSTALL = 5;
     private static final byte HAND_OVER = 6;
     private static final byte INSTALL_REPLY = 7;
+    private static final byte LEASE_QUERY = 8;
+    private static final byte LEASE_ENDED = 9;
     private static final Entry.Kind[] KINDS = Entry.Kind.values();
     private static final Part[] PARTS = Part.values();
 
@@ -274,6 +278,10 @@
                     .eight(m.round());
         } else if (message instanceof HandOver m) {
             out.one(HAND_OVER).eight(m.term());
+        } else if (message instanceof LeaseQuery m) {
+            out.one(LEASE_QUERY).eight(m.term()).eight(m.life());
+        } else if (message instanceof LeaseEnded m) {
+            out.one(LEASE_ENDED).eight(m.term()).eight(m.life());
         }
     }
 
@@ -288,6 +296,8 @@
             case INSTALL -> readInstall(in, term);
             case INSTALL_REPLY -> new InstallReply(term, in.eight(), in.four(), in.eight(), in.eight());
             case HAND_OVER -> new HandOver(term);
+            case LEASE_QUERY -> new LeaseQuery(term, in.eight());
+            case LEASE_ENDED -> new LeaseEnded(term, in.eight());
             default -> throw new Malformed("no message of kind " + kind);
         };
     }
--- a/src/main/java/tinworks/raft/Message.java
+++ b/src/main/java/tinworks/raft/Message.java
@@ -87,6 +87,20 @@
      */
     record InstallReply(long term, long index, int offset, long number, long round) implements Message {}
 
+    /**
+     * A member that has started again asks the leader that it followed last whether that one still leads.
+     *
+     * @param life a number that the sender drew at its start
+     */
+    record LeaseQuery(long term, long life) implements Message {}
+
+    /**
+     * Answers a {@link LeaseQuery}: the sender didn't lead when that came, so whatever lease it had before is over.
+     *
+     * @param life the query's
+     */
+    record LeaseEnded(long term, long life) implements Message {}
+
     /** The leader asks its best follower to stand at once, since it is about to end. */
     record HandOver(long term) implements Message {}
 }
--- a/src/main/java/tinworks/raft/Raft.java
+++ b/src/main/java/tinworks/raft/Raft.java
@@ -14,6 +14,8 @@
 import tinworks.raft.Message.HandOver;
 import tinworks.raft.Message.Install;
 import tinworks.raft.Message.InstallReply;
+import tinworks.raft.Message.LeaseEnded;
+import tinworks.raft.Message.LeaseQuery;
 import tinworks.raft.Message.VoteReply;
 import tinworks.raft.Message.VoteRequest;
 import tinworks.raft.Output.Envelope;
@@ -59,13 +61,19 @@
     private final Map<Long, Long> rounds = new LinkedHashMap<>();
 
     private final long startedAt;
-    /**
-     * Added to the times that are sent to the leader, so that what an earlier life of this member sent means nothing.
-     */
-    private final long echoBase;
+    /** Drawn at each start, so that answers to what an earlier life of this member sent mean nothing. */
+    private final long life;
 
     private long term;
     private long votedFor;
+    /**
+     * The leader that this member followed, or was, last: the only one whose lease an earlier life may have promised to
+     * keep.
+     */
+    private long lastLeader;
+    /** Whether {@link #lastLeader} has neither been heard in this life nor said that its lease is over. */
+    private boolean promiseOpen;
+
     private Role role = Role.FOLLOWER;
     private long leader;
     private long commit;
@@ -103,26 +111,19 @@
         log = new Log(stored.snapshot(), stored.entries());
         term = stored.hard().term();
         votedFor = stored.hard().votedFor();
+        lastLeader = stored.hard().lastLeader();
         written = stored.hard();
         commit = stored.snapshot().index();
         restore = commit > 0 ? stored.snapshot() : null;
         applied = commit;
         voters = log.votersAt(log.lastIndex());
         startedAt = now;
-        echoBase = random.nextLong();
-        long quiet = mayHavePromised() ? timing.electionMillis() : 0;
-        heardLeaderAt = now + quiet - timing.electionMillis();
+        life = random.nextLong();
+        promiseOpen = term > 0 && lastLeader != self;
+        heardLeaderAt = now - timing.electionMillis();
         // All may have lost power at once, so no longer than is needed.
-        electionAt = now + Math.max(quiet, timing.heartbeatMillis()) + random.nextLong(timing.electionMillis() / 2);
-    }
-
-    /**
-     * Guards against breaking a lease by forgetting it: what was heard isn't on the disk, so a member that may have
-     * answered a leader takes its start for the last time that it heard one. No answer goes out before a term is
-     * synced.
-     */
-    boolean mayHavePromised() {
-        return term > 0;
+        long quiet = mayHavePromised() ? timing.electionMillis() : timing.heartbeatMillis();
+        electionAt = now + quiet + random.nextLong(timing.electionMillis() / 2);
     }
 
     // ---- what is asked of it
@@ -136,7 +137,12 @@
             } else if (now >= heartbeatAt) {
                 broadcast();
             }
-        } else if (now >= electionAt) {
+            return;
+        }
+        if (mayHavePromised()) {
+            askLastLeader();
+        }
+        if (now >= electionAt) {
             ask();
         }
     }
@@ -163,6 +169,10 @@
         } else if (message instanceof InstallReply m) {
             roundAnswered(from, m.term(), m.round());
             installReplied(from, m);
+        } else if (message instanceof LeaseQuery m) {
+            leaseAsked(from, m);
+        } else if (message instanceof LeaseEnded m) {
+            leaseEnded(from, m);
         } else if (message instanceof HandOver m && m.term() == term && isVoter(self)) {
             stand(true);
         }
@@ -290,7 +300,7 @@
 
     /** What came of the events since the last call. */
     public Output drain() {
-        HardState hard = new HardState(term, votedFor);
+        HardState hard = new HardState(term, votedFor, lastLeader);
         boolean hardChanged = !hard.equals(written);
         written = hard;
         List<Entry> entries = unwrittenFrom > 0 ? log.from(unwrittenFrom, Integer.MAX_VALUE) : List.of();
@@ -485,17 +495,60 @@
      * this member's clock the lease lasts at least as long from when the echo was sent, however slow the network is.
      */
     private void toldLease(Append m) {
-        long echoed = m.echo() - echoBase;
+        long echoed = m.echo() - life;
         if (m.leaseMillis() > 0 && echoed >= startedAt && echoed <= now && echoed + m.leaseMillis() > freshUntil) {
             freshUntil = echoed + m.leaseMillis();
             freshIndex = Math.max(freshIndex, m.commit());
         }
     }
 
+    /**
+     * Guards against breaking a lease by forgetting it: what was heard isn't on the disk, so a member that may have
+     * answered a leader before its start takes that for the last time that it heard one, until the leader says that its
+     * lease is over. No answer to a leader goes out before its id is synced; one that led itself has lost its own
+     * lease.
+     */
+    boolean mayHavePromised() {
+        return promiseOpen && now - startedAt < timing.electionMillis();
+    }
+
+    /** Asks whether the promise that an earlier life may have given still binds anybody. */
+    void askLastLeader() {
+        if (lastLeader != 0) {
+            send(lastLeader, new LeaseQuery(term, life));
+        }
+    }
+
+    private void leaseAsked(long from, LeaseQuery m) {
+        if (hasNoLease()) {
+            send(from, new LeaseEnded(term, m.life()));
+        }
+    }
+
+    /**
+     * Guards against freeing a voter while its leader counts on it. A lease to which an earlier life of the asking
+     * member promised anything began before that member's start, in a term that ends with this member's lead.
+     */
+    boolean hasNoLease() {
+        return role != Role.LEADER;
+    }
+
+    private void leaseEnded(long from, LeaseEnded m) {
+        if (promiseOpen && from == lastLeader && answersThisLife(m)) {
+            promiseOpen = false;
+            electionAt = Math.min(electionAt, now + random.nextLong(timing.heartbeatMillis()));
+        }
+    }
+
+    /** Guards against an answer from before this member's start: its next leader may have been followed since. */
+    boolean answersThisLife(LeaseEnded m) {
+        return m.life() == life;
+    }
+
     /** The message with what all messages of its kind tell of time. */
     private Message stamped(long to, Message message) {
         if (message instanceof AppendReply m) {
-            return m.sent(now + echoBase);
+            return m.sent(now + life);
         } else if (message instanceof Append m && holdsLease()) {
             Progress p = progress.get(to);
             return p.echo == 0 ? m : m.leased(p.echo, Math.max(0, leaseUntil() - p.echoAt));
@@ -583,7 +636,7 @@
 
     /** Guards against one that has been removed, or hears nothing, unseating a leader that others hear. */
     boolean content() {
-        return role == Role.LEADER || now - heardLeaderAt < timing.electionMillis();
+        return role == Role.LEADER || mayHavePromised() || now - heardLeaderAt < timing.electionMillis();
     }
 
     private void voteReplied(long from, VoteReply m) {
@@ -627,6 +680,8 @@
     private void lead() {
         role = Role.LEADER;
         leader = self;
+        lastLeader = self;
+        promiseOpen = false;
         progress.clear();
         reads.clear();
         rounds.clear();
@@ -744,12 +799,14 @@
         }
         role = Role.FOLLOWER;
         leader = from;
+        lastLeader = from;
         heardLeader();
         return true;
     }
 
     void heardLeader() {
         heardLeaderAt = now;
+        promiseOpen = false;
         electionLater();
     }
 
--- a/src/main/java/tinworks/store/CoreStore.java
+++ b/src/main/java/tinworks/store/CoreStore.java
@@ -32,9 +32,9 @@
  * MVStore's. All methods block on the disk and belong to one thread.
  *
  * <p>Records, all big-endian behind a CRC-32C of the rest (4 bytes). {@code meta/identity}: id (8). {@code meta/hard}:
- * term (8), vote (8). {@code meta/snapshot}: index (8), term (8), length (4) and bytes of the voters, the state.
- * {@code log}, by index: term (8), kind (1), body. {@code meta/sum}: a sum over the keys and checksums of all others
- * (4).
+ * term (8), vote (8), the leader followed last (8, missing in older stores). {@code meta/snapshot}: index (8), term
+ * (8), length (4) and bytes of the voters, the state. {@code log}, by index: term (8), kind (1), body.
+ * {@code meta/sum}: a sum over the keys and checksums of all others (4).
  *
  * <p>Files: {@code state.mv}, or with a number, {@code state-3.mv}, once it was written anew as it had grown: a file is
  * only ever added to. {@code founding.mv} is a store whose making was cut short, {@code damaged-...mv} one that was set
@@ -493,7 +493,12 @@
     }
 
     private void writeHard(HardState hard) {
-        putMeta(HARD, sealed(record(2 * Long.BYTES).putLong(hard.term()).putLong(hard.votedFor())));
+        putMeta(
+                HARD,
+                sealed(record(3 * Long.BYTES)
+                        .putLong(hard.term())
+                        .putLong(hard.votedFor())
+                        .putLong(hard.lastLeader())));
     }
 
     private void writeSnapshot(Snapshot snapshot) {
@@ -557,7 +562,9 @@
             return HardState.NONE;
         }
         ByteBuffer in = unsealed(record, HARD);
-        return new HardState(in.getLong(), in.getLong());
+        long term = in.getLong();
+        long votedFor = in.getLong();
+        return new HardState(term, votedFor, in.hasRemaining() ? in.getLong() : 0);
     }
 
     private Snapshot snapshot() throws Damaged {
