Show that an edge with a lagging event loop answers all that came to a host

Cause: what an edge's end does with an event loop that is late by hundreds of milliseconds, with requests unread in sockets and with connections that come during the end had no test.

Change: EdgeEndTest.anEdgeWhoseEventLoopLagsAnswersAllThatCameToAHost: 24 clients on new and on kept connections ask on through the end of an edge whose loop is at other work for 200 of every 300 ms; whatever a host got since the signal has its answer.

--- a/src/test/java/tinworks/edge/EdgeEndTest.java
+++ b/src/test/java/tinworks/edge/EdgeEndTest.java
@@ -14,9 +14,11 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -51,6 +53,8 @@
 
     private static final int AIM_MILLIS = 500;
     private static final int ROUNDS = 20;
+    private static final int LAGGED_CLIENTS = 24;
+    private static final long LAG_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
     private final ClosingEventLoopGroup group = new ClosingEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     /** Requests at work by their ids, and how often each came. */
@@ -201,6 +205,69 @@
         }
     }
 
+    /** Clients on new and on kept connections, while the event loop is at other work for most of the time. */
+    @Test
+    void anEdgeWhoseEventLoopLagsAnswersAllThatCameToAHost() throws Exception {
+        List<Integer> ports = FreePorts.at("127.0.0.1", 4);
+        try (ScriptedHost host = new ScriptedHost(this::host)) {
+            EdgeNode edge = serving(ports, host);
+            Map<String, String> told = new ConcurrentHashMap<>();
+            List<Thread> clients = new ArrayList<>();
+            for (int i = 0; i < LAGGED_CLIENTS; i++) {
+                String name = "lagged-" + i + "-";
+                boolean keeps = i % 2 == 0;
+                clients.add(new Thread(() -> askUntilRefused(ports.get(0), name, keeps, told)));
+            }
+            clients.forEach(Thread::start);
+            await("requests are served", () -> told.size() > LAGGED_CLIENTS);
+            NodeProcess.run(loop, this::lag);
+            Set<String> before = Set.copyOf(came.keySet());
+            CompletableFuture<Void> ended = NodeProcess.call(loop, () -> edge.end(SteadyClock.millis()));
+            ended.get(GRACE_MILLIS, TimeUnit.MILLISECONDS);
+            for (Thread client : clients) {
+                client.join();
+            }
+            told.keySet().retainAll(came.keySet());
+            told.keySet().removeAll(before);
+            assertTrue(told.size() > LAGGED_CLIENTS, "came to hosts since the signal: " + told.size());
+            told.values().removeIf("200"::equals);
+            assertEquals(Map.of(), told, "a host got these");
+        }
+    }
+
+    /** From now on the event loop is at other work for two thirds of the time. */
+    private void lag() {
+        LockSupport.parkNanos(2 * LAG_NANOS);
+        loop.schedule(this::lag, LAG_NANOS, TimeUnit.NANOSECONDS);
+    }
+
+    /** Asks for one thing after the other until nobody takes connections any more, and notes what was told of each. */
+    private static void askUntilRefused(int port, String name, boolean keeps, Map<String, String> told) {
+        Client client = null;
+        try {
+            for (int i = 0; ; i++) {
+                client = client == null ? new Client(port) : client;
+                String id = name + i;
+                boolean mutating = i % 3 == 0;
+                Message answer = null;
+                try {
+                    client.write(EdgeFixture.request(id, mutating ? "m" : "i", mutating ? "body" : "", 3_000, false));
+                    answer = client.read();
+                } catch (java.io.IOException e) {
+                    // The edge has closed the connection: an answer that is cut, or none.
+                }
+                told.put(id, answer == null ? "nothing" : String.valueOf(answer.status()));
+                boolean ends = answer == null || "close".equals(answer.headers().get("connection"));
+                if (ends || !keeps) {
+                    client.close();
+                    client = null;
+                }
+            }
+        } catch (java.io.IOException e) {
+            // No connection is taken any more.
+        }
+    }
+
     /** Requests at their hosts, of which none has been there for its aim yet: what is overdue may be sent elsewhere. */
     private Map<String, Client> askBeforeAnyIsOverdue(int port) throws Exception {
         for (int round = 0; round < ROUNDS; round++) {
