--- a/src/test/java/tinworks/channel/SimulatedNetwork.java
+++ b/src/test/java/tinworks/channel/SimulatedNetwork.java
@@ -34,6 +34,9 @@
     private final Set<List<Machine>> cuts = new HashSet<>();
     private final Set<Machine> slow = new HashSet<>();
     private final Set<Pipe> waiting = new LinkedHashSet<>();
+    /** Those with frames on their way. */
+    private final Set<Pipe> loaded = new LinkedHashSet<>();
+
     private final Set<Connection> connections = new LinkedHashSet<>();
     private long slowBytesPerMilli = FAST_BYTES_PER_MILLI;
 
@@ -73,9 +76,12 @@
         slowBytesPerMilli = bytesPerMilli;
     }
 
-    /** Links with a machine are as fast as ever. */
+    /** Links with a machine are as fast as ever, also for what is on its way. */
     public void fast(Machine machine) {
         slow.remove(machine);
+        loaded.stream()
+                .filter(pipe -> pipe.from == machine || pipe.to == machine)
+                .forEach(Pipe::hurry);
     }
 
     /** Resets the connections between two machines; what is on its way is lost. */
@@ -136,15 +142,34 @@
         }
 
         void push(byte[] frame) {
-            long rate = slow.contains(from) || slow.contains(to) ? slowBytesPerMilli : FAST_BYTES_PER_MILLI;
-            long takes = frame == null ? 0 : frame.length * 1_000L / rate;
-            lastDue = Math.max(lastDue, world.micros()) + takes;
+            lastDue = Math.max(lastDue, world.micros()) + micros(frame);
             long due = lastDue + delay();
             frames.add(new Frame(due, frame));
+            loaded.add(this);
             bytes += frame == null ? 0 : frame.length;
             world.later(due - world.micros(), this::pump);
         }
 
+        private long micros(byte[] frame) {
+            long rate = slow.contains(from) || slow.contains(to) ? slowBytesPerMilli : FAST_BYTES_PER_MILLI;
+            return frame == null ? 0 : frame.length * 1_000L / rate;
+        }
+
+        /**
+         * The link has become faster: what is on its way comes at the present rate, and no later than it would have.
+         */
+        void hurry() {
+            List<Frame> onTheirWay = List.copyOf(frames);
+            frames.clear();
+            lastDue = world.micros();
+            for (Frame frame : onTheirWay) {
+                lastDue += micros(frame.bytes);
+                long due = Math.min(frame.due, lastDue + DELAY_MICROS);
+                frames.add(new Frame(due, frame.bytes));
+                world.later(Math.max(0, due - world.micros()), this::pump);
+            }
+        }
+
         void pump() {
             while (!frames.isEmpty() && frames.peek().due <= world.micros()) {
                 if (isCut(from, to)) {
@@ -155,6 +180,9 @@
                 bytes -= frame.bytes == null ? 0 : frame.bytes.length;
                 deliver(frame.bytes);
             }
+            if (frames.isEmpty()) {
+                loaded.remove(this);
+            }
         }
 
         private void deliver(byte[] frame) {
--- /dev/null
+++ b/src/test/java/tinworks/channel/SimulatedNetworkTest.java
@@ -0,0 +1,78 @@
+package tinworks.channel;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import tinworks.channel.Signal.Hello;
+import tinworks.channel.Signal.Leave;
+import tinworks.channel.Signal.Part;
+import tinworks.simulation.Machine;
+import tinworks.simulation.World;
+
+/** What the simulated days rest on: links that are slow for a while. */
+class SimulatedNetworkTest {
+    private static final int SLOW_BYTES_PER_MILLI = 1;
+    private static final int SIGNALS = 1_000;
+
+    private final World world = new World(1);
+    private final SimulatedNetwork network = new SimulatedNetwork(world);
+    private final Map<String, Machine> machines = new HashMap<>();
+    private final Machine one = machine("10.0.0.1:1");
+    private final Machine other = machine("10.0.0.2:1");
+    private Conversation dialled;
+    private int received;
+
+    private Machine machine(String address) {
+        Machine machine = new Machine(world, address, () -> {});
+        machine.start();
+        machines.put(address, machine);
+        return machine;
+    }
+
+    private final class Counting implements Conversation.Listener {
+        @Override
+        public void opened(Conversation conversation) {
+            dialled = conversation.dialled() ? conversation : dialled;
+        }
+
+        @Override
+        public void received(Conversation conversation, Signal signal) {
+            received++;
+        }
+
+        @Override
+        public void closed(Conversation conversation) {
+            // Not looked at.
+        }
+
+        @Override
+        public void log(String line) {
+            // Not looked at.
+        }
+    }
+
+    private static Hello hello(Machine machine, long id) {
+        return new Hello(Part.CORE, id, machine.address(), "m" + id, "z");
+    }
+
+    /** What was sent over a slow link comes at the rate of the moment, in order, and not at that of its sending. */
+    @Test
+    void aLinkThatIsNoLongerSlowIsFastForWhatIsOnItsWayToo() {
+        network.listen(other, hello(other, 2), new Counting());
+        network.links(one, machines, hello(one, 1), new Counting()).want(Set.of(other.address()));
+        world.run(1_000);
+        network.slow(other, SLOW_BYTES_PER_MILLI);
+        Collections.nCopies(SIGNALS, new Leave(1)).forEach(dialled::send);
+        world.run(1_500);
+        int before = received;
+        assertTrue(before < SIGNALS / 5, before + " came over the slow link");
+        network.fast(other);
+        world.run(1_520);
+        assertEquals(SIGNALS, received);
+    }
+}
--- a/src/test/java/tinworks/control/ScriptedDaysTest.java
+++ b/src/test/java/tinworks/control/ScriptedDaysTest.java
@@ -108,6 +108,20 @@
                 9601 wipe leader 500 0""", Closing.NONE);
     }
 
+    /**
+     * 3: the disk of a machine that came back empty takes nothing for as long as the machine counts as lost, and right
+     * after that as many as may be lost lose their disks.
+     */
+    @ParameterizedTest
+    @CsvSource({"3, stall", "3, full", "5, stall", "5, full"})
+    void aSecondLossFollowsAnEmptyDiskThatTakesNothing(int machines, String trouble) {
+        play(machines, OFTEN, """
+                5000 wipe m1 1000 0
+                6250 %s m1 3800 0
+                10080 wipe leader 500 0
+                10090 wipe other 500 0""".formatted(trouble), Closing.NONE);
+    }
+
     /** 4: members that start again in the middle of hundreds of changes catch up, also on a snapshot. */
     @ParameterizedTest
     @ValueSource(ints = {3, 4})
