--- a/src/test/java/tinworks/control/SimulationTest.java
+++ b/src/test/java/tinworks/control/SimulationTest.java
@@ -18,7 +18,7 @@
  */
 @ExtendWith(Quietly.class)
 class SimulationTest {
-    private static final int DAYS = Integer.getInteger("tinworks.simulation.days", 1_000);
+    private static final int DAYS = Integer.getInteger("tinworks.simulation.days", 3_000);
     private static final long FIRST_SEED = Long.getLong("tinworks.simulation.seed", 1);
     private static final int MOST_THREADS = 8;
 
