--- a/src/main/java/tinworks/channel/Signal.java
+++ b/src/main/java/tinworks/channel/Signal.java
@@ -1,7 +1,7 @@
 package tinworks.channel;
 
 import java.util.List;
-import tinworks.config.Packed;
+import tinworks.config.CompressedBytes;
 import tinworks.raft.Member;
 import tinworks.raft.Message;
 
@@ -54,12 +54,12 @@
     /** Asks for the configuration, or for what has changed in it since the version held, 0 for none. */
     record PullConfiguration(long held) implements Signal {}
 
-    /** A version of the configuration: {@link ConfigurationCodec}'s bytes, {@link Packed}. */
+    /** A version of the configuration: {@link ConfigurationCodec}'s bytes, {@link CompressedBytes}. */
     record ConfigurationBody(long rev, byte[] packed) implements Signal {}
 
     /**
      * What leads from one version of the configuration to a later one: {@link ConfigurationCodec}'s bytes,
-     * {@link Packed}.
+     * {@link CompressedBytes}.
      */
     record ConfigurationChanged(long base, long rev, byte[] packed) implements Signal {}
 
--- a/src/main/java/tinworks/config/Packed.java
+++ b/src/main/java/tinworks/config/CompressedBytes.java
@@ -14,12 +14,12 @@
  * Long texts on narrow links: the length of the whole (4 bytes), then its bytes, deflated where the length is above
  * {@link #PLAIN}.
  */
-public final class Packed {
+public final class CompressedBytes {
     private static final int CHUNK = 8_192;
     /** What takes a few packets at most travels as it is: to inflate it takes an edge longer than to receive it. */
     static final int PLAIN = 4_096;
 
-    private Packed() {}
+    private CompressedBytes() {}
 
     /** Packs bytes; a configuration of many routes comes to about a tenth. */
     public static byte[] pack(byte[] whole) {
--- a/src/main/java/tinworks/config/ConfigurationHistory.java
+++ b/src/main/java/tinworks/config/ConfigurationHistory.java
@@ -33,7 +33,7 @@
 
     private TakenVersions taken;
     private long rev;
-    /** The version in force, {@link Packed}; empty where there is none. */
+    /** The version in force, {@link CompressedBytes}; empty where there is none. */
     private byte[] packed = {};
 
     /** Before the first version. */
@@ -52,11 +52,11 @@
 
     /**
      * The bytes of a command: the version it builds on, its own, a digest of both and of the configuration as it was
-     * sent, and that configuration {@link Packed}. Made once, where the call arrives; the body's parts are left as they
-     * were.
+     * sent, and that configuration {@link CompressedBytes}. Made once, where the call arrives; the body's parts are
+     * left as they were.
      */
     public static byte[] command(long base, long rev, ByteBuffer... body) {
-        byte[] packed = Packed.pack(body);
+        byte[] packed = CompressedBytes.pack(body);
         ByteBuffer command =
                 ByteBuffer.allocate(HEAD_BYTES + packed.length).putLong(base).putLong(rev);
         return command.put(digest(base, rev, body)).put(packed).array();
@@ -107,10 +107,10 @@
 
     /** The version in force as it was sent, unpacked for the caller; empty where there is none yet. */
     public byte[] body() {
-        return rev == 0 ? new byte[0] : Packed.unpack(packed, LONGEST_BODY);
+        return rev == 0 ? new byte[0] : CompressedBytes.unpack(packed, LONGEST_BODY);
     }
 
-    /** The version in force, {@link Packed}; empty where there is none yet. The caller doesn't write to it. */
+    /** The version in force, {@link CompressedBytes}; empty where there is none yet. The caller doesn't write to it. */
     public byte[] packed() {
         return packed;
     }
--- a/src/main/java/tinworks/control/ConfigurationFeed.java
+++ b/src/main/java/tinworks/control/ConfigurationFeed.java
@@ -5,12 +5,12 @@
 import org.slf4j.LoggerFactory;
 import tinworks.channel.ConfigurationCodec;
 import tinworks.channel.Signal;
+import tinworks.config.CompressedBytes;
 import tinworks.config.Configuration;
 import tinworks.config.ConfigurationChange;
 import tinworks.config.ConfigurationHistory;
 import tinworks.config.ConfigurationReader;
 import tinworks.config.InvalidConfiguration;
-import tinworks.config.Packed;
 
 /**
  * The configuration in force as edges are told it: what has changed since the version that one holds, or the whole
@@ -46,7 +46,7 @@
         followed = history.rev();
         Configuration next;
         try {
-            next = ConfigurationReader.read(Packed.open(history.packed()));
+            next = ConfigurationReader.read(CompressedBytes.open(history.packed()));
         } catch (InvalidConfiguration e) {
             LOG.error("can't read the configuration {} that was taken: {}", history.rev(), e.getMessage());
             return;
@@ -92,11 +92,12 @@
             }
         }
         if (all != null) {
-            lastAsked = new Signal.ConfigurationChanged(held, newest.rev(), Packed.pack(ConfigurationCodec.write(all)));
+            lastAsked = new Signal.ConfigurationChanged(
+                    held, newest.rev(), CompressedBytes.pack(ConfigurationCodec.write(all)));
             return lastAsked;
         }
         if (whole == null) {
-            whole = new Signal.ConfigurationBody(newest.rev(), Packed.pack(ConfigurationCodec.write(newest)));
+            whole = new Signal.ConfigurationBody(newest.rev(), CompressedBytes.pack(ConfigurationCodec.write(newest)));
         }
         return whole;
     }
--- a/src/main/java/tinworks/control/OperatorCalls.java
+++ b/src/main/java/tinworks/control/OperatorCalls.java
@@ -14,11 +14,11 @@
 import tinworks.channel.Conversation;
 import tinworks.channel.Signal.Call;
 import tinworks.channel.Signal.CallAnswer;
+import tinworks.config.CompressedBytes;
 import tinworks.config.ConfigurationHistory;
 import tinworks.config.ConfigurationHistory.Verdict;
 import tinworks.config.ConfigurationReader;
 import tinworks.config.InvalidConfiguration;
-import tinworks.config.Packed;
 import tinworks.raft.Raft;
 
 /**
@@ -117,7 +117,7 @@
         replace(check(bases, new ByteArrayInputStream(body), ByteBuffer.wrap(body)), told);
     }
 
-    /** The newest configuration, {@link Packed} where the status is {@link #OK}. */
+    /** The newest configuration, {@link CompressedBytes} where the status is {@link #OK}. */
     void show(Consumer<CallAnswer> told) {
         submit(true, new byte[0], told);
     }
--- a/src/main/java/tinworks/control/OperatorServer.java
+++ b/src/main/java/tinworks/control/OperatorServer.java
@@ -19,8 +19,8 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import tinworks.channel.Signal.CallAnswer;
+import tinworks.config.CompressedBytes;
 import tinworks.config.ConfigurationHistory;
-import tinworks.config.Packed;
 import tinworks.metrics.MetricsPage;
 import tinworks.net.ByteBudget;
 import tinworks.net.ClientServer;
@@ -155,7 +155,7 @@
 
     /** The configuration as it was sent, while there is room for it; a client may be slow to take it. */
     private void show(Reply reply, CallAnswer answer) {
-        int length = answer.status() == OperatorCalls.OK ? Packed.length(answer.body()) : 0;
+        int length = answer.status() == OperatorCalls.OK ? CompressedBytes.length(answer.body()) : 0;
         if (length == 0) {
             write(reply, answer);
         } else if (!bodies.take(length)) {
@@ -165,7 +165,9 @@
             write(
                     reply,
                     new CallAnswer(
-                            0, OperatorCalls.OK, Packed.unpack(answer.body(), ConfigurationHistory.LONGEST_BODY)));
+                            0,
+                            OperatorCalls.OK,
+                            CompressedBytes.unpack(answer.body(), ConfigurationHistory.LONGEST_BODY)));
         }
     }
 
--- a/src/main/java/tinworks/edge/CoreFollower.java
+++ b/src/main/java/tinworks/edge/CoreFollower.java
@@ -15,8 +15,8 @@
 import tinworks.channel.Signal.HostsChanged;
 import tinworks.channel.Signal.PullConfiguration;
 import tinworks.channel.Signal.PullHosts;
+import tinworks.config.CompressedBytes;
 import tinworks.config.Configuration;
-import tinworks.config.Packed;
 
 /**
  * What an edge knows from the core machines: it pulls from whichever announces something newer, and versions only rise.
@@ -50,7 +50,7 @@
     private static final long BEHIND_MILLIS = 10_000;
 
     private final Owner owner;
-    private final Newest newest = new Newest();
+    private final FreshnessGate newest = new FreshnessGate();
     private Configuration configuration;
     /** The version that is being read. */
     private long readingRev;
@@ -152,7 +152,7 @@
         if (signal instanceof Announce s) {
             heard(from, s);
         } else if (signal instanceof ConfigurationBody s) {
-            read(s.rev(), () -> ConfigurationCodec.read(Packed.unpack(s.packed(), LARGEST_CONFIGURATION)));
+            read(s.rev(), () -> ConfigurationCodec.read(CompressedBytes.unpack(s.packed(), LARGEST_CONFIGURATION)));
         } else if (signal instanceof ConfigurationChanged s) {
             changed(from, s);
         } else if (signal instanceof Hosts s) {
@@ -227,7 +227,7 @@
         if (s.base() == rev()) {
             read(
                     s.rev(),
-                    () -> ConfigurationCodec.readChange(Packed.unpack(s.packed(), LARGEST_CONFIGURATION))
+                    () -> ConfigurationCodec.readChange(CompressedBytes.unpack(s.packed(), LARGEST_CONFIGURATION))
                             .appliedTo(held));
         } else if (isNewer(s.rev())) {
             from.send(new PullConfiguration(rev()));
--- a/src/main/java/tinworks/edge/Drained.java
+++ b/src/main/java/tinworks/edge/DrainedHosts.java
@@ -10,7 +10,7 @@
  * was cut off or had died, or from another source: a host that is being emptied gets no more work under its id, whoever
  * says that it is ready. Lives of hosts have ids of their own, so none needs to come back.
  */
-final class Drained {
+final class DrainedHosts {
     /** Far more than end while any machine could still hold a list from before. */
     private static final int MOST = 4_096;
 
--- a/src/main/java/tinworks/edge/EdgeNode.java
+++ b/src/main/java/tinworks/edge/EdgeNode.java
@@ -76,7 +76,7 @@
     private final TcpLinks links;
     private final HostPoller poller;
     private final HostPool hosts;
-    private final EdgeStyle style;
+    private final EdgeProtocol style;
     private final Requests requests;
     private final ClientServer clients;
     private final ClientServer probes;
@@ -93,7 +93,7 @@
     /** The hosts by their ids as last told, by a core machine or by the platform itself. */
     private Map<String, Host> known = Map.of();
 
-    private final Drained drained = new Drained();
+    private final DrainedHosts drained = new DrainedHosts();
     /** The classes of each service under the present configuration. */
     private Map<String, List<RequestClass>> classes = Map.of();
 
@@ -109,7 +109,7 @@
         this.settings = settings;
         current = settings;
         random = new SplittableRandom(id);
-        style = new EdgeStyle(id);
+        style = new EdgeProtocol(id);
         core = new CoreFollower(this);
         links = new TcpLinks(loop, new Hello(Part.EDGE, id, "", settings.node(), settings.zone()), core);
         poller = new HostPoller(loop, clock, settings.provider(), id, this::listed, this::log);
@@ -248,7 +248,7 @@
     public void read(long rev, Callable<Configuration> version) {
         reader.execute(() -> {
             try {
-                Prepared prepared = Prepared.of(version.call());
+                PreparedConfiguration prepared = PreparedConfiguration.of(version.call());
                 loop.execute(() -> use(prepared));
             } catch (Exception e) {
                 LOG.error("can't read the configuration {}: {}", rev, e.getMessage());
@@ -267,7 +267,7 @@
         reconfigure();
     }
 
-    private void use(Prepared prepared) {
+    private void use(PreparedConfiguration prepared) {
         Configuration configuration = prepared.configuration();
         if (!core.use(configuration)) {
             return;
--- a/src/main/java/tinworks/edge/EdgeStyle.java
+++ b/src/main/java/tinworks/edge/EdgeProtocol.java
@@ -25,7 +25,7 @@
 import tinworks.policy.Protocol.Outcome;
 
 /** How requests and answers look in the system's protocol. */
-class EdgeStyle implements Forwarding.Style, HostPool.Dialect {
+class EdgeProtocol implements Forwarding.Style, HostPool.Dialect {
     static final AsciiString ID = AsciiString.cached("Attempt-Id");
     static final AsciiString DEADLINE = AsciiString.cached("Deadline-Ms");
     private static final AsciiString WANT = AsciiString.cached("Want-Host");
@@ -46,7 +46,7 @@
     private final SplittableRandom random;
     private Set<String> mutating = Set.of();
 
-    EdgeStyle(long seed) {
+    EdgeProtocol(long seed) {
         random = new SplittableRandom(seed);
     }
 
--- a/src/main/java/tinworks/edge/EdgeRehearsal.java
+++ b/src/main/java/tinworks/edge/EdgeRehearsal.java
@@ -69,7 +69,7 @@
     private final GatewayClock clock;
     private final BooleanSupplier wanted;
     private final Consumer<Played> told;
-    private final EdgeStyle style = new EdgeStyle(1);
+    private final EdgeProtocol style = new EdgeProtocol(1);
     private final HostPool pool;
     private final ClientServer clients;
     private final Map<String, Forwarding> services = new HashMap<>();
@@ -243,7 +243,7 @@
             int number = asked++;
             boolean reads = number % 3 > 0;
             String head = (reads ? "GET " + READS : "POST " + JOBS) + number + " HTTP/1.1\r\nHost: " + DOMAIN + "\r\n"
-                    + EdgeStyle.ID + ": rehearsal-" + number + "\r\n" + EdgeStyle.DEADLINE + ": " + TIMEOUT_MILLIS
+                    + EdgeProtocol.ID + ": rehearsal-" + number + "\r\n" + EdgeProtocol.DEADLINE + ": " + TIMEOUT_MILLIS
                     + "\r\n";
             write(ctx, reads ? head : head + "Content-Length: " + BODY.length + "\r\n", reads ? NOTHING : BODY);
         }
@@ -283,8 +283,8 @@
         @Override
         protected boolean isWhole(int first, int last, ByteBuf end) {
             String text = end.toString(java.nio.charset.StandardCharsets.US_ASCII);
-            int at = text.indexOf(EdgeStyle.ID + ": ");
-            id = at < 0 ? id : text.substring(at + EdgeStyle.ID.length() + 2, text.indexOf('\r', at));
+            int at = text.indexOf(EdgeProtocol.ID + ": ");
+            id = at < 0 ? id : text.substring(at + EdgeProtocol.ID.length() + 2, text.indexOf('\r', at));
             return isWholeRequest(first, last);
         }
 
@@ -294,7 +294,7 @@
             write(
                     ctx,
                     "HTTP/1.1 " + (full ? "503 Full\r\nNot-Run: 1\r\n" : "200 OK\r\nOrigin-Seal: rehearsed\r\n")
-                            + EdgeStyle.ID + ": " + id + "\r\nContent-Length: " + BODY.length + "\r\n",
+                            + EdgeProtocol.ID + ": " + id + "\r\nContent-Length: " + BODY.length + "\r\n",
                     BODY);
         }
     }
--- a/src/main/java/tinworks/edge/Newest.java
+++ b/src/main/java/tinworks/edge/FreshnessGate.java
@@ -7,7 +7,7 @@
  * edge that starts and takes clients with what a core machine tells that is itself behind: only by the leader's lease
  * one knows what is newest.
  */
-final class Newest {
+final class FreshnessGate {
     private long announcedRev;
     private HostListVersion announcedHosts = HostListVersion.NONE;
     private boolean reached;
--- a/src/main/java/tinworks/edge/Prepared.java
+++ b/src/main/java/tinworks/edge/PreparedConfiguration.java
@@ -15,17 +15,17 @@
  * @param mutating the classes whose requests must not run twice
  * @param classes the classes of each service
  */
-record Prepared(
+record PreparedConfiguration(
         Configuration configuration, RouteTable routes, Set<String> mutating, Map<String, List<RequestClass>> classes) {
     /** Makes all of a version. */
-    static Prepared of(Configuration configuration) {
+    static PreparedConfiguration of(Configuration configuration) {
         Set<String> mutating = new HashSet<>();
         for (Route route : configuration.routes()) {
             if (route.type() == Configuration.Type.MUTATING) {
                 mutating.add(ServiceSettings.className(route));
             }
         }
-        return new Prepared(
+        return new PreparedConfiguration(
                 configuration,
                 new RouteTable(configuration.routes()),
                 mutating,
--- a/src/main/java/tinworks/edge/Requests.java
+++ b/src/main/java/tinworks/edge/Requests.java
@@ -23,13 +23,13 @@
 
     private final GatewayClock clock;
     private final SplittableRandom random;
-    private final EdgeStyle style;
+    private final EdgeProtocol style;
     private final Map<String, Forwarding> services;
     /** Null before the first configuration. */
     private RouteTable routes;
 
     /** Without routes yet; the services are the caller's to fill, one for each that a route names. */
-    Requests(GatewayClock clock, SplittableRandom random, EdgeStyle style, Map<String, Forwarding> services) {
+    Requests(GatewayClock clock, SplittableRandom random, EdgeProtocol style, Map<String, Forwarding> services) {
         this.clock = clock;
         this.random = random;
         this.style = style;
@@ -61,9 +61,9 @@
             throw new BadRequest(HttpResponseStatus.NOT_FOUND, "no route");
         }
         Route route = target.route();
-        List<String> ids = request.headers().getAll(EdgeStyle.ID);
+        List<String> ids = request.headers().getAll(EdgeProtocol.ID);
         if (ids.size() != 1 || ids.get(0).isEmpty()) {
-            throw new BadRequest(HttpResponseStatus.BAD_REQUEST, "wanted one " + EdgeStyle.ID);
+            throw new BadRequest(HttpResponseStatus.BAD_REQUEST, "wanted one " + EdgeProtocol.ID);
         }
         long now = clock.nanos();
         long left = TimeUnit.MILLISECONDS.toNanos(Math.min(route.timeoutMs(), deadline(request, route)))
@@ -95,14 +95,14 @@
     }
 
     private long deadline(FullHttpRequest request, Route route) throws BadRequest {
-        String text = request.headers().get(EdgeStyle.DEADLINE);
+        String text = request.headers().get(EdgeProtocol.DEADLINE);
         if (text == null) {
             return route.timeoutMs();
         }
         try {
             return Math.max(0, text.indexOf('.') < 0 ? Long.parseLong(text) : (long) Double.parseDouble(text));
         } catch (NumberFormatException e) {
-            throw new BadRequest(HttpResponseStatus.BAD_REQUEST, "can't read " + EdgeStyle.DEADLINE);
+            throw new BadRequest(HttpResponseStatus.BAD_REQUEST, "can't read " + EdgeProtocol.DEADLINE);
         }
     }
 
--- a/src/main/java/tinworks/raft/Raft.java
+++ b/src/main/java/tinworks/raft/Raft.java
@@ -97,7 +97,7 @@
     private long unwrittenFrom;
     private Snapshot unwrittenSnapshot;
     private Snapshot restore;
-    private Gathering gathering;
+    private SnapshotAssembler gathering;
     private long installs;
     private List<Envelope> outbox = new ArrayList<>();
     private final List<Long> readable = new ArrayList<>();
@@ -868,25 +868,25 @@
 
     /** Takes a piece; true once all are here. Another snapshot begins anew, and a leader's older one is passed over. */
     private boolean gather(long from, Install m) {
-        if (m.label().length() > Gathering.LONGEST || (gathering != null && gathering.overtakes(m))) {
+        if (m.label().length() > SnapshotAssembler.LONGEST || (gathering != null && gathering.overtakes(m))) {
             return false;
         }
         if (gathering == null || !gathering.label().equals(m.label())) {
-            gathering = new Gathering(m.label(), m.term());
+            gathering = new SnapshotAssembler(m.label(), m.term());
         }
         gathering.add(m.offset(), m.piece());
         if (gathering.isComplete() && isSound(gathering)) {
             return true;
         }
         if (gathering.isComplete()) {
-            gathering = new Gathering(m.label(), m.term());
+            gathering = new SnapshotAssembler(m.label(), m.term());
         }
         send(from, new InstallReply(term, m.label().index(), gathering.gathered(), m.number(), m.round()));
         return false;
     }
 
     /** Guards against taking for the leader's state what was spoilt or mixed up on its way. */
-    boolean isSound(Gathering whole) {
+    boolean isSound(SnapshotAssembler whole) {
         return whole.isSound();
     }
 
--- a/src/main/java/tinworks/raft/Gathering.java
+++ b/src/main/java/tinworks/raft/SnapshotAssembler.java
@@ -1,7 +1,7 @@
 package tinworks.raft;
 
 /** The pieces of a leader's snapshot that have come so far: from its beginning on, without a gap. */
-final class Gathering {
+final class SnapshotAssembler {
     /** More than any snapshot holds. Guards against a length that lies. */
     static final int LONGEST = 8 << 20;
 
@@ -11,7 +11,7 @@
     private int gathered;
 
     /** Nothing of it is here yet; {@code term} is that of the leader which sends it. */
-    Gathering(Snapshot.Label label, long term) {
+    SnapshotAssembler(Snapshot.Label label, long term) {
         this.label = label;
         this.term = term;
         state = new byte[label.length()];
--- a/src/test/java/tinworks/config/PackedTest.java
+++ b/src/test/java/tinworks/config/CompressedBytesTest.java
@@ -12,7 +12,7 @@
 import org.junit.jupiter.api.Test;
 
 /** Deflated bodies are read back whole, and their size is bounded. */
-class PackedTest {
+class CompressedBytesTest {
     private static final int MOST = 1 << 20;
 
     private static byte[] routes(int count) {
@@ -34,29 +34,29 @@
     void whatWasPackedComesBackAndALongConfigurationIsShort() {
         for (int count : new int[] {0, 1, 14, 60, 1_240}) {
             byte[] whole = routes(count);
-            byte[] packed = Packed.pack(whole);
-            assertArrayEquals(whole, Packed.unpack(packed, MOST));
+            byte[] packed = CompressedBytes.pack(whole);
+            assertArrayEquals(whole, CompressedBytes.unpack(packed, MOST));
             assertTrue(
                     count < 1_000 || packed.length * 6 < whole.length,
                     whole.length + " bytes, packed " + packed.length);
         }
-        assertEquals(0, Packed.unpack(Packed.pack(new byte[0]), MOST).length);
+        assertEquals(0, CompressedBytes.unpack(CompressedBytes.pack(new byte[0]), MOST).length);
     }
 
     @Test
     void whatIsCutSpoiltOrTooLongIsRefused() {
-        byte[] packed = Packed.pack(routes(60));
+        byte[] packed = CompressedBytes.pack(routes(60));
         for (int i = 0; i < packed.length; i++) {
             byte[] cut = Arrays.copyOf(packed, i);
-            assertThrows(IllegalArgumentException.class, () -> Packed.unpack(cut, MOST));
+            assertThrows(IllegalArgumentException.class, () -> CompressedBytes.unpack(cut, MOST));
         }
-        assertThrows(IllegalArgumentException.class, () -> Packed.unpack(packed, 100));
+        assertThrows(IllegalArgumentException.class, () -> CompressedBytes.unpack(packed, 100));
         byte[] longer = Arrays.copyOf(packed, packed.length + 1);
-        assertThrows(IllegalArgumentException.class, () -> Packed.unpack(longer, MOST));
+        assertThrows(IllegalArgumentException.class, () -> CompressedBytes.unpack(longer, MOST));
         for (int lie : new int[] {-1, 0, 10, MOST}) {
             byte[] lies = packed.clone();
             ByteBuffer.wrap(lies).putInt(lie);
-            assertThrows(IllegalArgumentException.class, () -> Packed.unpack(lies, MOST));
+            assertThrows(IllegalArgumentException.class, () -> CompressedBytes.unpack(lies, MOST));
         }
         SplittableRandom random = new SplittableRandom(1);
         byte[] whole = routes(60);
@@ -64,7 +64,8 @@
             byte[] spoilt = packed.clone();
             spoilt[random.nextInt(spoilt.length)] ^= (byte) (1 << random.nextInt(8));
             try {
-                assertArrayEquals(whole, Packed.unpack(spoilt, MOST), "its checksum holds, so it is what was packed");
+                assertArrayEquals(
+                        whole, CompressedBytes.unpack(spoilt, MOST), "its checksum holds, so it is what was packed");
             } catch (IllegalArgumentException e) {
                 assertTrue(e.getMessage().startsWith("packed: "));
             }
--- a/src/test/java/tinworks/control/ConfigurationFeedTest.java
+++ b/src/test/java/tinworks/control/ConfigurationFeedTest.java
@@ -16,10 +16,10 @@
 import tinworks.channel.ConfigurationCodec;
 import tinworks.channel.Malformed;
 import tinworks.channel.Signal;
+import tinworks.config.CompressedBytes;
 import tinworks.config.Configuration;
 import tinworks.config.ConfigurationHistory;
 import tinworks.config.ConfigurationReader;
-import tinworks.config.Packed;
 
 /** What edges are told of the configuration: changes that lead to the very same, in bytes of the change's own size. */
 class ConfigurationFeedTest {
@@ -66,10 +66,10 @@
 
     private static Configuration taught(Configuration held, Signal told) throws Malformed {
         if (told instanceof Signal.ConfigurationBody body) {
-            return ConfigurationCodec.read(Packed.unpack(body.packed(), MOST));
+            return ConfigurationCodec.read(CompressedBytes.unpack(body.packed(), MOST));
         }
         Signal.ConfigurationChanged changed = assertInstanceOf(Signal.ConfigurationChanged.class, told);
-        return ConfigurationCodec.readChange(Packed.unpack(changed.packed(), MOST))
+        return ConfigurationCodec.readChange(CompressedBytes.unpack(changed.packed(), MOST))
                 .appliedTo(held);
     }
 
--- a/src/test/java/tinworks/control/MutantDaysTest.java
+++ b/src/test/java/tinworks/control/MutantDaysTest.java
@@ -13,7 +13,7 @@
  * Each guard that is taken out is found out by simulated days, by the rule that it keeps; with it the days break
  * nothing.
  */
-@ExtendWith(Quietly.class)
+@ExtendWith(SuppressedLogs.class)
 class MutantDaysTest {
     @ParameterizedTest
     @CsvSource({
--- a/src/test/java/tinworks/control/ScriptedDaysTest.java
+++ b/src/test/java/tinworks/control/ScriptedDaysTest.java
@@ -20,7 +20,7 @@
 /**
  * Days that bring about what operators have met with systems of this kind, and those that simulated days have found.
  */
-@ExtendWith(Quietly.class)
+@ExtendWith(SuppressedLogs.class)
 class ScriptedDaysTest {
     private static final long OFTEN = 300;
     private static final long VERY_OFTEN = 40;
--- a/src/test/java/tinworks/control/SimulationTest.java
+++ b/src/test/java/tinworks/control/SimulationTest.java
@@ -16,7 +16,7 @@
  * {@code -Dtinworks.simulation.seed} on. All are played; then come a line of counts, and each failure with the fewest
  * troubles that still bring it about, as {@link DayScript} reads them.
  */
-@ExtendWith(Quietly.class)
+@ExtendWith(SuppressedLogs.class)
 class SimulationTest {
     private static final int DAYS = Integer.getInteger("tinworks.simulation.days", 3_000);
     private static final long FIRST_SEED = Long.getLong("tinworks.simulation.seed", 1);
--- a/src/test/java/tinworks/control/Quietly.java
+++ b/src/test/java/tinworks/control/SuppressedLogs.java
@@ -7,7 +7,7 @@
 import tinworks.logging.JsonLog;
 
 /** Keeps the lines of a thousand days out of the log; errors are told. */
-final class Quietly implements BeforeAllCallback, AfterAllCallback {
+final class SuppressedLogs implements BeforeAllCallback, AfterAllCallback {
     @Override
     public void beforeAll(ExtensionContext context) {
         JsonLog.install("", Level.ERROR);
--- a/src/test/java/tinworks/edge/AtMostOnceTest.java
+++ b/src/test/java/tinworks/edge/AtMostOnceTest.java
@@ -47,7 +47,7 @@
     @Test
     void eachEndingAtEachByte() throws Exception {
         Report report = AtMostOnceWalk.walk(
-                new EdgeStyle(1), AtMostOnceWalk.cases(Boolean.getBoolean("tinworks.walk.all"), one -> true));
+                new EdgeProtocol(1), AtMostOnceWalk.cases(Boolean.getBoolean("tinworks.walk.all"), one -> true));
         System.out.println("at most once: " + report.played() + " cases, " + report.again() + " played again, "
                 + report.byEnding());
         assertEquals(
@@ -57,7 +57,7 @@
     }
 
     /** A style without one of its guards, and the endings that show it. */
-    private record Mutant(String name, EdgeStyle style, Set<Ending> shownBy) {
+    private record Mutant(String name, EdgeProtocol style, Set<Ending> shownBy) {
         @Override
         public String toString() {
             return name;
@@ -68,7 +68,7 @@
         return Stream.of(
                 new Mutant(
                         "any answer is the request's own",
-                        new EdgeStyle(1) {
+                        new EdgeProtocol(1) {
                             @Override
                             public Whose whose(String request, HttpHeaders headers) {
                                 return Whose.OWN;
@@ -77,7 +77,7 @@
                         EnumSet.of(Ending.STRAY, Ending.STRAY_PROMISE_ALONE, Ending.STRAY_MISDIRECTED_ALONE)),
                 new Mutant(
                         "an answer that names no request is its own",
-                        new EdgeStyle(1) {
+                        new EdgeProtocol(1) {
                             @Override
                             public Whose whose(String request, HttpHeaders headers) {
                                 Whose whose = super.whose(request, headers);
@@ -87,7 +87,7 @@
                         EnumSet.of(Ending.NOT_RUN_NOBODYS)),
                 new Mutant(
                         "a 429 or 503 proves that nothing ran",
-                        new EdgeStyle(1) {
+                        new EdgeProtocol(1) {
                             @Override
                             public Outcome outcome(String request, HttpResponse head, boolean framed) {
                                 int status = head.status().code();
@@ -99,7 +99,7 @@
                         EnumSet.of(Ending.BUSY, Ending.TOO_MANY)),
                 new Mutant(
                         "Not-Run proves it beside any status",
-                        new EdgeStyle(1) {
+                        new EdgeProtocol(1) {
                             @Override
                             public Outcome outcome(String request, HttpResponse head, boolean framed) {
                                 return head.headers().contains("Not-Run")
@@ -110,7 +110,7 @@
                         EnumSet.of(Ending.NOT_RUN_200)),
                 new Mutant(
                         "a success needs no seal",
-                        new EdgeStyle(1) {
+                        new EdgeProtocol(1) {
                             @Override
                             public Outcome outcome(String request, HttpResponse head, boolean framed) {
                                 return head.status().code() == 200 && framed
@@ -121,7 +121,7 @@
                         EnumSet.of(Ending.UNSEALED, Ending.ENCODED)),
                 new Mutant(
                         "a host's own 503, 429 and 408 are passed on",
-                        new EdgeStyle(1) {
+                        new EdgeProtocol(1) {
                             @Override
                             public void failed(Reply reply, Answer last) {
                                 if (last == null) {
@@ -138,7 +138,7 @@
                         EnumSet.of(Ending.BUSY, Ending.TOO_MANY, Ending.TOO_LATE)),
                 new Mutant(
                         "an own answer keeps a host's headers",
-                        new EdgeStyle(1) {
+                        new EdgeProtocol(1) {
                             @Override
                             public void failed(Reply reply, Answer last) {
                                 DefaultHttpHeaders headers = new DefaultHttpHeaders();
@@ -152,7 +152,7 @@
                         EnumSet.of(Ending.BUSY, Ending.TOO_MANY, Ending.TOO_LATE, Ending.FAILED, Ending.FAILED_ODDLY)),
                 new Mutant(
                         "what failed and may have run is refused",
-                        new EdgeStyle(1) {
+                        new EdgeProtocol(1) {
                             @Override
                             public void failed(Reply reply, Answer last) {
                                 refused(reply, 0);
@@ -224,7 +224,7 @@
         List<Socket> filling = new ArrayList<>();
         try (ServerSocket bad = unreachable(how, filling);
                 EndingHost good = new EndingHost("good", asked, EndingHost.faults());
-                EdgeFixture edge = new EdgeFixture(new EdgeStyle(1));
+                EdgeFixture edge = new EdgeFixture(new EdgeProtocol(1));
                 Client client = edge.client()) {
             edge.host("bad", new InetSocketAddress("127.0.0.1", bad.getLocalPort()), true);
             edge.host("good", good.address(), true);
@@ -246,7 +246,7 @@
     /**
      * What an address says of a host that is gone: another one is there now; the runs there, and the client's answer.
      */
-    private static String atAnotherHostsAddress(EdgeStyle style) throws Exception {
+    private static String atAnotherHostsAddress(EdgeProtocol style) throws Exception {
         Map<String, String> asked = new ConcurrentHashMap<>();
         asked.put("a", "POST /m/a?q=%20a HTTP/1.1|body");
         try (EndingHost now = new EndingHost("now", asked, EndingHost.faults());
@@ -261,10 +261,10 @@
 
     @Test
     void aRequestIsRunByNoOtherHostAtTheAddress() throws Exception {
-        assertEquals("503, ran 0", atAnotherHostsAddress(new EdgeStyle(1)));
+        assertEquals("503, ran 0", atAnotherHostsAddress(new EdgeProtocol(1)));
         assertEquals(
                 "200, ran 1",
-                atAnotherHostsAddress(new EdgeStyle(1) {
+                atAnotherHostsAddress(new EdgeProtocol(1) {
                     @Override
                     public FullHttpRequest forHost(FullHttpRequest request, String host, long timeoutNanos) {
                         FullHttpRequest sent = super.forHost(request, host, timeoutNanos);
@@ -279,7 +279,7 @@
      * The host forgets connections that rest without a word: the answer to what is asked once its connection has
      * rested.
      */
-    private static int afterARest(EdgeStyle style, Configuration.Type type) throws Exception {
+    private static int afterARest(EdgeProtocol style, Configuration.Type type) throws Exception {
         Map<String, String> asked = new ConcurrentHashMap<>();
         try (EndingHost host = new EndingHost("h", asked, EndingHost.faults());
                 EdgeFixture edge = new EdgeFixture(style);
@@ -299,11 +299,11 @@
 
     @Test
     void whatMayNotRunTwiceGoesOnNoConnectionThatRested() throws Exception {
-        assertEquals(200, afterARest(new EdgeStyle(1), Configuration.Type.MUTATING));
+        assertEquals(200, afterARest(new EdgeProtocol(1), Configuration.Type.MUTATING));
         assertEquals(
                 502,
                 afterARest(
-                        new EdgeStyle(1) {
+                        new EdgeProtocol(1) {
                             @Override
                             public long restedNanos(String requestClass) {
                                 return Long.MAX_VALUE;
@@ -333,7 +333,7 @@
                         socket.close();
                     }
                 });
-                EdgeFixture edge = new EdgeFixture(new EdgeStyle(1));
+                EdgeFixture edge = new EdgeFixture(new EdgeProtocol(1));
                 Client client = edge.client()) {
             edge.host("h", host.address(), true);
             edge.route("m", Configuration.Type.MUTATING, 2, "h");
--- a/src/test/java/tinworks/edge/AtMostOnceWalk.java
+++ b/src/test/java/tinworks/edge/AtMostOnceWalk.java
@@ -46,7 +46,7 @@
     private final AtomicInteger ids = new AtomicInteger();
     private final AtomicInteger again = new AtomicInteger();
 
-    private AtMostOnceWalk(EdgeStyle style) {
+    private AtMostOnceWalk(EdgeProtocol style) {
         edge = new EdgeFixture(style);
     }
 
@@ -76,7 +76,7 @@
         return cases;
     }
 
-    static Report walk(EdgeStyle style, List<Case> cases) throws Exception {
+    static Report walk(EdgeProtocol style, List<Case> cases) throws Exception {
         AtMostOnceWalk walk = new AtMostOnceWalk(style);
         List<Thread> workers = new ArrayList<>();
         try (walk.edge) {
--- a/src/test/java/tinworks/edge/BlockedLoopTest.java
+++ b/src/test/java/tinworks/edge/BlockedLoopTest.java
@@ -44,7 +44,7 @@
     }
 
     private void start(boolean watched) {
-        edge = new EdgeFixture(new EdgeStyle(1), watched);
+        edge = new EdgeFixture(new EdgeProtocol(1), watched);
         String[] hosts = IntStream.range(0, HOSTS).mapToObj(i -> "h" + i).toArray(String[]::new);
         for (String id : hosts) {
             edge.host(id, host.address(), true);
--- a/src/test/java/tinworks/edge/DrainedTest.java
+++ b/src/test/java/tinworks/edge/DrainedHostsTest.java
@@ -8,8 +8,8 @@
 import tinworks.channel.HostList.Host;
 
 /** Hosts that are drained stay so at an edge. */
-class DrainedTest {
-    private final Drained drained = new Drained();
+class DrainedHostsTest {
+    private final DrainedHosts drained = new DrainedHosts();
 
     private static Host host(String id, boolean draining) {
         return new Host(id, "s", "10.0.0.1:80", "z", 3, draining, 0);
--- a/src/test/java/tinworks/edge/EdgeFixture.java
+++ b/src/test/java/tinworks/edge/EdgeFixture.java
@@ -55,18 +55,18 @@
     final GatewayClock clock;
     final HostPool pool;
     final ClientServer clients;
-    private final EdgeStyle style;
+    private final EdgeProtocol style;
     private final Map<String, Forwarding> services = new HashMap<>();
     private final Requests requests;
     private final List<Route> routes = new ArrayList<>();
     private final Set<String> mutating = new HashSet<>();
 
-    EdgeFixture(EdgeStyle style) {
+    EdgeFixture(EdgeProtocol style) {
         this(style, true);
     }
 
     /** One whose clock knows, or doesn't, how far the event loop is behind. */
-    EdgeFixture(EdgeStyle style, boolean watched) {
+    EdgeFixture(EdgeProtocol style, boolean watched) {
         this.style = style;
         clock = watched ? new GatewayClock(lag::nanos) : new GatewayClock();
         pool = new HostPool(
--- a/src/test/java/tinworks/edge/EdgeTest.java
+++ b/src/test/java/tinworks/edge/EdgeTest.java
@@ -25,7 +25,7 @@
 
 /** Routes, and how requests and answers look at an edge. */
 class EdgeTest {
-    private final EdgeStyle style = new EdgeStyle(1);
+    private final EdgeProtocol style = new EdgeProtocol(1);
 
     private static Route route(String name, String domain, String prefix) {
         return new Route(name, domain, prefix, Configuration.Type.IDEM, 1000, 300, 1, List.of(new Split("s", 1)), 2);
@@ -128,7 +128,7 @@
 
     @Test
     void aFreshEdgeIsNotReadyWithWhatAMachineTellsThatHearsNoLeader() {
-        Newest newest = new Newest();
+        FreshnessGate newest = new FreshnessGate();
         newest.announced(4, HostListVersion.NONE, false);
         newest.holds(4, HostListVersion.NONE);
         assertFalse(newest.reached(), "who tells of 4 may be behind");
--- a/src/test/java/tinworks/edge/LastAnswersTest.java
+++ b/src/test/java/tinworks/edge/LastAnswersTest.java
@@ -42,7 +42,7 @@
                         ScriptedHost.write(socket, SERVED + id + "\r\n\r\nfine");
                     }
                 });
-                EdgeFixture edge = new EdgeFixture(new EdgeStyle(1));
+                EdgeFixture edge = new EdgeFixture(new EdgeProtocol(1));
                 Client client = edge.client()) {
             edge.host("h", host.address(), true);
             edge.route("m", Configuration.Type.MUTATING, 2, "h");
@@ -75,7 +75,7 @@
                         socket,
                         "HTTP/1.1 200 OK\r\nContent-Length: " + LARGE_BODY
                                 + "\r\nOrigin-Seal: s\r\nAttempt-Id: a\r\n\r\n" + "x".repeat(LARGE_BODY)));
-                EdgeFixture edge = new EdgeFixture(new EdgeStyle(1));
+                EdgeFixture edge = new EdgeFixture(new EdgeProtocol(1));
                 Socket client = new Socket()) {
             edge.host("h", host.address(), true);
             edge.route("i", Configuration.Type.IDEM, 2, "h");
--- a/src/test/java/tinworks/edge/StrayAnswersTest.java
+++ b/src/test/java/tinworks/edge/StrayAnswersTest.java
@@ -39,7 +39,7 @@
             Transport.TCP,
             new GatewayClock(),
             new HostPool.Bounds(LONG_NANOS, LONG_NANOS, 8, 1 << 16),
-            new EdgeStyle(1));
+            new EdgeProtocol(1));
 
     private record Ended(Outcome outcome, String body) {}
 
@@ -79,7 +79,7 @@
             pool.update(List.of(new HostPool.Place("h", host.address(), 0, true, false)), true);
             FullHttpRequest request =
                     new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/p/", Unpooled.EMPTY_BUFFER);
-            request.headers().set(EdgeStyle.ID, id);
+            request.headers().set(EdgeProtocol.ID, id);
             pool.send(
                     "h",
                     id,
@@ -108,7 +108,7 @@
     @CsvSource({"served", "full", "misdirected", "hinted", "pieces"})
     void anotherRequestsAnswerIsPassedOverAndTheOwnOneServed(String kind) throws Exception {
         try (ScriptedHost host = new ScriptedHost((socket, request) -> {
-            String id = request.header(EdgeStyle.ID.toString());
+            String id = request.header(EdgeProtocol.ID.toString());
             send(socket, id.equals("r2") ? stray(kind) + "|" + served(id) : served(id));
         })) {
             assertEquals(new Ended(Outcome.SERVED, "for r1"), ask(host, "r1", LONG_NANOS));
@@ -148,8 +148,8 @@
 
     @Test
     void anAnswerThatComesWhileTheConnectionRestsEndsIt() throws Exception {
-        try (ScriptedHost host =
-                new ScriptedHost((socket, request) -> send(socket, served(request.header(EdgeStyle.ID.toString()))))) {
+        try (ScriptedHost host = new ScriptedHost(
+                (socket, request) -> send(socket, served(request.header(EdgeProtocol.ID.toString()))))) {
             assertEquals(new Ended(Outcome.SERVED, "for r1"), ask(host, "r1", LONG_NANOS));
             send(host.connections.get(0), served("r1"));
             // Whether the stray is read before the next request goes out or after, it is nobody's.
--- a/src/test/java/tinworks/edge/UnaskedTest.java
+++ b/src/test/java/tinworks/edge/UnaskedTest.java
@@ -25,7 +25,7 @@
     private static final String HEAD = "POST /m/a HTTP/1.1\r\nHost: x.example\r\nAttempt-Id: a\r\n";
     private static final String INNER =
             "POST /m/b HTTP/1.1\r\nHost: x.example\r\nAttempt-Id: b\r\nContent-Length: 0\r\n\r\n";
-    private final EdgeFixture edge = new EdgeFixture(new EdgeStyle(1));
+    private final EdgeFixture edge = new EdgeFixture(new EdgeProtocol(1));
     private ScriptedHost host;
 
     @BeforeEach
--- a/src/test/java/tinworks/raft/ReplicationTest.java
+++ b/src/test/java/tinworks/raft/ReplicationTest.java
@@ -73,7 +73,7 @@
                 }
 
                 @Override
-                boolean isSound(Gathering whole) {
+                boolean isSound(SnapshotAssembler whole) {
                     return mutant == Mutant.NO_CHECKSUM || super.isSound(whole);
                 }
             });
