--- a/src/main/java/tinworks/net/Gateway.java
+++ b/src/main/java/tinworks/net/Gateway.java
@@ -37,7 +37,7 @@
 
     private final EventLoop loop;
     private final Consumer<String> log;
-    private final GatewayClock clock = new GatewayClock();
+    private final GatewayClock clock;
     private final GatewayConfig config;
     private final Map<String, RequestClass> classes = new HashMap<>();
     private final CompletableFuture<Void> ended = new CompletableFuture<>();
@@ -51,8 +51,9 @@
     private boolean askedForList;
     private boolean ending;
 
-    private Gateway(EventLoop loop, GatewayConfig config, Transport transport, Consumer<String> log) {
-        this.loop = loop;
+    private Gateway(GatewayLoop gatewayLoop, GatewayConfig config, Transport transport, Consumer<String> log) {
+        loop = gatewayLoop.loop();
+        clock = gatewayLoop.clock();
         this.log = log;
         this.config = config;
         config.settings().classes().forEach(c -> classes.put(c.name(), c));
@@ -80,7 +81,7 @@
 
     /** Starts a gateway; the future ends when it listens, or tells why it can't. */
     static CompletableFuture<Gateway> start(
-            EventLoop loop, GatewayConfig config, Transport transport, Consumer<String> log) {
+            GatewayLoop loop, GatewayConfig config, Transport transport, Consumer<String> log) {
         return open(loop, config, transport, log).thenCompose(Gateway::listen);
     }
 
@@ -89,9 +90,9 @@
      * discovery's first answer may take its time, in which other work can be done.
      */
     static CompletableFuture<Gateway> open(
-            EventLoop loop, GatewayConfig config, Transport transport, Consumer<String> log) {
+            GatewayLoop loop, GatewayConfig config, Transport transport, Consumer<String> log) {
         CompletableFuture<Gateway> opened = new CompletableFuture<>();
-        loop.execute(() -> {
+        loop.loop().execute(() -> {
             Gateway gateway = new Gateway(loop, config, transport, log);
             gateway.hosts.update(config.known().places(), config.known().snapshot());
             gateway.tell(new ListReceived(ListKind.CACHED, config.known().servers()));
--- a/src/main/java/tinworks/net/Rehearsal.java
+++ b/src/main/java/tinworks/net/Rehearsal.java
@@ -173,13 +173,14 @@
                 .bind(hosts)
                 .addListener(bound -> {
                     if (bound.isSuccess()) {
-                        Gateway.start(loop, setting(), transport, line -> {}).whenComplete((gateway, fault) -> {
-                            if (fault == null) {
-                                farSides.execute(this::clients);
-                            } else {
-                                done.completeExceptionally(fault);
-                            }
-                        });
+                        Gateway.start(GatewayLoop.unwatched(loop), setting(), transport, line -> {})
+                                .whenComplete((gateway, fault) -> {
+                                    if (fault == null) {
+                                        farSides.execute(this::clients);
+                                    } else {
+                                        done.completeExceptionally(fault);
+                                    }
+                                });
                     } else {
                         done.completeExceptionally(bound.cause());
                     }
--- a/src/main/java/tinworks/net/Server.java
+++ b/src/main/java/tinworks/net/Server.java
@@ -1,8 +1,6 @@
 package tinworks.net;
 
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import io.netty.util.internal.logging.InternalLoggerFactory;
 import io.netty.util.internal.logging.JdkLoggerFactory;
@@ -32,17 +30,17 @@
         CompletableFuture<Gateway> started = new CompletableFuture<>();
         onHangUp(() -> started.thenAccept(gateway -> reload(gateway, environment)));
         GatewayConfig config = GatewayConfig.read(environment);
-        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-        Gateway gateway = Gateway.open(group.next(), config, Transport.TCP, System.out::println)
-                .join();
+        GatewayLoop loop = GatewayLoop.watched();
+        Gateway gateway =
+                Gateway.open(loop, config, Transport.TCP, System.out::println).join();
         started.complete(gateway);
         // While discovery thinks about its first answer.
         Rehearsal.run(config, Rehearsal.LONGEST_MILLIS);
         try {
             gateway.listen().join();
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> end(gateway, group)));
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> end(gateway, loop.loop())));
         } catch (CompletionException e) {
-            group.shutdownGracefully();
+            loop.loop().shutdownGracefully();
             throw new IllegalArgumentException(
                     "can't listen on " + config.listen() + ": " + e.getCause().getMessage(), e);
         }
@@ -65,11 +63,11 @@
         }
     }
 
-    private static void end(Gateway gateway, EventLoopGroup group) {
+    private static void end(Gateway gateway, EventLoop loop) {
         try {
             gateway.end().get(LONGEST_END_MILLIS, TimeUnit.MILLISECONDS);
             // The Java runtime waits 0.3 s at its exit for a thread that stands in a system call.
-            group.shutdownGracefully(0, LOOP_END_MILLIS, TimeUnit.MILLISECONDS).await(LOOP_END_MILLIS);
+            loop.shutdownGracefully(0, LOOP_END_MILLIS, TimeUnit.MILLISECONDS).await(LOOP_END_MILLIS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         } catch (ExecutionException | TimeoutException e) {
--- a/src/test/java/tinworks/net/DiscoveryTest.java
+++ b/src/test/java/tinworks/net/DiscoveryTest.java
@@ -3,7 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.util.List;
@@ -16,28 +16,28 @@
 
 /** How a watch ends: each is told once, whatever the far side does. */
 class DiscoveryTest {
-    private final ClosingEventLoopGroup group = new ClosingEventLoopGroup(1, NioIoHandler.newFactory());
+    private final GatewayLoop watched = GatewayLoop.watched();
+    private final EventLoop loop = watched.loop();
     private final BlockingQueue<String> told = new LinkedBlockingQueue<>();
 
     @AfterEach
     void stop() throws InterruptedException {
-        group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).await(GatewayFixture.PATIENCE_MILLIS);
+        loop.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).await(GatewayFixture.PATIENCE_MILLIS);
     }
 
     private Discovery watch(ScriptedHost server) {
-        Discovery discovery =
-                new Discovery(group.next(), Transport.TCP, server.address(), 7, 2000, new Discovery.Listener() {
-                    @Override
-                    public void listed(EndpointList list) {
-                        told.add("listed " + list.index());
-                    }
+        Discovery discovery = new Discovery(loop, Transport.TCP, server.address(), 7, 2000, new Discovery.Listener() {
+            @Override
+            public void listed(EndpointList list) {
+                told.add("listed " + list.index());
+            }
 
-                    @Override
-                    public void failed() {
-                        told.add("failed");
-                    }
-                });
-        group.next().execute(discovery::watch);
+            @Override
+            public void failed() {
+                told.add("failed");
+            }
+        });
+        loop.execute(discovery::watch);
         return discovery;
     }
 
@@ -90,7 +90,7 @@
                 })) {
             Discovery discovery = watch(server);
             assertEquals("listed 8", next());
-            group.next().execute(() -> {
+            loop.execute(() -> {
                 discovery.moveTo(next.address());
                 discovery.watch();
             });
@@ -114,10 +114,7 @@
                 "{\"seed\":\"2a\",\"settings\":" + GatewayFixture.SETTINGS.replace("IDLE", "15000000000") + "}");
         try (ScriptedHost server = GatewayFixture.quietDiscovery()) {
             Gateway gateway = Gateway.open(
-                            group.next(),
-                            GatewayConfig.read(config, anywhere, server.address()),
-                            Transport.TCP,
-                            line -> {})
+                            watched, GatewayConfig.read(config, anywhere, server.address()), Transport.TCP, line -> {})
                     .get(GatewayFixture.PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
             GatewayFixture.await("the watch", () -> server.requests.size() == 1);
             gateway.listen().get(GatewayFixture.PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
@@ -137,10 +134,7 @@
                 + GatewayFixture.SETTINGS.replace("IDLE", "15000000000") + "}");
         try (ScriptedHost silent = new ScriptedHost((socket, request) -> {})) {
             Gateway gateway = Gateway.start(
-                            group.next(),
-                            GatewayConfig.read(config, anywhere, silent.address()),
-                            Transport.TCP,
-                            line -> {})
+                            watched, GatewayConfig.read(config, anywhere, silent.address()), Transport.TCP, line -> {})
                     .get(GatewayFixture.PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
             try (Socket client = new Socket("127.0.0.1", gateway.address().getPort())) {
                 ScriptedHost.write(client, "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
--- a/src/test/java/tinworks/net/GatewayFixture.java
+++ b/src/test/java/tinworks/net/GatewayFixture.java
@@ -2,7 +2,6 @@
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.netty.channel.nio.NioIoHandler;
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
@@ -11,7 +10,9 @@
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 import tinworks.json.Json;
 import tinworks.net.ScriptedHost.Message;
@@ -31,7 +32,7 @@
              "obligations":{"drain_grace_ns":1000000000,"ask_within_ns":10000000000,"cold_from":0.5,
                             "warm_up_ns":1000000000,"overload_factor":2.5,"overload_for_ns":1500000000}}""";
 
-    private final ClosingEventLoopGroup group = new ClosingEventLoopGroup(1, NioIoHandler.newFactory());
+    private final GatewayLoop loop = GatewayLoop.watched();
     private final List<Socket> clients = new ArrayList<>();
     private final ScriptedHost ownDiscovery;
     final Gateway gateway;
@@ -48,11 +49,16 @@
 
     /** A gateway with all of these; it closes its discovery. */
     GatewayFixture(String known, ScriptedHost discovery, long idleNanos, int sockets) throws Exception {
+        this(known, discovery, SETTINGS.replace("IDLE", String.valueOf(idleNanos)), sockets);
+    }
+
+    /** A gateway with settings of its own; it closes its discovery. */
+    GatewayFixture(String known, ScriptedHost discovery, String settings, int sockets) throws Exception {
         ownDiscovery = discovery;
         String config = "{\"seed\":\"2a\",\"limits\":{\"sockets\":" + sockets + "},\"known\":" + known
-                + ",\"settings\":" + SETTINGS.replace("IDLE", String.valueOf(idleNanos)) + "}";
+                + ",\"settings\":" + settings + "}";
         gateway = Gateway.start(
-                        group.next(),
+                        loop,
                         GatewayConfig.read(
                                 Json.read(config), new InetSocketAddress("127.0.0.1", 0), discovery.address()),
                         Transport.TCP,
@@ -103,6 +109,16 @@
         return new Client(socket);
     }
 
+    /** Holds the gateway up for so long, and returns once it does. */
+    void stall(long millis) throws InterruptedException {
+        CountDownLatch begun = new CountDownLatch(1);
+        loop.loop().execute(() -> {
+            begun.countDown();
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(millis));
+        });
+        begun.await();
+    }
+
     /** An answer on a connection of its own. */
     Message get(String path) {
         try {
@@ -153,6 +169,6 @@
             socket.close();
         }
         ownDiscovery.close();
-        group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).awaitUninterruptibly(PATIENCE_MILLIS);
+        loop.loop().shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).awaitUninterruptibly(PATIENCE_MILLIS);
     }
 }
