--- a/src/main/java/tinworks/Main.java
+++ b/src/main/java/tinworks/Main.java
@@ -18,7 +18,7 @@
 public final class Main {
     private static final int EXIT_BAD_INPUT = 1;
 
-    private Main() { }
+    private Main() {}
 
     /** Runs what the one argument names. */
     public static void main(String[] args) {
@@ -30,8 +30,11 @@
                 case "serve" -> Server.serve(System.getenv());
                 case "simhost" -> new Wire(System.in, System.out).run();
                 // Not at the platform's commands: the library that reads arguments costs a start too much.
-                default -> System.exit(CommandLineTool.run(new PrintWriter(System.out, true, StandardCharsets.UTF_8),
-                        new PrintWriter(System.err, true, StandardCharsets.UTF_8), args));
+                default ->
+                    System.exit(CommandLineTool.run(
+                            new PrintWriter(System.out, true, StandardCharsets.UTF_8),
+                            new PrintWriter(System.err, true, StandardCharsets.UTF_8),
+                            args));
             }
         } catch (Wire.MalformedInput | IllegalArgumentException e) {
             fail(e.getMessage());
--- a/src/main/java/tinworks/channel/ConfigurationCodec.java
+++ b/src/main/java/tinworks/channel/ConfigurationCodec.java
@@ -13,21 +13,21 @@
 import tinworks.config.Configuration.Route;
 import tinworks.config.Configuration.Service;
 import tinworks.config.Configuration.Split;
-import tinworks.config.Configuration.Type;
 import tinworks.config.ConfigurationChange;
 import tinworks.config.ConfigurationChange.Place;
 
 /**
- * The bytes of a configuration and of a change of one, between a core machine that has read the operator's JSON and checked
- * it, and edges, which are spared both. Fields in the order of the records, a service's before the routes'; numbers, texts
- * and lists as in {@link SignalCodec}, a weight as the 8 bytes of a double.
+ * The bytes of a configuration and of a change of one, between a core machine that has read the operator's JSON and
+ * checked it, and edges, which are spared both. Fields in the order of the records, a service's before the routes';
+ * numbers, texts and lists as in {@link SignalCodec}, a weight as the 8 bytes of a double.
  */
 public final class ConfigurationCodec {
-    private static final Type[] TYPES = Type.values();
-    private static final int LEAST_SERVICE = 3 * Integer.BYTES, LEAST_ROUTE = 6 * Integer.BYTES + 1 + 2 * Long.BYTES,
-            LEAST_SPLIT = Integer.BYTES + Long.BYTES;
+    private static final Configuration.Type[] TYPES = Configuration.Type.values();
+    private static final int LEAST_SERVICE = 3 * Integer.BYTES;
+    private static final int LEAST_ROUTE = 6 * Integer.BYTES + 1 + 2 * Long.BYTES;
+    private static final int LEAST_SPLIT = Integer.BYTES + Long.BYTES;
 
-    private ConfigurationCodec() { }
+    private ConfigurationCodec() {}
 
     /** Reads a part. */
     private interface Part<T> {
@@ -117,7 +117,10 @@
     }
 
     private static void writeLimits(ByteWriter out, Limits limits) {
-        out.four(limits.hdrBytes()).eight(limits.bodyMaxBytes()).eight(limits.hdrMs()).eight(limits.idleMs());
+        out.four(limits.hdrBytes())
+                .eight(limits.bodyMaxBytes())
+                .eight(limits.hdrMs())
+                .eight(limits.idleMs());
     }
 
     private static Limits readLimits(ByteReader in) {
@@ -126,7 +129,8 @@
 
     private static void writeServices(ByteWriter out, Collection<Service> services) {
         out.four(services.size());
-        services.forEach(service -> out.text(service.name()).text(service.check()).four(service.maxconn()));
+        services.forEach(
+                service -> out.text(service.name()).text(service.check()).four(service.maxconn()));
     }
 
     private static List<Service> readServices(ByteReader in) throws Malformed {
@@ -136,16 +140,32 @@
     private static void writeRoutes(ByteWriter out, List<Route> routes) {
         out.four(routes.size());
         for (Route route : routes) {
-            out.text(route.name()).text(route.domain()).text(route.prefix()).one((byte) route.type().ordinal())
-                    .eight(route.timeoutMs()).eight(route.targetMs()).four(route.prio()).four(route.split().size());
+            out.text(route.name())
+                    .text(route.domain())
+                    .text(route.prefix())
+                    .one((byte) route.type().ordinal())
+                    .eight(route.timeoutMs())
+                    .eight(route.targetMs())
+                    .four(route.prio())
+                    .four(route.split().size());
             route.split().forEach(part -> out.text(part.service()).eight(Double.doubleToLongBits(part.weight())));
             out.four(route.tries());
         }
     }
 
     private static List<Route> readRoutes(ByteReader in) throws Malformed {
-        return list(in, LEAST_ROUTE, route -> new Route(text(route), text(route), text(route), route.among(TYPES), route.eight(),
-                route.eight(), route.four(),
-                list(route, LEAST_SPLIT, part -> new Split(text(part), Double.longBitsToDouble(part.eight()))), route.four()));
+        return list(
+                in,
+                LEAST_ROUTE,
+                route -> new Route(
+                        text(route),
+                        text(route),
+                        text(route),
+                        route.among(TYPES),
+                        route.eight(),
+                        route.eight(),
+                        route.four(),
+                        list(route, LEAST_SPLIT, part -> new Split(text(part), Double.longBitsToDouble(part.eight()))),
+                        route.four()));
     }
 }
--- a/src/main/java/tinworks/channel/HostList.java
+++ b/src/main/java/tinworks/channel/HostList.java
@@ -20,8 +20,8 @@
      * @param slots requests that it works on at once
      * @param warmupMs how much longer it was slow from its start when the list was made
      */
-    public record Host(String id, String service, String address, String zone, int slots, boolean draining,
-                       long warmupMs) {
+    public record Host(
+            String id, String service, String address, String zone, int slots, boolean draining, long warmupMs) {
         /** The same host, about to end. */
         public Host asDraining() {
             return new Host(id, service, address, zone, slots, true, warmupMs);
@@ -29,8 +29,12 @@
 
         /** The same but for the time that passes by itself. */
         public boolean sameAs(Host other) {
-            return id.equals(other.id) && service.equals(other.service) && address.equals(other.address)
-                    && zone.equals(other.zone) && slots == other.slots && draining == other.draining;
+            return id.equals(other.id)
+                    && service.equals(other.service)
+                    && address.equals(other.address)
+                    && zone.equals(other.zone)
+                    && slots == other.slots
+                    && draining == other.draining;
         }
     }
 
--- a/src/main/java/tinworks/channel/HostListVersion.java
+++ b/src/main/java/tinworks/channel/HostListVersion.java
@@ -5,7 +5,10 @@
     /** Before the first list. */
     public static final HostListVersion NONE = new HostListVersion(0, 0);
 
-    /** Whether it is the same. By hand: the comparison that the runtime makes for a record costs a cold start ten milliseconds. */
+    /**
+     * Whether it is the same. By hand: the comparison that the runtime makes for a record costs a cold start ten
+     * milliseconds.
+     */
     public boolean is(HostListVersion other) {
         return term == other.term && count == other.count;
     }
--- a/src/main/java/tinworks/channel/Links.java
+++ b/src/main/java/tinworks/channel/Links.java
@@ -4,8 +4,8 @@
 import java.util.List;
 
 /**
- * The connections that a process dials: one to each address that is wanted, dialled again for as long as it is. Belongs to
- * one thread.
+ * The connections that a process dials: one to each address that is wanted, dialled again for as long as it is. Belongs
+ * to one thread.
  */
 public interface Links {
     /** From now on these addresses are wanted, except an own one; connections to others are closed. */
--- a/src/main/java/tinworks/channel/SignalCodec.java
+++ b/src/main/java/tinworks/channel/SignalCodec.java
@@ -45,22 +45,44 @@
     /** The longest frame: a configuration of the longest body, and what stands round it. */
     static final int LONGEST = 16 << 20;
 
-    private static final byte HELLO = 1, PING = 2, AGREEMENT = 3, JOIN = 4, ANNOUNCE = 5, PULL_CONFIGURATION = 6,
-            CONFIGURATION = 7, PULL_HOSTS = 8, HOSTS = 9, CALL = 10, CALL_ANSWER = 11, HOSTS_CHANGED = 12,
-            CONFIGURATION_CHANGED = 13, LEAVE = 14;
-    private static final byte VOTE_REQUEST = 1, VOTE_REPLY = 2, APPEND = 3, APPEND_REPLY = 4, INSTALL = 5, HAND_OVER = 6,
-            INSTALL_REPLY = 7;
+    private static final byte HELLO = 1;
+    private static final byte PING = 2;
+    private static final byte AGREEMENT = 3;
+    private static final byte JOIN = 4;
+    private static final byte ANNOUNCE = 5;
+    private static final byte PULL_CONFIGURATION = 6;
+    private static final byte CONFIGURATION = 7;
+    private static final byte PULL_HOSTS = 8;
+    private static final byte HOSTS = 9;
+    private static final byte CALL = 10;
+    private static final byte CALL_ANSWER = 11;
+    private static final byte HOSTS_CHANGED = 12;
+    private static final byte CONFIGURATION_CHANGED = 13;
+    private static final byte LEAVE = 14;
+    private static final byte VOTE_REQUEST = 1;
+    private static final byte VOTE_REPLY = 2;
+    private static final byte APPEND = 3;
+    private static final byte APPEND_REPLY = 4;
+    private static final byte INSTALL = 5;
+    private static final byte HAND_OVER = 6;
+    private static final byte INSTALL_REPLY = 7;
     private static final Entry.Kind[] KINDS = Entry.Kind.values();
     private static final Part[] PARTS = Part.values();
 
-    private SignalCodec() { }
+    private SignalCodec() {}
 
     /** A signal as bytes, ready to be read. */
     public static ByteBuffer write(Signal signal) {
         ByteWriter out = new ByteWriter();
         if (signal instanceof Hello s) {
-            out.one(HELLO).four(MAGIC).two(VERSION).one((byte) s.part().ordinal()).eight(s.id()).text(s.address())
-                    .text(s.node()).text(s.zone());
+            out.one(HELLO)
+                    .four(MAGIC)
+                    .two(VERSION)
+                    .one((byte) s.part().ordinal())
+                    .eight(s.id())
+                    .text(s.address())
+                    .text(s.node())
+                    .text(s.zone());
         } else if (signal instanceof Ping) {
             out.one(PING);
         } else if (signal instanceof Agreement s) {
@@ -130,7 +152,8 @@
             case CONFIGURATION_CHANGED -> new ConfigurationChanged(in.eight(), in.eight(), in.bytes());
             case PULL_HOSTS -> new PullHosts(readVersion(in));
             case HOSTS -> new Hosts(new HostList(readVersion(in), readHosts(in)));
-            case HOSTS_CHANGED -> new HostsChanged(new HostChange(readVersion(in), readVersion(in), readHosts(in), readTexts(in)));
+            case HOSTS_CHANGED ->
+                new HostsChanged(new HostChange(readVersion(in), readVersion(in), readHosts(in), readTexts(in)));
             case CALL -> new Call(in.eight(), in.flag(), in.bytes());
             case CALL_ANSWER -> new CallAnswer(in.eight(), in.four(), in.bytes());
             default -> throw new Malformed("no signal of kind " + kind);
@@ -179,8 +202,13 @@
     private static void writeHosts(ByteWriter out, List<HostList.Host> hosts) {
         out.four(hosts.size());
         for (HostList.Host host : hosts) {
-            out.text(host.id()).text(host.service()).text(host.address()).text(host.zone()).four(host.slots())
-                    .flag(host.draining()).eight(host.warmupMs());
+            out.text(host.id())
+                    .text(host.service())
+                    .text(host.address())
+                    .text(host.zone())
+                    .four(host.slots())
+                    .flag(host.draining())
+                    .eight(host.warmupMs());
         }
     }
 
@@ -194,22 +222,56 @@
 
     private static void writeMessage(ByteWriter out, Message message) {
         if (message instanceof VoteRequest m) {
-            out.one(VOTE_REQUEST).eight(m.term()).flag(m.pre()).eight(m.lastIndex()).eight(m.lastTerm()).flag(m.handedOver());
+            out.one(VOTE_REQUEST)
+                    .eight(m.term())
+                    .flag(m.pre())
+                    .eight(m.lastIndex())
+                    .eight(m.lastTerm())
+                    .flag(m.handedOver());
         } else if (message instanceof VoteReply m) {
             out.one(VOTE_REPLY).eight(m.term()).flag(m.pre()).flag(m.granted());
         } else if (message instanceof Append m) {
-            out.one(APPEND).eight(m.term()).eight(m.previousIndex()).eight(m.previousTerm()).eight(m.commit())
-                    .eight(m.round()).eight(m.echo()).eight(m.leaseMillis()).four(m.entries().size());
-            m.entries().forEach(e -> out.eight(e.index()).eight(e.term()).one((byte) e.kind().ordinal()).bytes(e.body()));
+            out.one(APPEND)
+                    .eight(m.term())
+                    .eight(m.previousIndex())
+                    .eight(m.previousTerm())
+                    .eight(m.commit())
+                    .eight(m.round())
+                    .eight(m.echo())
+                    .eight(m.leaseMillis())
+                    .four(m.entries().size());
+            m.entries()
+                    .forEach(e -> out.eight(e.index())
+                            .eight(e.term())
+                            .one((byte) e.kind().ordinal())
+                            .bytes(e.body()));
         } else if (message instanceof AppendReply m) {
-            out.one(APPEND_REPLY).eight(m.term()).flag(m.taken()).eight(m.index()).eight(m.round()).eight(m.sentAt());
+            out.one(APPEND_REPLY)
+                    .eight(m.term())
+                    .flag(m.taken())
+                    .eight(m.index())
+                    .eight(m.round())
+                    .eight(m.sentAt());
         } else if (message instanceof Install m) {
             Snapshot.Label label = m.label();
-            out.one(INSTALL).eight(m.term()).eight(m.round()).eight(label.index()).eight(label.term())
-                    .bytes(Members.write(label.members())).four(label.length()).four(label.checksum()).eight(m.number())
-                    .four(m.offset()).bytes(m.piece());
+            out.one(INSTALL)
+                    .eight(m.term())
+                    .eight(m.round())
+                    .eight(label.index())
+                    .eight(label.term())
+                    .bytes(Members.write(label.members()))
+                    .four(label.length())
+                    .four(label.checksum())
+                    .eight(m.number())
+                    .four(m.offset())
+                    .bytes(m.piece());
         } else if (message instanceof InstallReply m) {
-            out.one(INSTALL_REPLY).eight(m.term()).eight(m.index()).four(m.offset()).eight(m.number()).eight(m.round());
+            out.one(INSTALL_REPLY)
+                    .eight(m.term())
+                    .eight(m.index())
+                    .four(m.offset())
+                    .eight(m.number())
+                    .eight(m.round());
         } else if (message instanceof HandOver m) {
             out.one(HAND_OVER).eight(m.term());
         }
--- a/src/main/java/tinworks/channel/SteadyClock.java
+++ b/src/main/java/tinworks/channel/SteadyClock.java
@@ -4,7 +4,7 @@
 
 /** The steady clock by which all processes of the system measure spans; the time of day decides nothing. */
 public final class SteadyClock {
-    private SteadyClock() { }
+    private SteadyClock() {}
 
     /** Milliseconds since some moment, never going back. */
     public static long millis() {
--- a/src/main/java/tinworks/channel/TcpConversation.java
+++ b/src/main/java/tinworks/channel/TcpConversation.java
@@ -13,14 +13,18 @@
 import tinworks.logging.Fatal;
 
 /**
- * A conversation over TCP. A frame is a length (4 bytes) and as many bytes of a
- * {@link Signal}; a frame that can't be read closes the connection and harms nothing else. Each side says something
- * once a {@link #PING_MILLIS}, and closes when it has heard nothing for {@link #SILENCE_MILLIS}: a machine without
- * power sends no end of a connection. All on one event loop.
+ * A conversation over TCP. A frame is a length (4 bytes) and as many bytes of a {@link Signal}; a frame that can't be
+ * read closes the connection and harms nothing else. Each side says something once a {@link #PING_MILLIS}, and closes
+ * when it has heard nothing for {@link #SILENCE_MILLIS}: a machine without power sends no end of a connection. All on
+ * one event loop.
  */
 public final class TcpConversation extends ByteToMessageDecoder implements Conversation {
-    static final long PING_MILLIS = 1_000, SILENCE_MILLIS = 2_600;
-    /** What a far side that doesn't read may pile up here before something else is said: a tenth of a core machine's heap. */
+    static final long PING_MILLIS = 1_000;
+    static final long SILENCE_MILLIS = 2_600;
+    /**
+     * What a far side that doesn't read may pile up here before something else is said: a tenth of a core machine's
+     * heap.
+     */
     static final int MOST_WAITING = 4 << 20;
 
     private final Hello own;
--- a/src/main/java/tinworks/channel/TcpLinks.java
+++ b/src/main/java/tinworks/channel/TcpLinks.java
@@ -23,13 +23,14 @@
 import tinworks.json.Address;
 
 /**
- * Connections to the core machines whose addresses it is given: each is dialled, and dialled again after a pause
- * that grows and is drawn by chance, for as long as it is wanted. Can also take connections. All on one event loop.
+ * Connections to the core machines whose addresses it is given: each is dialled, and dialled again after a pause that
+ * grows and is drawn by chance, for as long as it is wanted. Can also take connections. All on one event loop.
  */
 public final class TcpLinks implements Links {
     static final int DIAL_MILLIS = 1_000;
     private static final int BACKLOG = 128;
-    static final long FIRST_PAUSE_MILLIS = 100, LONGEST_PAUSE_MILLIS = 400;
+    static final long FIRST_PAUSE_MILLIS = 100;
+    static final long LONGEST_PAUSE_MILLIS = 400;
 
     private final EventLoop loop;
     private final Hello own;
@@ -49,14 +50,18 @@
 
     /** Takes connections at an address; the future fails where it can't be had. */
     public ChannelFuture listen(InetSocketAddress address) {
-        ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, BACKLOG).childOption(ChannelOption.TCP_NODELAY, true)
+        ChannelFuture bound = new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         channel.pipeline().addLast(new TcpConversation(own, false, listener));
                     }
-                }).bind(address);
+                })
+                .bind(address);
         acceptor = bound.channel();
         return bound;
     }
@@ -126,9 +131,14 @@
                 return;
             }
             conversation = new TcpConversation(own, true, listener);
-            channel = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                    .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.CONNECT_TIMEOUT_MILLIS, DIAL_MILLIS)
-                    .handler(conversation).connect(target).channel();
+            channel = new Bootstrap()
+                    .group(loop)
+                    .channel(NioSocketChannel.class)
+                    .option(ChannelOption.TCP_NODELAY, true)
+                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, DIAL_MILLIS)
+                    .handler(conversation)
+                    .connect(target)
+                    .channel();
             channel.closeFuture().addListener(done -> loop.execute(this::again));
         }
 
--- a/src/main/java/tinworks/cli/Arguments.java
+++ b/src/main/java/tinworks/cli/Arguments.java
@@ -10,13 +10,14 @@
 
 /** Checks of arguments that several commands share; what is wrong ends a command with its usage. */
 final class Arguments {
-    private Arguments() { }
+    private Arguments() {}
 
     /** Refuses a number that doesn't lie within bounds, both of them allowed. */
     static void within(CommandSpec spec, String option, double value, double least, double most) {
         if (!(value >= least && value <= most)) {
-            throw new ParameterException(spec.commandLine(), option + ": wanted a number from " + plain(least) + " to " + plain(most)
-                    + ", not " + plain(value));
+            throw new ParameterException(
+                    spec.commandLine(),
+                    option + ": wanted a number from " + plain(least) + " to " + plain(most) + ", not " + plain(value));
         }
     }
 
--- a/src/main/java/tinworks/cli/CommandLineTool.java
+++ b/src/main/java/tinworks/cli/CommandLineTool.java
@@ -31,17 +31,31 @@
 import tinworks.store.CoreStore;
 
 /** Commands that check files, ask running machines, and read a core machine's disk. */
-@Command(name = "tinworks", mixinStandardHelpOptions = true, version = "tinworks 0.1.0",
+@Command(
+        name = "tinworks",
+        mixinStandardHelpOptions = true,
+        version = "tinworks 0.1.0",
         description = "An API gateway: edges carry the traffic, core machines keep the configuration.",
-        footer = {"", "Started by the platform, each without options:",
+        footer = {
+            "",
+            "Started by the platform, each without options:",
             "  edge      be an edge gateway, as the file in TINWORKS_BOOT says",
             "  core      be a core machine, as the file in TINWORKS_BOOT says",
             "  serve     be a gateway of the earlier protocol, as the LB_ variables say",
-            "  simhost   decide for the gateways on standard input, on the lbsim wire"},
-        subcommands = {CommandLineTool.Check.class, CommandLineTool.Status.class, CommandLineTool.State.class,
-            CommandLineTool.Schema.class, DemoCommand.class, LoadCommand.class, HollowCommand.class})
+            "  simhost   decide for the gateways on standard input, on the lbsim wire"
+        },
+        subcommands = {
+            CommandLineTool.Check.class,
+            CommandLineTool.Status.class,
+            CommandLineTool.State.class,
+            CommandLineTool.Schema.class,
+            DemoCommand.class,
+            LoadCommand.class,
+            HollowCommand.class
+        })
 public final class CommandLineTool {
-    private static final int OK = 0, BAD_INPUT = 1;
+    private static final int OK = 0;
+    private static final int BAD_INPUT = 1;
 
     /** Runs a command and returns the exit code: 0, 1 for input at fault, 2 for a command that is none. */
     public static int run(PrintWriter out, PrintWriter err, String... args) {
@@ -66,11 +80,15 @@
     }
 
     /** Checks files. */
-    @Command(name = "check", mixinStandardHelpOptions = true,
-            description = "Checks an operator's configuration or a process's settings file, and names the field at fault.")
+    @Command(
+            name = "check",
+            mixinStandardHelpOptions = true,
+            description =
+                    "Checks an operator's configuration or a process's settings file, and names the field at fault.")
     static final class Check implements Callable<Integer> {
         @Spec
         private CommandSpec spec;
+
         @Parameters(paramLabel = "FILE", description = "a JSON file of either kind")
         private Path file;
 
@@ -84,8 +102,10 @@
                     say(spec, "settings of " + settings.node() + ": in order");
                 } else {
                     Configuration read = ConfigurationReader.read(bytes);
-                    say(spec, "configuration " + read.rev() + ": " + read.routes().size() + " routes, "
-                            + read.services().size() + " services, in order");
+                    say(
+                            spec,
+                            "configuration " + read.rev() + ": " + read.routes().size() + " routes, "
+                                    + read.services().size() + " services, in order");
                 }
                 return OK;
             } catch (IOException e) {
@@ -99,7 +119,10 @@
     }
 
     /** Prints what a configuration has to look like. */
-    @Command(name = "schema", mixinStandardHelpOptions = true, description = "Prints the JSON Schema of the operator's configuration.")
+    @Command(
+            name = "schema",
+            mixinStandardHelpOptions = true,
+            description = "Prints the JSON Schema of the operator's configuration.")
     static final class Schema implements Callable<Integer> {
         @Spec
         private CommandSpec spec;
@@ -114,12 +137,16 @@
     }
 
     /** Asks core machines how they are. */
-    @Command(name = "status", mixinStandardHelpOptions = true, description = "Asks core machines for their state, one line each.")
+    @Command(
+            name = "status",
+            mixinStandardHelpOptions = true,
+            description = "Asks core machines for their state, one line each.")
     static final class Status implements Callable<Integer> {
         private static final Duration PATIENCE = Duration.ofSeconds(2);
 
         @Spec
         private CommandSpec spec;
+
         @Parameters(paramLabel = "ADDRESS", arity = "1..*", description = "a core machine's ctl address, ip:port")
         private List<String> addresses;
 
@@ -129,8 +156,15 @@
             int silent = 0;
             for (String address : addresses) {
                 try {
-                    HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + address + "/-/status")).timeout(PATIENCE).build();
-                    say(spec, address + " " + client.send(request, HttpResponse.BodyHandlers.ofString()).body().trim());
+                    HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + address + "/-/status"))
+                            .timeout(PATIENCE)
+                            .build();
+                    say(
+                            spec,
+                            address + " "
+                                    + client.send(request, HttpResponse.BodyHandlers.ofString())
+                                            .body()
+                                            .trim());
                 } catch (IOException | IllegalArgumentException e) {
                     silent++;
                     complain(spec, address + ": no answer: " + e.getMessage());
@@ -141,7 +175,10 @@
     }
 
     /** Reads the disk of a core machine that is stopped. */
-    @Command(name = "state", mixinStandardHelpOptions = true, description = "Reads the disk of a core machine that is stopped.",
+    @Command(
+            name = "state",
+            mixinStandardHelpOptions = true,
+            description = "Reads the disk of a core machine that is stopped.",
             subcommands = {State.Verify.class, State.Export.class})
     static final class State implements Runnable {
         @Spec
@@ -167,7 +204,9 @@
             if (stored.snapshot().index() > 0) {
                 history.load(stored.snapshot().state());
             }
-            stored.entries().stream().filter(e -> e.kind() == Entry.Kind.COMMAND).forEach(e -> history.apply(e.body()));
+            stored.entries().stream()
+                    .filter(e -> e.kind() == Entry.Kind.COMMAND)
+                    .forEach(e -> history.apply(e.body()));
             return history;
         }
 
@@ -175,6 +214,7 @@
         abstract static class Reading implements Callable<Integer> {
             @Spec
             private CommandSpec spec;
+
             @Parameters(paramLabel = "DATADIR", description = "the machine's data folder, or a copy of it")
             private Path folder;
 
@@ -190,21 +230,36 @@
             abstract int read(CommandSpec at, Stored stored);
         }
 
-        @Command(name = "verify", mixinStandardHelpOptions = true, description = "Checks every record's checksum and order.")
+        /** Checks a stopped core machine's store. */
+        @Command(
+                name = "verify",
+                mixinStandardHelpOptions = true,
+                description = "Checks every record's checksum and order.")
         static final class Verify extends Reading {
             @Override
             int read(CommandSpec at, Stored stored) {
-                say(at, "term " + stored.hard().term() + ", snapshot at " + stored.snapshot().index() + ", "
-                        + stored.entries().size() + " entries, configuration " + history(stored).rev());
+                say(
+                        at,
+                        "term " + stored.hard().term() + ", snapshot at "
+                                + stored.snapshot().index() + ", "
+                                + stored.entries().size() + " entries, configuration "
+                                + history(stored).rev());
                 for (Member member : stored.snapshot().members()) {
-                    say(at, "voter in the snapshot: " + HexFormat.of().toHexDigits(member.id()) + " at " + member.address());
+                    say(
+                            at,
+                            "voter in the snapshot: " + HexFormat.of().toHexDigits(member.id()) + " at "
+                                    + member.address());
                 }
                 return OK;
             }
         }
 
-        @Command(name = "export", mixinStandardHelpOptions = true,
-                description = "Prints the newest configuration on the disk as it was sent; it may not have been acknowledged.")
+        /** Prints the configuration that a stopped core machine's store holds. */
+        @Command(
+                name = "export",
+                mixinStandardHelpOptions = true,
+                description =
+                        "Prints the newest configuration on the disk as it was sent; it may not have been acknowledged.")
         static final class Export extends Reading {
             @Override
             int read(CommandSpec at, Stored stored) {
--- a/src/main/java/tinworks/cli/package-info.java
+++ b/src/main/java/tinworks/cli/package-info.java
@@ -1,2 +1,5 @@
-/** The command line for people. The platform's own commands, which must start quickly, are taken by {@link tinworks.Main}. */
+/**
+ * The command line for people. The platform's own commands, which must start quickly, are taken by
+ * {@link tinworks.Main}.
+ */
 package tinworks.cli;
--- a/src/main/java/tinworks/config/Configuration.java
+++ b/src/main/java/tinworks/config/Configuration.java
@@ -16,7 +16,10 @@
     }
 
     /** What a request may do when it runs twice: nothing new, or harm. */
-    public enum Type { IDEM, MUTATING }
+    public enum Type {
+        IDEM,
+        MUTATING
+    }
 
     /**
      * Which requests go where.
@@ -29,8 +32,16 @@
      * @param split services and the weights by which they are drawn; at least one weight is above 0
      * @param tries the most hosts that one try of a client may go to, 1 or more
      */
-    public record Route(String name, String domain, String prefix, Type type, long timeoutMs, long targetMs, int prio,
-                        List<Split> split, int tries) {
+    public record Route(
+            String name,
+            String domain,
+            String prefix,
+            Type type,
+            long timeoutMs,
+            long targetMs,
+            int prio,
+            List<Split> split,
+            int tries) {
         /** Keeps its own list. */
         public Route {
             split = List.copyOf(split);
@@ -38,7 +49,7 @@
     }
 
     /** A part of a route's requests. */
-    public record Split(String service, double weight) { }
+    public record Split(String service, double weight) {}
 
     /**
      * A service.
@@ -46,7 +57,7 @@
      * @param check the path of its health check
      * @param maxconn connections that one of its hosts takes from all callers together
      */
-    public record Service(String name, String check, int maxconn) { }
+    public record Service(String name, String check, int maxconn) {}
 
     /**
      * What a client may send and how long it may take.
--- a/src/main/java/tinworks/config/ConfigurationChange.java
+++ b/src/main/java/tinworks/config/ConfigurationChange.java
@@ -21,8 +21,14 @@
  * @param services services that are new, or not as they were
  * @param goneServices names of services that are there no more
  */
-public record ConfigurationChange(long base, long rev, List<Route> set, List<Place> gone, List<Service> services,
-                                  List<String> goneServices, Limits limits) {
+public record ConfigurationChange(
+        long base,
+        long rev,
+        List<Route> set,
+        List<Place> gone,
+        List<Service> services,
+        List<String> goneServices,
+        Limits limits) {
     /** Where a route applies. */
     public record Place(String domain, String prefix) {
         static Place of(Route route) {
@@ -48,14 +54,18 @@
             }
         }
         List<Service> services = to.services().values().stream()
-                .filter(service -> !service.equals(from.services().get(service.name()))).toList();
+                .filter(service -> !service.equals(from.services().get(service.name())))
+                .toList();
         Set<String> noMore = new HashSet<>(from.services().keySet());
         noMore.removeAll(to.services().keySet());
-        return new ConfigurationChange(from.rev(), to.rev(), set, List.copyOf(before.keySet()), services,
-                List.copyOf(noMore), to.limits());
+        return new ConfigurationChange(
+                from.rev(), to.rev(), set, List.copyOf(before.keySet()), services, List.copyOf(noMore), to.limits());
     }
 
-    /** The later configuration. One that isn't of the version that this builds on is an {@link IllegalArgumentException}. */
+    /**
+     * The later configuration. One that isn't of the version that this builds on is an
+     * {@link IllegalArgumentException}.
+     */
     public Configuration appliedTo(Configuration configuration) {
         if (configuration.rev() != base) {
             throw new IllegalArgumentException("builds on " + base + ", not on " + configuration.rev());
@@ -84,8 +94,14 @@
         noService.addAll(next.goneServices);
         next.services.forEach(service -> named.put(service.name(), service));
         noService.removeAll(named.keySet());
-        return new ConfigurationChange(base, next.rev, List.copyOf(routes.values()), List.copyOf(noRoute),
-                List.copyOf(named.values()), List.copyOf(noService), next.limits);
+        return new ConfigurationChange(
+                base,
+                next.rev,
+                List.copyOf(routes.values()),
+                List.copyOf(noRoute),
+                List.copyOf(named.values()),
+                List.copyOf(noService),
+                next.limits);
     }
 
     private static Map<Place, Route> byPlace(List<Route> routes) {
--- a/src/main/java/tinworks/config/ConfigurationHistory.java
+++ b/src/main/java/tinworks/config/ConfigurationHistory.java
@@ -7,9 +7,9 @@
 import java.util.Arrays;
 
 /**
- * The versions of the configuration: the state machine that the agreed log drives. Equal commands in equal order
- * give equal verdicts at every member. Of older versions only a digest is kept, so that a call that is repeated is
- * known again ({@link TakenVersions}).
+ * The versions of the configuration: the state machine that the agreed log drives. Equal commands in equal order give
+ * equal verdicts at every member. Of older versions only a digest is kept, so that a call that is repeated is known
+ * again ({@link TakenVersions}).
  */
 public final class ConfigurationHistory {
     /** What became of a command. */
@@ -34,7 +34,7 @@
     private TakenVersions taken;
     private long rev;
     /** The version in force, {@link Packed}; empty where there is none. */
-    private byte[] packed = { };
+    private byte[] packed = {};
 
     /** Before the first version. */
     public ConfigurationHistory() {
@@ -51,12 +51,14 @@
     }
 
     /**
-     * The bytes of a command: the version it builds on, its own, a digest of both and of the configuration as it was sent, and
-     * that configuration {@link Packed}. Made once, where the call arrives; the body's parts are left as they were.
+     * The bytes of a command: the version it builds on, its own, a digest of both and of the configuration as it was
+     * sent, and that configuration {@link Packed}. Made once, where the call arrives; the body's parts are left as they
+     * were.
      */
     public static byte[] command(long base, long rev, ByteBuffer... body) {
         byte[] packed = Packed.pack(body);
-        ByteBuffer command = ByteBuffer.allocate(HEAD_BYTES + packed.length).putLong(base).putLong(rev);
+        ByteBuffer command =
+                ByteBuffer.allocate(HEAD_BYTES + packed.length).putLong(base).putLong(rev);
         return command.put(digest(base, rev, body)).put(packed).array();
     }
 
@@ -113,7 +115,10 @@
         return packed;
     }
 
-    /** The whole as bytes: their format (1), the version (8), the packed body behind its length (4), then what was taken. */
+    /**
+     * The whole as bytes: their format (1), the version (8), the packed body behind its length (4), then what was
+     * taken.
+     */
     public byte[] save() {
         ByteBuffer out = ByteBuffer.allocate(1 + Long.BYTES + Integer.BYTES + packed.length + taken.bytes());
         out.put(FORMAT).putLong(rev).putInt(packed.length).put(packed);
@@ -151,7 +156,10 @@
     private static byte[] digest(long base, long rev, ByteBuffer... body) {
         try {
             MessageDigest sum = MessageDigest.getInstance("SHA-256");
-            sum.update(ByteBuffer.allocate(2 * Long.BYTES).putLong(base).putLong(rev).flip());
+            sum.update(ByteBuffer.allocate(2 * Long.BYTES)
+                    .putLong(base)
+                    .putLong(rev)
+                    .flip());
             for (ByteBuffer part : body) {
                 sum.update(part.duplicate());
             }
--- a/src/main/java/tinworks/config/ConfigurationReader.java
+++ b/src/main/java/tinworks/config/ConfigurationReader.java
@@ -19,18 +19,20 @@
 import tinworks.config.Configuration.Route;
 import tinworks.config.Configuration.Service;
 import tinworks.config.Configuration.Split;
-import tinworks.config.Configuration.Type;
 import tinworks.json.Json;
 
 /**
- * Reads a configuration from the operator's JSON. Fields that it doesn't know are passed over. Whether the version
- * may follow the one in force is the {@link ConfigurationHistory}'s to say.
+ * Reads a configuration from the operator's JSON. Fields that it doesn't know are passed over. Whether the version may
+ * follow the one in force is the {@link ConfigurationHistory}'s to say.
  */
 public final class ConfigurationReader {
     private static final int MOST_ROUTES = 100_000;
-    private static final String SERVICES = "svcs", ROUTES = "routes", REV = "rev", LIMITS = "limits";
+    private static final String SERVICES = "svcs";
+    private static final String ROUTES = "routes";
+    private static final String REV = "rev";
+    private static final String LIMITS = "limits";
 
-    private ConfigurationReader() { }
+    private ConfigurationReader() {}
 
     /** The configuration, or why it can't be taken and where. */
     public static Configuration read(byte[] json) throws InvalidConfiguration {
@@ -47,7 +49,10 @@
         } catch (CharacterCodingException e) {
             throw new InvalidConfiguration("", "not UTF-8");
         } catch (IOException e) {
-            throw new InvalidConfiguration("", "can't be read as JSON: " + e.getMessage().lines().findFirst().orElse(""));
+            throw new InvalidConfiguration(
+                    "",
+                    "can't be read as JSON: "
+                            + e.getMessage().lines().findFirst().orElse(""));
         }
         if (!isObject) {
             throw new InvalidConfiguration("", "not a JSON object");
@@ -55,12 +60,15 @@
         return parts.configuration();
     }
 
-    /** What has been read so far. Faults wait until the end: a text that isn't JSON throughout has no places to name. */
+    /**
+     * What has been read so far. Faults wait until the end: a text that isn't JSON throughout has no places to name.
+     */
     private static final class Parts implements Json.Pieces {
         private final Map<String, Object> fields = new HashMap<>();
         private final Shared shared = new Shared();
         /** The routes that name one service and no split. */
         private final BitSet plain = new BitSet();
+
         private Map<String, Service> services;
         private List<Route> routes;
         private Set<ConfigurationChange.Place> places;
@@ -157,7 +165,8 @@
             return new Configuration(rev, routes, services, limits(root.field(LIMITS)));
         }
 
-        private static void requireArray(Object array, String name, InvalidConfiguration fault) throws InvalidConfiguration {
+        private static void requireArray(Object array, String name, InvalidConfiguration fault)
+                throws InvalidConfiguration {
             if (array == null) {
                 throw new InvalidConfiguration(name, "wanted an array");
             }
@@ -174,7 +183,8 @@
                     String service = split.get(part).service();
                     if (!services.containsKey(service)) {
                         String where = plain.get(i) ? "svc" : "split[" + part + "].svc";
-                        throw new InvalidConfiguration(ROUTES + "[" + i + "]." + where, "no service '" + service + "' in svcs");
+                        throw new InvalidConfiguration(
+                                ROUTES + "[" + i + "]." + where, "no service '" + service + "' in svcs");
                     }
                 }
             }
@@ -195,7 +205,8 @@
         if (entry.field("tls").isTrue()) {
             throw new InvalidConfiguration(at + "tls", "TLS to hosts is not spoken");
         }
-        return new Service(name, check, (int) whole(entry, at, "maxconn", 1, Integer.MAX_VALUE, (long) Integer.MAX_VALUE));
+        return new Service(
+                name, check, (int) whole(entry, at, "maxconn", 1, Integer.MAX_VALUE, (long) Integer.MAX_VALUE));
     }
 
     private static Route route(Json entry, String at, Shared shared) throws InvalidConfiguration {
@@ -206,9 +217,9 @@
             throw new InvalidConfiguration(at + "prefix", "wanted a slash at both ends of '" + prefix + "'");
         }
         String typeName = text(entry, at, "type");
-        Type type = switch (typeName) {
-            case "idem" -> Type.IDEM;
-            case "mutating" -> Type.MUTATING;
+        Configuration.Type type = switch (typeName) {
+            case "idem" -> Configuration.Type.IDEM;
+            case "mutating" -> Configuration.Type.MUTATING;
             default -> throw new InvalidConfiguration(at + "type", "wanted idem or mutating, not '" + typeName + "'");
         };
         long timeout = whole(entry, at, "timeoutMs", 1, Integer.MAX_VALUE, null);
@@ -259,7 +270,8 @@
 
     private static Limits limits(Json entry) throws InvalidConfiguration {
         Limits usual = Limits.USUAL;
-        return new Limits((int) whole(entry, "limits.", "hdrBytes", 256, 1 << 20, (long) usual.hdrBytes()),
+        return new Limits(
+                (int) whole(entry, "limits.", "hdrBytes", 256, 1 << 20, (long) usual.hdrBytes()),
                 whole(entry, "limits.", "bodyMaxBytes", 0, Long.MAX_VALUE, usual.bodyMaxBytes()),
                 whole(entry, "limits.", "hdrMs", 1, Integer.MAX_VALUE, usual.hdrMs()),
                 whole(entry, "limits.", "idleMs", 1, Integer.MAX_VALUE, usual.idleMs()));
@@ -282,8 +294,11 @@
         boolean isWhole = field.value() instanceof Integer || field.value() instanceof Long;
         long value = isWhole ? field.number(0).longValue() : 0;
         if (!isWhole || value < least || value > most) {
-            throw new InvalidConfiguration(at + name, field.value() == null ? "is missing"
-                    : "wanted a whole number from " + least + " to " + most + ", not " + field.text());
+            throw new InvalidConfiguration(
+                    at + name,
+                    field.value() == null
+                            ? "is missing"
+                            : "wanted a whole number from " + least + " to " + most + ", not " + field.text());
         }
         return value;
     }
--- a/src/main/java/tinworks/config/Packed.java
+++ b/src/main/java/tinworks/config/Packed.java
@@ -19,7 +19,7 @@
     /** What takes a few packets at most travels as it is: to inflate it takes an edge longer than to receive it. */
     static final int PLAIN = 4_096;
 
-    private Packed() { }
+    private Packed() {}
 
     /** Packs bytes; a configuration of many routes comes to about a tenth. */
     public static byte[] pack(byte[] whole) {
@@ -83,7 +83,8 @@
         }
         if (length <= PLAIN) {
             if (packed.length - Integer.BYTES != length) {
-                throw new IllegalArgumentException("packed: " + (packed.length - Integer.BYTES) + " of " + length + " bytes");
+                throw new IllegalArgumentException(
+                        "packed: " + (packed.length - Integer.BYTES) + " of " + length + " bytes");
             }
             return Arrays.copyOfRange(packed, Integer.BYTES, packed.length);
         }
@@ -102,7 +103,8 @@
                 at += read;
             }
             // The end of the stream may stand behind its last byte.
-            boolean ended = inflater.finished() || at == length && inflater.inflate(new byte[1]) == 0 && inflater.finished();
+            boolean ended =
+                    inflater.finished() || (at == length && inflater.inflate(new byte[1]) == 0 && inflater.finished());
             if (!ended || at != length || inflater.getRemaining() > 0) {
                 throw new IllegalArgumentException("packed: " + at + " of " + length + " bytes");
             }
--- a/src/main/java/tinworks/config/TakenVersions.java
+++ b/src/main/java/tinworks/config/TakenVersions.java
@@ -4,18 +4,22 @@
 import java.util.Arrays;
 
 /**
- * The latest versions that were taken, each with the first bytes of its command's digest: what a repeated call is known by.
- * Of what is older only the highest number is kept, so that nothing is said of a call that may have been taken and forgotten.
+ * The latest versions that were taken, each with the first bytes of its command's digest: what a repeated call is known
+ * by. Of what is older only the highest number is kept, so that nothing is said of a call that may have been taken and
+ * forgotten.
  */
 class TakenVersions {
     /** Of a digest: no two commands under one number are alike in as many bits by chance. */
     static final int DIGEST_BYTES = 16;
+
     static final int ENTRY_BYTES = Long.BYTES + DIGEST_BYTES;
     /**
-     * A call is repeated until it has a clear answer, seconds after the first leader that can be reached. So many changes take
-     * 1.7 days at 4,600 a day, and four minutes at the 35 a second that one caller gets through without a pause.
+     * A call is repeated until it has a clear answer, seconds after the first leader that can be reached. So many
+     * changes take 1.7 days at 4,600 a day, and four minutes at the 35 a second that one caller gets through without a
+     * pause.
      */
     private static final int MOST = 8_192;
+
     private static final int FIRST_ROOM = 64;
 
     private final int most;
--- a/src/main/java/tinworks/control/Agreement.java
+++ b/src/main/java/tinworks/control/Agreement.java
@@ -31,7 +31,9 @@
     }
 
     /** Behind the snapshot, whichever comes first: what a start reads, and what the log takes of the memory. */
-    static final int MOST_ENTRIES = 64, MOST_BYTES = 1 << 20;
+    static final int MOST_ENTRIES = 64;
+
+    static final int MOST_BYTES = 1 << 20;
 
     private final Raft raft;
     private final Disk disk;
@@ -44,7 +46,7 @@
     private int writing;
     private Raft.Role lastRole = Raft.Role.FOLLOWER;
 
-    private record Proposal(long term, Consumer<Verdict> told) { }
+    private record Proposal(long term, Consumer<Verdict> told) {}
 
     /** Goes by a clock of steady milliseconds. Nothing is done before {@link #pump}. */
     Agreement(Raft raft, Disk disk, LongSupplier clock, Owner owner) {
--- a/src/main/java/tinworks/control/ConfigurationFeed.java
+++ b/src/main/java/tinworks/control/ConfigurationFeed.java
@@ -13,8 +13,8 @@
 import tinworks.config.Packed;
 
 /**
- * The configuration in force as edges are told it: what has changed since the version that one holds, or the whole where
- * that isn't known here. Read from the operator's JSON once, and put into bytes once for all who ask alike.
+ * The configuration in force as edges are told it: what has changed since the version that one holds, or the whole
+ * where that isn't known here. Read from the operator's JSON once, and put into bytes once for all who ask alike.
  */
 final class ConfigurationFeed {
     private static final Logger LOG = LoggerFactory.getLogger(ConfigurationFeed.class);
@@ -24,19 +24,20 @@
     static final int MOST_BYTES = 256 << 10;
 
     /** A change, and what it takes as bytes. */
-    private record Kept(ConfigurationChange change, int bytes) { }
+    private record Kept(ConfigurationChange change, int bytes) {}
 
     private final ArrayDeque<Kept> changes = new ArrayDeque<>();
     private int changesBytes;
     private Configuration newest;
     /** The last version that was looked at, whether or not it could be read. */
     private long followed;
+
     private Signal whole;
     private Signal.ConfigurationChanged lastAsked;
 
     /**
-     * Follows the history. Its versions were checked before they were taken; one that this program can't read all the same,
-     * since another one took it, is left out, and edges go on with the one before.
+     * Follows the history. Its versions were checked before they were taken; one that this program can't read all the
+     * same, since another one took it, is left out, and edges go on with the one before.
      */
     void follow(ConfigurationHistory history) {
         if (history.rev() == followed) {
--- a/src/main/java/tinworks/control/Core.java
+++ b/src/main/java/tinworks/control/Core.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.LocalDateTime;
+import java.time.ZoneId;
 import java.time.format.DateTimeFormatter;
 import java.util.List;
 import java.util.SplittableRandom;
@@ -25,9 +26,11 @@
 /** The process of a core machine: its disk, its start and its end. */
 public final class Core {
     private static final Logger LOG = LoggerFactory.getLogger(Core.class);
-    static final long RETIRE_MILLIS = 1_500, RETIRE_AGAIN_MILLIS = 50, CLOSE_MILLIS = 2_000;
+    static final long RETIRE_MILLIS = 1_500;
+    static final long RETIRE_AGAIN_MILLIS = 50;
+    static final long CLOSE_MILLIS = 2_000;
 
-    private Core() { }
+    private Core() {}
 
     /** Runs until the process is asked to end. Bad settings end as an {@link IllegalArgumentException}. */
     public static void run(NodeProcess process) {
@@ -62,17 +65,22 @@
                 if (files <= 0) {
                     throw e;
                 }
-                String date = LocalDateTime.now().format(DateTimeFormatter.ofPattern("yyyyMMdd-HHmmss"));
+                String date = LocalDateTime.now(ZoneId.systemDefault())
+                        .format(DateTimeFormatter.ofPattern("yyyyMMdd-HHmmss"));
                 String aside = CoreStore.setAside(folder, date);
-                LOG.error("the store can't be trusted and was set aside as {}; this machine begins empty: {}", aside, e.getMessage());
+                LOG.error(
+                        "the store can't be trusted and was set aside as {}; this machine begins empty: {}",
+                        aside,
+                        e.getMessage());
             }
         }
     }
 
     /**
-     * Who this machine is. On a disk that was empty it is somebody new, who has voted for nobody, and no voter; only when the
-     * whole system starts for the first time the seeds take ids that each of them can work out for all. A machine whose store
-     * was set aside may have voted under such an id, so it takes none again, whatever its settings say.
+     * Who this machine is. On a disk that was empty it is somebody new, who has voted for nobody, and no voter; only
+     * when the whole system starts for the first time the seeds take ids that each of them can work out for all. A
+     * machine whose store was set aside may have voted under such an id, so it takes none again, whatever its settings
+     * say.
      */
     static long identity(CoreStore store, BootSettings settings) throws IOException, CoreStore.Damaged {
         String address = settings.innerAddress();
@@ -97,7 +105,11 @@
     }
 
     static Snapshot firstVoters(List<String> seeds) {
-        return new Snapshot(0, 0, seeds.stream().map(seed -> new Member(firstId(seed), seed)).toList(), new byte[0]);
+        return new Snapshot(
+                0,
+                0,
+                seeds.stream().map(seed -> new Member(firstId(seed), seed)).toList(),
+                new byte[0]);
     }
 
     static long firstId(String address) {
--- a/src/main/java/tinworks/control/CoreMachine.java
+++ b/src/main/java/tinworks/control/CoreMachine.java
@@ -35,8 +35,8 @@
 
 /**
  * A core machine without sockets, files, threads or a clock of its own: its part in the agreement, what it says to the
- * others, and what it tells the edges. The leader alone has the platform's list fetched; the others pull it from there and
- * pass it on. All methods belong to one thread.
+ * others, and what it tells the edges. The leader alone has the platform's list fetched; the others pull it from there
+ * and pass it on. All methods belong to one thread.
  */
 class CoreMachine implements Conversation.Listener, Agreement.Owner {
     /** The process round a core machine. */
@@ -64,13 +64,19 @@
      * @param address where other core machines and edges reach it
      * @param losses how many voters may be lost at a time
      */
-    record Identity(long id, String address, int losses) { }
+    record Identity(long id, String address, int losses) {}
 
     /** Heartbeats are cheap; an election outlasts a slow disk's syncs and a process's first, uncompiled work. */
     private static final Timing TIMING = new Timing(120, 500);
+
     static final long TICK_MILLIS = 50;
-    private static final long ANNOUNCE_MILLIS = 1_000, JOIN_MILLIS = 500, LEARNER_MILLIS = 3_000, LEAVE_MILLIS = 3_000,
-            PULL_AGAIN_MILLIS = 400, PLAN_MILLIS = 250, LOST_MILLIS = 3_000;
+    private static final long ANNOUNCE_MILLIS = 1_000;
+    private static final long JOIN_MILLIS = 500;
+    private static final long LEARNER_MILLIS = 3_000;
+    private static final long LEAVE_MILLIS = 3_000;
+    private static final long PULL_AGAIN_MILLIS = 400;
+    private static final long PLAN_MILLIS = 250;
+    private static final long LOST_MILLIS = 3_000;
 
     private final Identity self;
     private final long id;
@@ -83,15 +89,18 @@
     private final Map<Long, Long> joins = new HashMap<>();
     /** When each that is about to end said so. */
     private final Map<Long, Long> leaves = new HashMap<>();
+
     private final Set<String> announced = new HashSet<>();
     /** The term of the leader that told of {@link #announced}. */
     private long announcedTerm;
+
     private final HostHistory hosts = new HostHistory();
     private final ConfigurationFeed configurations = new ConfigurationFeed();
     private long announcedRev = -1;
     private boolean announcedLead;
     /** The platform's list, where it was fetched while this machine had no lease. */
     private List<HostList.Host> fetched;
+
     private long announceAt;
     private long joinAt;
     private long planAt;
@@ -104,7 +113,12 @@
     }
 
     /** One whose operator's calls are handled in this way. */
-    CoreMachine(Identity self, Stored stored, Disk disk, Environment around, BiFunction<CoreMachine, LongSupplier, OperatorCalls> handled) {
+    CoreMachine(
+            Identity self,
+            Stored stored,
+            Disk disk,
+            Environment around,
+            BiFunction<CoreMachine, LongSupplier, OperatorCalls> handled) {
         this.self = self;
         this.around = around;
         id = self.id();
@@ -117,14 +131,17 @@
     }
 
     /**
-     * Gets ready to end: hands the lead over, and where there is another machine that can vote asks to be replaced, while all
-     * are there. True once nothing is left to do; else to be asked again until the caller's time is over.
+     * Gets ready to end: hands the lead over, and where there is another machine that can vote asks to be replaced,
+     * while all are there. True once nothing is left to do; else to be asked again until the caller's time is over.
      */
     boolean retire() {
         around.fetchList(false);
         // To all: whoever leads next has to know it too.
         Signal leave = new Leave(id);
-        conversations.stream().filter(c -> c.isOpen() && c.peer().part() == Part.CORE).toList().forEach(c -> c.send(leave));
+        conversations.stream()
+                .filter(c -> c.isOpen() && c.peer().part() == Part.CORE)
+                .toList()
+                .forEach(c -> c.send(leave));
         if (raft.role() == Raft.Role.LEADER) {
             raft.handOver();
             agreement.pump();
@@ -147,8 +164,8 @@
     }
 
     /**
-     * Whether what is told here was the newest less than a lease ago: by the leader's lease, and only once what that speaks
-     * of has been applied. Guards against a machine that was cut off or frozen, or has just begun to lead.
+     * Whether what is told here was the newest less than a lease ago: by the leader's lease, and only once what that
+     * speaks of has been applied. Guards against a machine that was cut off or frozen, or has just begun to lead.
      */
     boolean fresh() {
         return raft.fresh(around.millis()) && agreement.appliedIndex() >= raft.freshIndex();
@@ -211,7 +228,7 @@
             planVoters(now);
             around.links().want(wantedCores(now));
         }
-        if (now >= announceAt || leads() && !announcedLead) {
+        if (now >= announceAt || (leads() && !announcedLead)) {
             announce();
         }
     }
@@ -241,7 +258,11 @@
                 raft.removeLearner(p.member().id());
                 continue;
             }
-            seen.add(new VoterPlan.Seen(p.member(), p.caughtUp(), now - p.heardAt(), leaves.containsKey(p.member().id())));
+            seen.add(new VoterPlan.Seen(
+                    p.member(),
+                    p.caughtUp(),
+                    now - p.heardAt(),
+                    leaves.containsKey(p.member().id())));
         }
         if (raft.mayChangeMembers()) {
             List<Member> before = raft.members();
@@ -280,7 +301,8 @@
         } else if (fetched != null && mayNumber()) {
             HostListVersion old = hosts().version();
             if (old.term() != raft.term() || !hosts().sameAs(fetched)) {
-                hosts.advance(new HostList(new HostListVersion(raft.term(), old.term() == raft.term() ? old.count() + 1 : 1), fetched));
+                hosts.advance(new HostList(
+                        new HostListVersion(raft.term(), old.term() == raft.term() ? old.count() + 1 : 1), fetched));
                 announce();
             }
             fetched = null;
@@ -288,8 +310,8 @@
     }
 
     /**
-     * Guards against a list from before a later leader's under a version above it: a list gets its version only while nobody
-     * else can lead, so of two versions the higher one was fetched later.
+     * Guards against a list from before a later leader's under a version above it: a list gets its version only while
+     * nobody else can lead, so of two versions the higher one was fetched later.
      */
     boolean mayNumber() {
         return leads();
@@ -313,7 +335,8 @@
         }
         raft.members().forEach(m -> cores.add(m.address()));
         cores.add(self.address());
-        return new Announce(raft.term(), agreement.history().rev(), hosts().version(), fresh(), leads, List.copyOf(cores), edges());
+        return new Announce(
+                raft.term(), agreement.history().rev(), hosts().version(), fresh(), leads, List.copyOf(cores), edges());
     }
 
     // ---- what it hears
--- a/src/main/java/tinworks/control/CoreNode.java
+++ b/src/main/java/tinworks/control/CoreNode.java
@@ -38,12 +38,19 @@
         current = settings;
         GatewayClock clock = new GatewayClock();
         disk = new DiskThread(work -> loop.execute(() -> orEnd(work)), store, this::log);
-        machine = new CoreMachine(new CoreMachine.Identity(id, settings.innerAddress(), settings.losses()), stored, disk, this);
-        links = new TcpLinks(loop, new Hello(Part.CORE, id, settings.innerAddress(), settings.node(), settings.zone()), machine);
+        machine = new CoreMachine(
+                new CoreMachine.Identity(id, settings.innerAddress(), settings.losses()), stored, disk, this);
+        links = new TcpLinks(
+                loop, new Hello(Part.CORE, id, settings.innerAddress(), settings.node(), settings.zone()), machine);
         poller = new HostPoller(loop, clock, settings.provider(), id, machine::listed, this::log);
         operator = new OperatorServer(loop, clock, settings.node(), machine);
-        LOG.info("core {} of id {} starts: term {}, {} entries, voters {}", settings.node(), Long.toHexString(id),
-                machine.agreement().raft().term(), machine.agreement().raft().lastIndex(), machine.agreement().raft().members().size());
+        LOG.info(
+                "core {} of id {} starts: term {}, {} entries, voters {}",
+                settings.node(),
+                Long.toHexString(id),
+                machine.agreement().raft().term(),
+                machine.agreement().raft().lastIndex(),
+                machine.agreement().raft().members().size());
     }
 
     /** Starts to listen and to dial; on the event loop. */
--- a/src/main/java/tinworks/control/DiskThread.java
+++ b/src/main/java/tinworks/control/DiskThread.java
@@ -43,7 +43,8 @@
             } catch (MVStoreException | IllegalStateException e) {
                 Error fatal = Fatal.in(e);
                 if (fatal != null) {
-                    // No full disk: the store tells of a full heap in the same words. Nobody catches it, and the process ends.
+                    // No full disk: the store tells of a full heap in the same words. Nobody catches it, and the
+                    // process ends.
                     throw fatal;
                 }
                 if (!complained) {
--- a/src/main/java/tinworks/control/OperatorCalls.java
+++ b/src/main/java/tinworks/control/OperatorCalls.java
@@ -22,16 +22,24 @@
 import tinworks.raft.Raft;
 
 /**
- * The operator's calls at a core machine. A machine that doesn't lead passes a call on to the leader, and while there is
- * none it waits a little; a caller gets an answer within a second, and a 503 says that it is open what becomes of a change.
+ * The operator's calls at a core machine. A machine that doesn't lead passes a call on to the leader, and while there
+ * is none it waits a little; a caller gets an answer within a second, and a 503 says that it is open what becomes of a
+ * change.
  */
 class OperatorCalls {
     private static final Logger LOG = LoggerFactory.getLogger(OperatorCalls.class);
     /** The header that names the version which a change builds on. */
     static final String BASE = "Base-Rev";
-    static final int OK = 200, UNCLEAR = 503;
-    private static final int CONFLICT = 412, INVALID = 400, NOT_FOUND = 404, TOO_LONG = 413;
-    /** What a command may take: eight times what 14,000 routes come to. Guards against a log, and frames, of any length. */
+
+    static final int OK = 200;
+    static final int UNCLEAR = 503;
+    private static final int CONFLICT = 412;
+    private static final int INVALID = 400;
+    private static final int NOT_FOUND = 404;
+    private static final int TOO_LONG = 413;
+    /**
+     * What a command may take: eight times what 14,000 routes come to. Guards against a log, and frames, of any length.
+     */
     static final int LONGEST_COMMAND = 2 << 20;
     /** What calls without an answer may take at one machine, the first always. */
     static final int MOST_HELD = 4 << 20;
@@ -72,19 +80,23 @@
     }
 
     /** A call that was checked: the command that it comes to, or else the answer why there is none. */
-    record Checked(byte[] command, CallAnswer refusal) { }
+    record Checked(byte[] command, CallAnswer refusal) {}
 
     /**
-     * Checks a whole configuration, with what the header says that it builds on. Takes long and holds much memory; needs
-     * nothing of the machine, so it may be done on another thread, one at a time.
+     * Checks a whole configuration, with what the header says that it builds on. Takes long and holds much memory;
+     * needs nothing of the machine, so it may be done on another thread, one at a time.
      */
     static Checked check(List<String> bases, InputStream json, ByteBuffer... body) {
         try {
             long base = base(bases);
             long rev = ConfigurationReader.read(json).rev();
             byte[] command = ConfigurationHistory.command(base, rev, body);
-            return command.length <= LONGEST_COMMAND ? new Checked(command, null) : new Checked(null, new CallAnswer(0, TOO_LONG,
-                    error("", "over " + LONGEST_COMMAND + " bytes when it is packed")));
+            return command.length <= LONGEST_COMMAND
+                    ? new Checked(command, null)
+                    : new Checked(
+                            null,
+                            new CallAnswer(
+                                    0, TOO_LONG, error("", "over " + LONGEST_COMMAND + " bytes when it is packed")));
         } catch (InvalidConfiguration e) {
             LOG.info("refused a configuration: {}", e.getMessage());
             return new Checked(null, new CallAnswer(0, INVALID, error(e.where(), e.getMessage())));
@@ -154,7 +166,9 @@
         return passedTo == from;
     }
 
-    /** Guards against calls that together are more than the memory; each is told to come back, and nothing became of it. */
+    /**
+     * Guards against calls that together are more than the memory; each is told to come back, and nothing became of it.
+     */
     private void submit(boolean read, byte[] command, Consumer<CallAnswer> told) {
         if (!waiting.isEmpty() && held + command.length > MOST_HELD) {
             told.accept(new CallAnswer(0, UNCLEAR, error("", "too many calls at once")));
@@ -208,7 +222,9 @@
         }
     }
 
-    /** Guards against showing what a later leader has gone beyond: told true once a majority has answered a round since. */
+    /**
+     * Guards against showing what a later leader has gone beyond: told true once a majority has answered a round since.
+     */
     void confirm(Agreement agreement, Consumer<Boolean> told) {
         agreement.read(told);
     }
@@ -232,8 +248,9 @@
 
     /** Whether a verdict is true for good, whoever leads: a version that was taken, or passed, stays so. */
     boolean isSettled(Verdict verdict, long base, long rev, long current) {
-        return verdict == Verdict.TAKEN && rev <= current || verdict == Verdict.NOT_ABOVE
-                || verdict == Verdict.CONFLICT && base < current && mayRefuse();
+        return (verdict == Verdict.TAKEN && rev <= current)
+                || verdict == Verdict.NOT_ABOVE
+                || (verdict == Verdict.CONFLICT && base < current && mayRefuse());
     }
 
     /** Guards against a leader that was cut off and refuses with an old version at hand; then the log has to say so. */
@@ -276,12 +293,14 @@
 
     private CallAnswer show() {
         ConfigurationHistory history = machine.agreement().history();
-        return history.rev() == 0 ? new CallAnswer(0, NOT_FOUND, error("", "no configuration yet"))
+        return history.rev() == 0
+                ? new CallAnswer(0, NOT_FOUND, error("", "no configuration yet"))
                 : new CallAnswer(0, OK, history.packed());
     }
 
     private static byte[] error(String where, String what) {
-        StringBuilder json = new StringBuilder("{\"err\":\"").append(escaped(what)).append('"');
+        StringBuilder json =
+                new StringBuilder("{\"err\":\"").append(escaped(what)).append('"');
         if (!where.isEmpty()) {
             json.append(",\"field\":\"").append(escaped(where)).append('"');
         }
--- a/src/main/java/tinworks/control/OperatorServer.java
+++ b/src/main/java/tinworks/control/OperatorServer.java
@@ -13,7 +13,6 @@
 import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.Iterator;
-import java.util.List;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
@@ -34,13 +33,19 @@
 /** Where the operator calls: HTTP round {@link OperatorCalls}, and the pages for people and probes. */
 final class OperatorServer implements ClientServer.Listener {
     private static final Logger LOG = LoggerFactory.getLogger(OperatorServer.class);
-    private static final String REPLACE = "/-/config/replace", SHOW = "/-/config/show", STATUS = "/-/status",
-            READYZ = "/-/readyz", METRICS = "/-/metrics";
-    private static final int CONNECTIONS = 128, LONGEST_HEAD = 16_384;
+    private static final String REPLACE = "/-/config/replace";
+    private static final String SHOW = "/-/config/show";
+    private static final String STATUS = "/-/status";
+    private static final String READYZ = "/-/readyz";
+    private static final String METRICS = "/-/metrics";
+    private static final int CONNECTIONS = 128;
+    private static final int LONGEST_HEAD = 16_384;
     /** Bodies on their way in or out: two of the longest, or seven of 14,000 routes. */
     static final int MOST_BODIES = 2 * ConfigurationHistory.LONGEST_BODY;
-    private static final byte[] NO_ROOM = error("too many calls at once"), ENDING = error("this machine ends"),
-            UNCHECKED = error("the configuration could not be checked");
+
+    private static final byte[] NO_ROOM = error("too many calls at once");
+    private static final byte[] ENDING = error("this machine ends");
+    private static final byte[] UNCHECKED = error("the configuration could not be checked");
     private static final long PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
     private final EventLoop loop;
@@ -54,9 +59,19 @@
         this.loop = loop;
         this.name = name;
         this.machine = machine;
-        server = new ClientServer(loop, Transport.TCP, clock, new ClientServer.Bounds(CONNECTIONS,
-                TimeUnit.SECONDS.toNanos(10), TimeUnit.SECONDS.toNanos(30), LONGEST_HEAD,
-                ConfigurationHistory.LONGEST_BODY, READYZ), bodies, this);
+        server = new ClientServer(
+                loop,
+                Transport.TCP,
+                clock,
+                new ClientServer.Bounds(
+                        CONNECTIONS,
+                        TimeUnit.SECONDS.toNanos(10),
+                        TimeUnit.SECONDS.toNanos(30),
+                        LONGEST_HEAD,
+                        ConfigurationHistory.LONGEST_BODY,
+                        READYZ),
+                bodies,
+                this);
     }
 
     private static byte[] error(String what) {
@@ -91,8 +106,11 @@
             write(reply, new CallAnswer(0, OperatorCalls.OK, status().getBytes(StandardCharsets.UTF_8)));
         } else if (path.equals(METRICS)) {
             need(request, HttpMethod.GET);
-            reply.write(HttpResponseStatus.OK, new DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, MetricsPage.CONTENT_TYPE),
-                    Unpooled.wrappedBuffer(metrics().text()), 0);
+            reply.write(
+                    HttpResponseStatus.OK,
+                    new DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, MetricsPage.CONTENT_TYPE),
+                    Unpooled.wrappedBuffer(metrics().text()),
+                    0);
         } else {
             throw new BadRequest(HttpResponseStatus.NOT_FOUND, "no such call");
         }
@@ -104,7 +122,10 @@
         }
     }
 
-    /** Checked one at a time on a thread of its own: heartbeats don't wait for it, and the memory holds one that is read. */
+    /**
+     * Checked one at a time on a thread of its own: heartbeats don't wait for it, and the memory holds one that is
+     * read.
+     */
     private void replace(FullHttpRequest request, Reply reply) {
         if (checks.isShutdown()) {
             write(reply, new CallAnswer(0, OperatorCalls.UNCLEAR, ENDING));
@@ -122,8 +143,10 @@
 
     private static OperatorCalls.Checked checked(FullHttpRequest request) {
         try {
-            return OperatorCalls.check(request.headers().getAll(OperatorCalls.BASE),
-                    new ByteBufInputStream(request.content().duplicate()), request.content().nioBuffers());
+            return OperatorCalls.check(
+                    request.headers().getAll(OperatorCalls.BASE),
+                    new ByteBufInputStream(request.content().duplicate()),
+                    request.content().nioBuffers());
         } catch (IllegalArgumentException | IllegalStateException e) {
             LOG.error("a configuration could not be checked", e);
             return new OperatorCalls.Checked(null, new CallAnswer(0, OperatorCalls.UNCLEAR, UNCHECKED));
@@ -139,36 +162,60 @@
             write(reply, new CallAnswer(0, OperatorCalls.UNCLEAR, NO_ROOM));
         } else {
             reply.onWritten(() -> bodies.give(length));
-            write(reply, new CallAnswer(0, OperatorCalls.OK, Packed.unpack(answer.body(), ConfigurationHistory.LONGEST_BODY)));
+            write(
+                    reply,
+                    new CallAnswer(
+                            0, OperatorCalls.OK, Packed.unpack(answer.body(), ConfigurationHistory.LONGEST_BODY)));
         }
     }
 
     private static void write(Reply reply, CallAnswer answer) {
         HttpHeaders headers = new DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
-        reply.write(HttpResponseStatus.valueOf(answer.status()), headers, Unpooled.wrappedBuffer(answer.body()),
+        reply.write(
+                HttpResponseStatus.valueOf(answer.status()),
+                headers,
+                Unpooled.wrappedBuffer(answer.body()),
                 answer.status() == OperatorCalls.UNCLEAR ? PAUSE_NANOS : 0);
     }
 
     private MetricsPage metrics() {
         Raft raft = machine.agreement().raft();
-        return new MetricsPage().gauge("leads", "1 at the leader", raft.role() == Raft.Role.LEADER ? 1 : 0)
+        return new MetricsPage()
+                .gauge("leads", "1 at the leader", raft.role() == Raft.Role.LEADER ? 1 : 0)
                 .gauge("in_touch", "1 where the leader's lease vouches for the state", machine.fresh() ? 1 : 0)
-                .gauge("term", "The present term of the agreement", raft.term())
-                .gauge("commit_index", "The last entry known to be committed", raft.commit())
-                .gauge("log_entries", "Entries behind the snapshot", raft.length())
+                .gauge("term", "The present term of the agreement", (double) raft.term())
+                .gauge("commit_index", "The last entry known to be committed", (double) raft.commit())
+                .gauge("log_entries", "Entries behind the snapshot", (double) raft.length())
                 .gauge("voters", "Machines that vote", raft.members().size())
-                .gauge("configuration_version", "The newest version that was applied here", machine.agreement().history().rev())
+                .gauge("configuration_version", "The newest version that was applied here", (double)
+                        machine.agreement().history().rev())
                 .gauge("hosts", "Hosts on the list", machine.hosts().hosts().size())
                 .gauge("edges", "Edges that are linked here or known", machine.edges())
-                .gauge("calls_waiting", "Operator's calls without an answer", machine.calls().waiting());
+                .gauge(
+                        "calls_waiting",
+                        "Operator's calls without an answer",
+                        machine.calls().waiting());
     }
 
     private String status() {
         Raft raft = machine.agreement().raft();
-        StringBuilder json = new StringBuilder(256).append("{\"node\":\"").append(OperatorCalls.escaped(name))
-                .append("\",\"role\":\"").append(raft.role()).append("\",\"fresh\":").append(machine.fresh()).append(",\"term\":").append(raft.term())
-                .append(",\"commit\":").append(raft.commit()).append(",\"rev\":").append(machine.agreement().history().rev())
-                .append(",\"hosts\":").append(machine.hosts().hosts().size()).append(",\"edges\":").append(machine.edges())
+        StringBuilder json = new StringBuilder(256)
+                .append("{\"node\":\"")
+                .append(OperatorCalls.escaped(name))
+                .append("\",\"role\":\"")
+                .append(raft.role())
+                .append("\",\"fresh\":")
+                .append(machine.fresh())
+                .append(",\"term\":")
+                .append(raft.term())
+                .append(",\"commit\":")
+                .append(raft.commit())
+                .append(",\"rev\":")
+                .append(machine.agreement().history().rev())
+                .append(",\"hosts\":")
+                .append(machine.hosts().hosts().size())
+                .append(",\"edges\":")
+                .append(machine.edges())
                 .append(",\"voters\":[");
         Iterator<tinworks.raft.Member> members = raft.members().iterator();
         while (members.hasNext()) {
--- a/src/main/java/tinworks/control/VoterPlan.java
+++ b/src/main/java/tinworks/control/VoterPlan.java
@@ -13,17 +13,24 @@
  * <p>So many machines vote that the losses to be borne leave a majority, and no more: with three of four machines
  * voting, any one may go while the fourth, which holds the log too, takes its place. With four of four, a second
  * machine that is merely slow would stop the log. Who is gone changes places with a learner in one change: there are
- * never fewer voters than there were, and one that nobody can take the place of stays. Two of three have to agree
- * with a dead third as without one, and the dead one may yet come back.
+ * never fewer voters than there were, and one that nobody can take the place of stays. Two of three have to agree with
+ * a dead third as without one, and the dead one may yet come back.
  */
 final class VoterPlan {
-    /** One that gets the log. {@code silentMillis} is how long it has said nothing; {@code leaves} that it is about to end. */
-    record Seen(Member member, boolean caughtUp, long silentMillis, boolean leaves) { }
+    /**
+     * One that gets the log. {@code silentMillis} is how long it has said nothing; {@code leaves} that it is about to
+     * end.
+     */
+    record Seen(Member member, boolean caughtUp, long silentMillis, boolean leaves) {}
 
     /** A restart takes less; a voter that is gone for longer is replaced where another can take its place. */
     static final long GONE_MILLIS = 2_500;
-    /** Who was let go for its silence takes no silent voter's place for so long, or two that come and go would change for ever. */
+    /**
+     * Who was let go for its silence takes no silent voter's place for so long, or two that come and go would change
+     * for ever.
+     */
     static final long REST_MILLIS = 20_000;
+
     private static final long ALIVE_MILLIS = 1_000;
 
     private final int wanted;
@@ -42,19 +49,29 @@
      */
     Optional<List<Member>> next(long now, long self, List<Member> voters, List<Seen> others) {
         letGoAt.values().removeIf(at -> now - at >= REST_MILLIS);
-        List<Seen> learners = others.stream().filter(o -> !voters.contains(o.member()) && o.silentMillis() < ALIVE_MILLIS).toList();
-        List<Member> ready = new ArrayList<>(learners.stream().filter(l -> l.caughtUp() && !l.leaves()).map(Seen::member).toList());
+        List<Seen> learners = others.stream()
+                .filter(o -> !voters.contains(o.member()) && o.silentMillis() < ALIVE_MILLIS)
+                .toList();
+        List<Member> ready = new ArrayList<>(learners.stream()
+                .filter(l -> l.caughtUp() && !l.leaves())
+                .map(Seen::member)
+                .toList());
         List<Member> next = new ArrayList<>(voters);
         for (Member voter : voters) {
             // The machine has come back without its disk: what voted under this id is no more.
-            boolean replaced = voter.id() != self && learners.stream().anyMatch(l -> l.member().address().equals(voter.address()));
+            boolean replaced = voter.id() != self
+                    && learners.stream().anyMatch(l -> l.member().address().equals(voter.address()));
             if (replaced && !ready.isEmpty()) {
-                Member successor = ready.stream().filter(m -> m.address().equals(voter.address())).findFirst().orElse(ready.get(0));
+                Member successor = ready.stream()
+                        .filter(m -> m.address().equals(voter.address()))
+                        .findFirst()
+                        .orElse(ready.get(0));
                 exchange(next, voter, successor, ready);
             }
         }
         for (Seen other : others) {
-            Optional<Member> rested = ready.stream().filter(m -> !letGoAt.containsKey(m.id())).findFirst();
+            Optional<Member> rested =
+                    ready.stream().filter(m -> !letGoAt.containsKey(m.id())).findFirst();
             if (next.contains(other.member()) && other.leaves() && !ready.isEmpty()) {
                 // While all are there: once it has ended, one more loss might leave no majority.
                 exchange(next, other.member(), rested.orElse(ready.get(0)), ready);
@@ -68,7 +85,8 @@
         if (next.equals(voters) || !isQuorum(self, voters, others) || !isQuorum(self, next, others)) {
             return Optional.empty();
         }
-        others.stream().filter(o -> voters.contains(o.member()) && !next.contains(o.member()) && !o.leaves())
+        others.stream()
+                .filter(o -> voters.contains(o.member()) && !next.contains(o.member()) && !o.leaves())
                 .forEach(o -> letGoAt.put(o.member().id(), now));
         return Optional.of(next);
     }
@@ -80,8 +98,10 @@
 
     /** Guards against a change that can't be committed: it takes a majority of those before and of those to come. */
     private static boolean isQuorum(long self, List<Member> voters, List<Seen> others) {
-        long alive = voters.stream().filter(v -> v.id() == self
-                || others.stream().anyMatch(o -> o.member().equals(v) && o.silentMillis() < ALIVE_MILLIS)).count();
+        long alive = voters.stream()
+                .filter(v -> v.id() == self
+                        || others.stream().anyMatch(o -> o.member().equals(v) && o.silentMillis() < ALIVE_MILLIS))
+                .count();
         return 2 * alive > voters.size();
     }
 }
--- a/src/main/java/tinworks/demo/Changes.java
+++ b/src/main/java/tinworks/demo/Changes.java
@@ -20,9 +20,9 @@
 import tinworks.standin.StandInPlatform;
 
 /**
- * Core machines alone, on loopback, and an operator who sends whole configurations of many routes, one on the other as fast as
- * each is acknowledged. In the middle a member is killed; it is started again as any process that ends. Ends with what the
- * machines took of their disks and memory.
+ * Core machines alone, on loopback, and an operator who sends whole configurations of many routes, one on the other as
+ * fast as each is acknowledged. In the middle a member is killed; it is started again as any process that ends. Ends
+ * with what the machines took of their disks and memory.
  */
 public final class Changes implements AutoCloseable {
     /**
@@ -33,14 +33,22 @@
      * @param changes configurations after the first, 2 or more
      * @param javaOptions options of each process
      */
-    public record Plan(int cores, int routes, int changes, List<String> javaOptions) { }
+    public record Plan(int cores, int routes, int changes, List<String> javaOptions) {}
 
     /** How long a member may take from its start until it has what is acknowledged. */
     private static final long CATCH_UP_MILLIS = 5_000;
-    private static final long START_MILLIS = 15_000, CHANGE_MILLIS = 20_000, LOOK_MILLIS = 50;
-    private static final int DESCRIPTORS = 4_096, SERVICES = 40, LINES = 10, TIMEOUT = 2_500, MOST_LONGER = 7_000;
+
+    private static final long START_MILLIS = 15_000;
+    private static final long CHANGE_MILLIS = 20_000;
+    private static final long LOOK_MILLIS = 50;
+    private static final int DESCRIPTORS = 4_096;
+    private static final int SERVICES = 40;
+    private static final int LINES = 10;
+    private static final int TIMEOUT = 2_500;
+    private static final int MOST_LONGER = 7_000;
     /** The first version's number; all have as many digits. */
     private static final long FIRST = 100_000;
+
     private static final String REV = "{\"rev\":";
 
     private final Plan plan;
@@ -67,7 +75,8 @@
         folder = Files.createTempDirectory("tinworks-changes");
         machines = new Machines(folder, plan.javaOptions());
         List<Integer> ports = FreePorts.at(Deployment.FIRST_CORE_IP, 2);
-        NodeProcess.call(loop, () -> platform.listen(new InetSocketAddress("127.0.0.1", 0))).syncUninterruptibly();
+        NodeProcess.call(loop, () -> platform.listen(new InetSocketAddress("127.0.0.1", 0)))
+                .syncUninterruptibly();
         deployment = new Deployment(plan.cores(), ports.get(0), ports.get(1), DESCRIPTORS, platform.address());
         operator = new Operator(deployment.operated());
         timeouts = new int[plan.routes()];
@@ -75,17 +84,29 @@
 
     /** The first version, and the offset in it of each route's time-out. */
     private byte[] first() {
-        StringBuilder text = new StringBuilder(200 * plan.routes()).append(REV).append(FIRST).append(",\"routes\":[");
+        StringBuilder text =
+                new StringBuilder(200 * plan.routes()).append(REV).append(FIRST).append(",\"routes\":[");
         for (int i = 0; i < plan.routes(); i++) {
-            text.append(i == 0 ? "" : ",").append("{\"name\":\"r-").append(Integer.toString(i * 7_919, 36)).append("\",\"domain\":\"jepu")
-                    .append(i % 97).append(".example\",\"prefix\":\"/lepu").append(Integer.toString(i * 104_729, 36))
+            text.append(i == 0 ? "" : ",")
+                    .append("{\"name\":\"r-")
+                    .append(Integer.toString(i * 7_919, 36))
+                    .append("\",\"domain\":\"jepu")
+                    .append(i % 97)
+                    .append(".example\",\"prefix\":\"/lepu")
+                    .append(Integer.toString(i * 104_729, 36))
                     .append("/\",\"type\":\"idem\",\"timeoutMs\":");
             timeouts[i] = text.length();
-            text.append(TIMEOUT).append(",\"targetMs\":600,\"prio\":2,\"svc\":\"huvo").append(i % SERVICES).append("\",\"tries\":2}");
+            text.append(TIMEOUT)
+                    .append(",\"targetMs\":600,\"prio\":2,\"svc\":\"huvo")
+                    .append(i % SERVICES)
+                    .append("\",\"tries\":2}");
         }
         text.append("],\"svcs\":[");
         for (int i = 0; i < SERVICES; i++) {
-            text.append(i == 0 ? "" : ",").append("{\"name\":\"huvo").append(i).append("\",\"check\":\"/healthz\",\"maxconn\":110}");
+            text.append(i == 0 ? "" : ",")
+                    .append("{\"name\":\"huvo")
+                    .append(i)
+                    .append("\",\"check\":\"/healthz\",\"maxconn\":110}");
         }
         return text.append("],\"limits\":{\"idleMs\":15000}}").toString().getBytes(StandardCharsets.US_ASCII);
     }
@@ -114,7 +135,12 @@
             return false;
         }
         acknowledged = FIRST;
-        out.printf(Locale.ROOT, "%d core machines, %d routes, %d bytes of a configuration%n", plan.cores(), plan.routes(), last.length);
+        out.printf(
+                Locale.ROOT,
+                "%d core machines, %d routes, %d bytes of a configuration%n",
+                plan.cores(),
+                plan.routes(),
+                last.length);
         Thread watch = new Thread(this::watch, "watch");
         watch.setDaemon(true);
         watch.start();
@@ -138,20 +164,33 @@
             if (change == plan.changes() / 2) {
                 killFollower();
             }
-            byte[] next = next(last, acknowledged + 1);
+            long version = acknowledged + 1;
+            byte[] next = next(last, version);
             long sentAt = System.nanoTime();
             int took = operator.replace(acknowledged, next, change % plan.cores(), CHANGE_MILLIS);
             if (took == 0) {
-                out.printf(Locale.ROOT, "change %d was not acknowledged in %d s; logs are under %s%n", change, CHANGE_MILLIS / 1_000, folder);
+                out.printf(
+                        Locale.ROOT,
+                        "change %d was not acknowledged in %d s; logs are under %s%n",
+                        change,
+                        CHANGE_MILLIS / 1_000,
+                        folder);
                 return last;
             }
             calls += took;
             slowest = Math.max(slowest, System.nanoTime() - sentAt);
             last = next;
-            acknowledged++;
+            acknowledged = version;
             if (change % Math.max(1, plan.changes() / LINES) == 0) {
-                out.printf(Locale.ROOT, "%6.1f s  %5d acknowledged in %d calls, the slowest in %.2f s, largest disk %.1f MB, most memory %.1f MB%n",
-                        (System.nanoTime() - began) / 1e9, change, calls, slowest / 1e9, largestDisk / 1e6, largestMemory / 1e3);
+                out.printf(
+                        Locale.ROOT,
+                        "%6.1f s  %5d acknowledged in %d calls, the slowest in %.2f s, largest disk %.1f MB, most memory %.1f MB%n",
+                        (System.nanoTime() - began) / 1e9,
+                        change,
+                        calls,
+                        slowest / 1e9,
+                        largestDisk / 1e6,
+                        largestMemory / 1e3);
                 out.flush();
             }
         }
@@ -161,7 +200,12 @@
     private void killFollower() throws IOException, InterruptedException {
         int victim = 0;
         for (int i = 0; i < plan.cores(); i++) {
-            victim = Json.read(operator.status(i).orElse("{}")).field("role").text().equals("LEADER") ? victim : i;
+            victim = Json.read(operator.status(i).orElse("{}"))
+                            .field("role")
+                            .text()
+                            .equals("LEADER")
+                    ? victim
+                    : i;
         }
         String name = name(victim);
         long old = machines.pid(name);
@@ -183,7 +227,9 @@
             long wanted = Long.MAX_VALUE;
             while (!ended || wanted == Long.MAX_VALUE) {
                 long now = acknowledged;
-                String rev = Json.read(operator.status(core).orElse("{}")).field("rev").text();
+                String rev = Json.read(operator.status(core).orElse("{}"))
+                        .field("rev")
+                        .text();
                 if (!rev.isEmpty() && Long.parseLong(rev) >= wanted) {
                     caughtUpMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - started);
                     out.printf(Locale.ROOT, "%s had caught up %d ms after its start%n", name(core), caughtUpMillis);
@@ -228,19 +274,34 @@
     private boolean closing(byte[] last) throws InterruptedException {
         boolean shown = true;
         for (int i = 0; i < plan.cores(); i++) {
-            shown &= operator.show(i).filter(body -> body.equals(new String(last, StandardCharsets.UTF_8))).isPresent();
+            shown &= operator.show(i)
+                    .filter(body -> body.equals(new String(last, StandardCharsets.UTF_8)))
+                    .isPresent();
         }
         int restarts = machines.restarts();
-        out.printf(Locale.ROOT, "acknowledged: %d of %d; shown as sent at every machine: %s%n", acknowledged - FIRST, plan.changes(), shown ? "yes" : "no");
-        out.printf(Locale.ROOT, "largest disk: %.1f MB; most memory of a process: %.1f MB; restarts: %d%n", largestDisk / 1e6,
-                largestMemory / 1e3, restarts);
+        out.printf(
+                Locale.ROOT,
+                "acknowledged: %d of %d; shown as sent at every machine: %s%n",
+                acknowledged - FIRST,
+                plan.changes(),
+                shown ? "yes" : "no");
+        out.printf(
+                Locale.ROOT,
+                "largest disk: %.1f MB; most memory of a process: %.1f MB; restarts: %d%n",
+                largestDisk / 1e6,
+                largestMemory / 1e3,
+                restarts);
         if (caughtUpMillis < 0) {
             out.println("the member that was killed never caught up");
         }
         out.println(ProcessCosts.heading());
         out.println(machines.costs("core").line("core"));
         out.flush();
-        return shown && restarts == 1 && acknowledged == FIRST + plan.changes() && caughtUpMillis >= 0 && caughtUpMillis <= CATCH_UP_MILLIS;
+        return shown
+                && restarts == 1
+                && acknowledged == FIRST + plan.changes()
+                && caughtUpMillis >= 0
+                && caughtUpMillis <= CATCH_UP_MILLIS;
     }
 
     @Override
--- a/src/main/java/tinworks/demo/Demo.java
+++ b/src/main/java/tinworks/demo/Demo.java
@@ -25,8 +25,9 @@
 import tinworks.standin.StandInPlatform;
 
 /**
- * A deployment on the loopback addresses of one machine: core and edge processes as they would run anywhere, and in this
- * process the platform, the hosts, the operator and the clients. Ends with the figures and with what hosts ran twice.
+ * A deployment on the loopback addresses of one machine: core and edge processes as they would run anywhere, and in
+ * this process the platform, the hosts, the operator and the clients. Ends with the figures and with what hosts ran
+ * twice.
  */
 public final class Demo implements AutoCloseable {
     /**
@@ -39,15 +40,27 @@
      * @param seconds how long clients ask
      * @param javaOptions options of each process of the system
      */
-    public record Plan(int cores, int edges, int hostsPerService, double perSecond, long seconds, long seed, List<Fault> faults,
-                       List<String> javaOptions) { }
+    public record Plan(
+            int cores,
+            int edges,
+            int hostsPerService,
+            double perSecond,
+            long seconds,
+            long seed,
+            List<Fault> faults,
+            List<String> javaOptions) {}
 
     private static final String[] SERVICES = {"lookup", "book", "archive"};
     private static final double[] WORK_MILLIS = {40, 60, 110};
     private static final double[] PARTS = {0.5, 0.25, 0.25};
-    private static final int SLOTS = 4, QUEUE = 8, PLATFORM_RATE = 50, DESCRIPTORS = 4_096;
-    private static final long LAG_MILLIS = 400, START_MILLIS = 15_000, LAST_ANSWERS_MILLIS = 5_000,
-            DRAIN_MILLIS = 2_000;
+    private static final int SLOTS = 4;
+    private static final int QUEUE = 8;
+    private static final int PLATFORM_RATE = 50;
+    private static final int DESCRIPTORS = 4_096;
+    private static final long LAG_MILLIS = 400;
+    private static final long START_MILLIS = 15_000;
+    private static final long LAST_ANSWERS_MILLIS = 5_000;
+    private static final long DRAIN_MILLIS = 2_000;
     private static final double SLOWDOWN = 6;
     private static final int FIRST_EDGE = 101;
 
@@ -81,13 +94,15 @@
         List<Integer> ports = FreePorts.at(Deployment.FIRST_CORE_IP, 4);
         http = ports.get(1);
         readyz = ports.get(2);
-        NodeProcess.call(loop, () -> platform.listen(new InetSocketAddress("127.0.0.1", 0))).syncUninterruptibly();
+        NodeProcess.call(loop, () -> platform.listen(new InetSocketAddress("127.0.0.1", 0)))
+                .syncUninterruptibly();
         deployment = new Deployment(plan.cores(), ports.get(0), ports.get(3), DESCRIPTORS, platform.address());
         operator = new Operator(deployment.operated());
         kinds = List.of(
                 new RequestKind("lookup", "demo.example", "/lookup/", false, plan.perSecond() * PARTS[0], 200, 1_500),
                 new RequestKind("book", "demo.example", "/book/", true, plan.perSecond() * PARTS[1], 300, 2_000),
-                new RequestKind("archive", "demo.example", "/archive/", false, plan.perSecond() * PARTS[2], 500, 3_000));
+                new RequestKind(
+                        "archive", "demo.example", "/archive/", false, plan.perSecond() * PARTS[2], 500, 3_000));
         clients = NodeProcess.call(loop, () -> new LoadClients(loop, kinds, random.nextLong(), ledger));
         faults = new ArrayList<>(plan.faults());
         faults.sort(Comparator.comparingDouble(Fault::atSeconds));
@@ -111,8 +126,13 @@
             out.println("no edge became ready; logs are under " + folder);
             return false;
         }
-        out.printf(Locale.ROOT, "%d core machines, %d edges and %d hosts serve after %.1f s%n", plan.cores(), plan.edges(),
-                plan.hostsPerService() * SERVICES.length, (System.nanoTime() - began) / 1e9);
+        out.printf(
+                Locale.ROOT,
+                "%d core machines, %d edges and %d hosts serve after %.1f s%n",
+                plan.cores(),
+                plan.edges(),
+                plan.hostsPerService() * SERVICES.length,
+                (System.nanoTime() - began) / 1e9);
         traffic();
         return closing();
     }
@@ -128,10 +148,23 @@
     private void addHost(int service, int number) {
         // Speeds from 0.75 to 1.25 of the average: the loop has something to learn.
         double speed = 0.75 + 0.5 * number / Math.max(1, plan.hostsPerService() - 1);
-        StandInHost host = NodeProcess.call(loop, () -> new StandInHost(loop, new StandInHost.Nature(
-                "i-" + Long.toHexString(random.nextLong()), SERVICES[service], "zone-" + number % 2, SLOTS, QUEUE,
-                WORK_MILLIS[service], speed, 0), random.nextLong(), ledger));
-        NodeProcess.call(loop, () -> host.listen(new InetSocketAddress("127.0.0.1", 0))).syncUninterruptibly();
+        StandInHost host = NodeProcess.call(
+                loop,
+                () -> new StandInHost(
+                        loop,
+                        new StandInHost.Nature(
+                                "i-" + Long.toHexString(random.nextLong()),
+                                SERVICES[service],
+                                "zone-" + number % 2,
+                                SLOTS,
+                                QUEUE,
+                                WORK_MILLIS[service],
+                                speed,
+                                0),
+                        random.nextLong(),
+                        ledger));
+        NodeProcess.call(loop, () -> host.listen(new InetSocketAddress("127.0.0.1", 0)))
+                .syncUninterruptibly();
         NodeProcess.run(loop, () -> platform.add(List.of(host)));
     }
 
@@ -140,15 +173,23 @@
             deployment.startCore(machines, i);
         }
         for (int i = 0; i < plan.edges(); i++) {
-            deployment.start(machines, "edge-" + i, "edge", edgeIp(i),
-                    "\"http\":\"" + edgeIp(i) + ":" + http + "\",\"readyz\":\"" + edgeIp(i) + ":" + readyz + "\"", "null", i);
+            deployment.start(
+                    machines,
+                    "edge-" + i,
+                    "edge",
+                    edgeIp(i),
+                    "\"http\":\"" + edgeIp(i) + ":" + http + "\",\"readyz\":\"" + edgeIp(i) + ":" + readyz + "\"",
+                    "null",
+                    i);
         }
     }
 
     private static String configuration(long rev, String archive) {
         return "{\"rev\":" + rev + ",\"routes\":["
-                + route("lookup", "idem", 1_500, 200, 0, "lookup") + "," + route("book", "mutating", 2_000, 300, 0, "book") + ","
-                + route("archive", "idem", 3_000, 500, 2, archive) + "],\"svcs\":[{\"name\":\"lookup\"},{\"name\":\"book\"},"
+                + route("lookup", "idem", 1_500, 200, 0, "lookup") + ","
+                + route("book", "mutating", 2_000, 300, 0, "book") + ","
+                + route("archive", "idem", 3_000, 500, 2, archive)
+                + "],\"svcs\":[{\"name\":\"lookup\"},{\"name\":\"book\"},"
                 + "{\"name\":\"archive\"}],\"limits\":{\"hdrBytes\":16384,\"bodyMaxBytes\":8388608,\"hdrMs\":3000,\"idleMs\":15000}}";
     }
 
@@ -186,7 +227,8 @@
 
     private void traffic() throws IOException, InterruptedException {
         NodeProcess.run(loop, () -> clients.start(TimeUnit.SECONDS.toMillis(plan.seconds())));
-        out.println("    s  sent/s  served   p50 ms   p99 ms  edges  leader, versions   arrivals by host, least and most");
+        out.println(
+                "    s  sent/s  served   p50 ms   p99 ms  edges  leader, versions   arrivals by host, least and most");
         long began = System.nanoTime();
         long sentBefore = 0;
         for (int second = 1; second <= plan.seconds(); second++) {
@@ -201,10 +243,24 @@
 
     private long line(int second, int ready, long sentBefore) throws IOException, InterruptedException {
         Results all = NodeProcess.call(loop, clients::all);
-        List<Long> arrivals = NodeProcess.call(loop, () -> platform.hosts().stream().map(StandInHost::arrivals).sorted().toList());
-        out.printf(Locale.ROOT, "%5d %7d %7d %8.1f %8.1f %6d  %-18s %d to %d%n", second, all.sentInAll() - sentBefore,
-                all.servedInAll(), all.percentileMillis(50), all.percentileMillis(99), ready, leaders(),
-                arrivals.get(0), arrivals.get(arrivals.size() - 1));
+        List<Long> arrivals = NodeProcess.call(
+                loop,
+                () -> platform.hosts().stream()
+                        .map(StandInHost::arrivals)
+                        .sorted()
+                        .toList());
+        out.printf(
+                Locale.ROOT,
+                "%5d %7d %7d %8.1f %8.1f %6d  %-18s %d to %d%n",
+                second,
+                all.sentInAll() - sentBefore,
+                all.servedInAll(),
+                all.percentileMillis(50),
+                all.percentileMillis(99),
+                ready,
+                leaders(),
+                arrivals.get(0),
+                arrivals.get(arrivals.size() - 1));
         out.flush();
         return all.sentInAll();
     }
@@ -217,7 +273,8 @@
             if (status.field("role").text().equals("LEADER")) {
                 leader = "core-" + i;
             }
-            versions.add(status.field("rev").value() != null ? status.field("rev").text() : "-");
+            versions.add(
+                    status.field("rev").value() != null ? status.field("rev").text() : "-");
         }
         return leader + ", " + String.join("/", versions);
     }
@@ -257,7 +314,8 @@
     }
 
     private void host(Fault.Kind kind) {
-        List<StandInHost> standing = platform.hosts().stream().filter(host -> !host.isDraining()).toList();
+        List<StandInHost> standing =
+                platform.hosts().stream().filter(host -> !host.isDraining()).toList();
         StandInHost host = standing.get(random.nextInt(standing.size()));
         switch (kind) {
             case SLOW_HOST -> host.slow(SLOWDOWN);
@@ -283,17 +341,32 @@
         out.println("kind         sent   served  in aim  refused  failed   p50 ms   p99 ms");
         long served = 0;
         for (RequestKind kind : kinds) {
-            Results results = NodeProcess.call(loop, () -> clients.results().get(kind).copy());
+            Results results =
+                    NodeProcess.call(loop, () -> clients.results().get(kind).copy());
             served += results.servedInAll();
-            out.printf(Locale.ROOT, "%-10s %6d %8d %7d %8d %7d %8.1f %8.1f%n", kind.name(), results.sentInAll(), results.servedInAll(),
-                    results.servedInAim(), results.refusedInAll(), results.failedInAll(), results.percentileMillis(50),
+            out.printf(
+                    Locale.ROOT,
+                    "%-10s %6d %8d %7d %8d %7d %8.1f %8.1f%n",
+                    kind.name(),
+                    results.sentInAll(),
+                    results.servedInAll(),
+                    results.servedInAim(),
+                    results.refusedInAll(),
+                    results.failedInAll(),
+                    results.percentileMillis(50),
                     results.percentileMillis(99));
         }
         long twice = NodeProcess.call(loop, ledger::twice);
         long broken = NodeProcess.call(loop, ledger::brokenPromises);
         long unasked = NodeProcess.call(loop, ledger::unasked);
-        out.printf(Locale.ROOT, "ran twice: %d, ran against a promise: %d, ran unasked: %d; restarts: %d; list calls: %d%n", twice,
-                broken, unasked, machines.restarts(), NodeProcess.call(loop, platform::answered));
+        out.printf(
+                Locale.ROOT,
+                "ran twice: %d, ran against a promise: %d, ran unasked: %d; restarts: %d; list calls: %d%n",
+                twice,
+                broken,
+                unasked,
+                machines.restarts(),
+                NodeProcess.call(loop, platform::answered));
         out.println(ProcessCosts.heading());
         for (String role : List.of("edge", "core")) {
             out.println(machines.costs(role).line(role));
--- a/src/main/java/tinworks/demo/Deployment.java
+++ b/src/main/java/tinworks/demo/Deployment.java
@@ -15,7 +15,8 @@
  */
 record Deployment(int cores, int ctl, int inner, int descriptors, InetSocketAddress platform) {
     static final String FIRST_CORE_IP = coreIp(0);
-    private static final int FIRST_CORE = 11, MOST_SEEDS = 3;
+    private static final int FIRST_CORE = 11;
+    private static final int MOST_SEEDS = 3;
 
     static String coreIp(int i) {
         return "127.0.0." + (FIRST_CORE + i);
@@ -39,24 +40,40 @@
         return addresses;
     }
 
-    /** Starts a core machine. As the platform does, it says of the first start alone that the whole system starts for the first time. */
+    /**
+     * Starts a core machine. As the platform does, it says of the first start alone that the whole system starts for
+     * the first time.
+     */
     void startCore(Machines machines, int i) throws IOException {
         String name = "core-" + i;
-        start(machines, name, "core", coreIp(i), "\"ctl\":\"" + coreIp(i) + ":" + ctl + "\"", "\"" + machines.disk(name) + "\"", i);
+        start(
+                machines,
+                name,
+                "core",
+                coreIp(i),
+                "\"ctl\":\"" + coreIp(i) + ":" + ctl + "\"",
+                "\"" + machines.disk(name) + "\"",
+                i);
     }
 
     /** Starts a machine that listens at these addresses besides, and whose disk, as JSON, is this one. */
     void start(Machines machines, String name, String role, String ip, String listen, String disk, int number)
             throws IOException {
-        machines.start(name, role, settings(name, ip, listen, disk, number, true), settings(name, ip, listen, disk, number, false));
+        machines.start(
+                name,
+                role,
+                settings(name, ip, listen, disk, number, true),
+                settings(name, ip, listen, disk, number, false));
     }
 
     private String settings(String node, String ip, String listen, String disk, int number, boolean bootstrap) {
-        return "{\"node\":\"" + node + "\",\"az\":\"zone-" + number % 2 + "\",\"ip\":\"" + ip + "\",\"listen\":{" + listen
+        return "{\"node\":\"" + node + "\",\"az\":\"zone-" + number % 2 + "\",\"ip\":\"" + ip + "\",\"listen\":{"
+                + listen
                 + "},\"portRange\":[" + inner + "," + inner + "],\"seeds\":[\""
                 + String.join("\",\"", addresses(Math.min(MOST_SEEDS, cores), ctl)) + "\"],\"bootstrap\":" + bootstrap
                 + ",\"limits\":{\"nofile\":" + descriptors + "},\"datadir\":" + disk
-                + ",\"survive\":{\"nodes\":1},\"bounds\":{\"graceS\":6},\"provider\":{\"addr\":\"127.0.0.1:" + platform.getPort()
+                + ",\"survive\":{\"nodes\":1},\"bounds\":{\"graceS\":6},\"provider\":{\"addr\":\"127.0.0.1:"
+                + platform.getPort()
                 + "\"}}";
     }
 }
--- a/src/main/java/tinworks/demo/Fault.java
+++ b/src/main/java/tinworks/demo/Fault.java
@@ -36,7 +36,9 @@
 
         /** Reads a word. */
         public static Kind of(String word) {
-            return Arrays.stream(values()).filter(kind -> kind.word().equals(word)).findFirst()
+            return Arrays.stream(values())
+                    .filter(kind -> kind.word().equals(word))
+                    .findFirst()
                     .orElseThrow(() -> new IllegalArgumentException("no fault '" + word + "'; there are " + words()));
         }
 
@@ -54,7 +56,8 @@
                 return new Fault(at, Kind.of(parts[1]));
             }
         } catch (NumberFormatException e) {
-            throw new IllegalArgumentException("not a fault: '" + text + "', wanted SECONDS:KIND, such as 5:kill-leader", e);
+            throw new IllegalArgumentException(
+                    "not a fault: '" + text + "', wanted SECONDS:KIND, such as 5:kill-leader", e);
         }
         throw new IllegalArgumentException("not a fault: '" + text + "', wanted SECONDS:KIND, such as 5:kill-leader");
     }
--- a/src/main/java/tinworks/demo/FreePorts.java
+++ b/src/main/java/tinworks/demo/FreePorts.java
@@ -8,7 +8,7 @@
 
 /** Ports of this machine that nobody uses. */
 public final class FreePorts {
-    private FreePorts() { }
+    private FreePorts() {}
 
     /** So many different ports that were free at an address a moment ago. */
     public static List<Integer> at(String ip, int count) throws IOException {
--- a/src/main/java/tinworks/demo/Hollow.java
+++ b/src/main/java/tinworks/demo/Hollow.java
@@ -15,7 +15,6 @@
 import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Locale;
-import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
@@ -31,8 +30,8 @@
 import tinworks.standin.StandInPlatform;
 
 /**
- * Real core machines on loopback under the links of many {@link HollowEdges}: what a core machine and each link cost at rest,
- * at changes and after restarts. A row for each part of the play.
+ * Real core machines on loopback under the links of many {@link HollowEdges}: what a core machine and each link cost at
+ * rest, at changes and after restarts. A row for each part of the play.
  */
 public final class Hollow implements AutoCloseable {
     /**
@@ -48,12 +47,26 @@
      * @param restarts whether one core machine is killed in the end, and then all
      * @param javaOptions options of each process of the system
      */
-    public record Plan(int cores, int edges, int realEdges, int routes, int hosts, int seconds, int changes, boolean restarts,
-                       List<String> javaOptions) { }
-
-    private static final int FIRST_EDGE = 101, SLOTS = 4, ROUTES_OF_A_SERVICE = 5, DESCRIPTORS = 20_000, ZONES = 10;
-    private static final long START_MILLIS = 20_000, LONGEST_MILLIS = 40_000, LOOK_MILLIS = 5, CALM_MILLIS = 1_500,
-            SECOND_NANOS = TimeUnit.SECONDS.toNanos(1);
+    public record Plan(
+            int cores,
+            int edges,
+            int realEdges,
+            int routes,
+            int hosts,
+            int seconds,
+            int changes,
+            boolean restarts,
+            List<String> javaOptions) {}
+
+    private static final int FIRST_EDGE = 101;
+    private static final int SLOTS = 4;
+    private static final int ROUTES_OF_A_SERVICE = 5;
+    private static final int DESCRIPTORS = 20_000;
+    private static final int ZONES = 10;
+    private static final long START_MILLIS = 20_000;
+    private static final long LONGEST_MILLIS = 40_000;
+    private static final long LOOK_MILLIS = 5;
+    private static final long CALM_MILLIS = 1_500;
     private static final String MEMORY_ERROR = "OutOfMemoryError";
 
     private final Plan plan;
@@ -86,7 +99,8 @@
         List<Integer> ports = FreePorts.at(Deployment.FIRST_CORE_IP, 4);
         http = ports.get(2);
         readyz = ports.get(3);
-        NodeProcess.call(loop, () -> platform.listen(new InetSocketAddress("127.0.0.1", 0))).syncUninterruptibly();
+        NodeProcess.call(loop, () -> platform.listen(new InetSocketAddress("127.0.0.1", 0)))
+                .syncUninterruptibly();
         deployment = new Deployment(plan.cores(), ports.get(0), ports.get(1), DESCRIPTORS, platform.address());
         operator = new Operator(deployment.operated());
         edges = new HollowEdges(plan.edges(), deployment.innerSeeds());
@@ -94,22 +108,38 @@
 
     /** Plays the plan; true where every edge came to hold all that it should. */
     public boolean play() throws IOException, InterruptedException {
-        NodeProcess.run(loop, () -> platform.add(IntStream.range(0, plan.hosts()).mapToObj(i -> host()).toList()));
+        NodeProcess.run(
+                loop,
+                () -> platform.add(
+                        IntStream.range(0, plan.hosts()).mapToObj(i -> host()).toList()));
         for (int i = 0; i < plan.cores(); i++) {
             deployment.startCore(machines, i);
         }
         for (int i = 0; i < plan.realEdges(); i++) {
-            deployment.start(machines, "edge-" + i, "edge", edgeIp(i),
-                    "\"http\":\"" + edgeIp(i) + ":" + http + "\",\"readyz\":\"" + edgeIp(i) + ":" + readyz + "\"", "null", i);
+            deployment.start(
+                    machines,
+                    "edge-" + i,
+                    "edge",
+                    edgeIp(i),
+                    "\"http\":\"" + edgeIp(i) + ":" + http + "\",\"readyz\":\"" + edgeIp(i) + ":" + readyz + "\"",
+                    "null",
+                    i);
         }
         if (!configure()) {
             out.println("no core machine took the configuration; its logs say: " + memoryErrors());
             return false;
         }
-        out.printf(Locale.ROOT, "%d core machines, %d edges, %d routes (%d bytes of JSON), %d hosts%n", plan.cores(), plan.edges(),
-                plan.routes(), configuration(rev).length(), plan.hosts());
-        out.println("part                    seconds   links  announced/s  bytes/s  answers  kB each   p50 ms   p99 ms   max ms"
-                + "  have it  busy ms            MB              own ms");
+        out.printf(
+                Locale.ROOT,
+                "%d core machines, %d edges, %d routes (%d bytes of JSON), %d hosts%n",
+                plan.cores(),
+                plan.edges(),
+                plan.routes(),
+                configuration(rev).length(),
+                plan.hosts());
+        out.println(
+                "part                    seconds   links  announced/s  bytes/s  answers  kB each   p50 ms   p99 ms   max ms"
+                        + "  have it  busy ms            MB              own ms");
         boolean whole = linked();
         TimeUnit.MILLISECONDS.sleep(CALM_MILLIS);
         begin();
@@ -127,8 +157,8 @@
             whole &= restart("one core restarts", List.of(leader()));
             whole &= restart("all cores restart", cores());
         }
-        out.println("restarts of processes: " + machines.restarts() + ", lines of their logs with an " + MEMORY_ERROR + ": "
-                + memoryErrors());
+        out.println("restarts of processes: " + machines.restarts() + ", lines of their logs with an " + MEMORY_ERROR
+                + ": " + memoryErrors());
         out.flush();
         return whole;
     }
@@ -140,8 +170,15 @@
         edges.start();
         int links = plan.edges() * plan.cores();
         // An edge that has all: its last link, the configuration and the list of all hosts.
-        List<Seen> seen = await(all -> all.stream().filter(one -> one.event() == Event.CONFIGURED).count() >= plan.edges()
-                && all.stream().filter(this::hasAllHosts).map(Seen::edge).distinct().count() >= plan.edges() && edges.open() >= links);
+        List<Seen> seen = await(all ->
+                all.stream().filter(one -> one.event() == Event.CONFIGURED).count() >= plan.edges()
+                        && all.stream()
+                                        .filter(this::hasAllHosts)
+                                        .map(Seen::edge)
+                                        .distinct()
+                                        .count()
+                                >= plan.edges()
+                        && edges.open() >= links);
         row("all dial", since(seen, one -> one.event() == Event.LINKED), links);
         row("  whole configuration", since(seen, one -> one.event() == Event.CONFIGURED), plan.edges());
         List<Double> lists = since(seen, this::hasAllHosts);
@@ -173,24 +210,34 @@
         String id = id(nextHost);
         begin();
         replaceHost();
-        Map<HostList, Boolean> holds = new IdentityHashMap<>();
-        Predicate<Seen> held = one -> one.event() == Event.LISTED && holds.computeIfAbsent(one.list(),
-                list -> list.hosts().stream().anyMatch(host -> host.id().equals(id)));
-        List<Double> times = since(await(all -> all.stream().filter(held).map(Seen::edge).distinct().count() >= plan.edges()), held);
+        IdentityHashMap<HostList, Boolean> holds = new IdentityHashMap<>();
+        Predicate<Seen> held = one -> one.event() == Event.LISTED
+                && holds.computeIfAbsent(
+                        one.list(),
+                        list -> list.hosts().stream().anyMatch(host -> host.id().equals(id)));
+        List<Double> times = since(
+                await(all ->
+                        all.stream().filter(held).map(Seen::edge).distinct().count() >= plan.edges()),
+                held);
         row("one host replaced", times, plan.edges());
         return times.size() == plan.edges();
     }
 
-    /** A release: one host a second gives way to another; times count from the first edge that holds a list to each other one. */
+    /**
+     * A release: one host a second gives way to another; times count from the first edge that holds a list to each
+     * other one.
+     */
     private void release() throws InterruptedException {
         begin();
         for (int i = 0; i < plan.seconds(); i++) {
             replaceHost();
             TimeUnit.SECONDS.sleep(1);
         }
-        Map<HostList, List<Long>> held = new IdentityHashMap<>();
-        edges.takeSeen().stream().filter(one -> one.event() == Event.LISTED)
-                .forEach(one -> held.computeIfAbsent(one.list(), list -> new ArrayList<>()).add(one.at()));
+        IdentityHashMap<HostList, List<Long>> held = new IdentityHashMap<>();
+        edges.takeSeen().stream()
+                .filter(one -> one.event() == Event.LISTED)
+                .forEach(one -> held.computeIfAbsent(one.list(), list -> new ArrayList<>())
+                        .add(one.at()));
         List<Double> spread = new ArrayList<>();
         held.values().forEach(times -> {
             long first = times.stream().mapToLong(Long::longValue).min().orElseThrow();
@@ -217,10 +264,18 @@
         begin();
         names.forEach(machines::kill);
         int lost = plan.edges() * names.size();
-        List<Seen> seen = await(all -> all.stream().filter(one -> one.event() == Event.LINKED).count() >= lost && edges.open() >= links);
+        List<Seen> seen = await(all ->
+                all.stream().filter(one -> one.event() == Event.LINKED).count() >= lost && edges.open() >= links);
         row(part, since(seen, one -> one.event() == Event.LINKED), lost);
         // A later leader has another list, newer by its term.
-        seen = await(seen, all -> all.stream().filter(this::hasAllHosts).map(Seen::edge).distinct().count() >= plan.edges());
+        seen = await(
+                seen,
+                all -> all.stream()
+                                .filter(this::hasAllHosts)
+                                .map(Seen::edge)
+                                .distinct()
+                                .count()
+                        >= plan.edges());
         row("  the new leader's list", since(seen, this::hasAllHosts), plan.edges());
         return edges.open() >= links;
     }
@@ -245,7 +300,9 @@
 
     /** The core machines and, behind them, the real edges. */
     private List<String> names() {
-        return Stream.concat(cores().stream(), IntStream.range(0, plan.realEdges()).mapToObj(i -> "edge-" + i)).toList();
+        return Stream.concat(
+                        cores().stream(), IntStream.range(0, plan.realEdges()).mapToObj(i -> "edge-" + i))
+                .toList();
     }
 
     /** Waits until that holds of all that was seen since the part began, or for too long; returns all of it. */
@@ -266,9 +323,14 @@
     /** Milliseconds from the part's beginning: of each link that came up, else of each edge when it first saw this. */
     private List<Double> since(List<Seen> seen, Predicate<Seen> which) {
         Stream<Seen> those = seen.stream().filter(which);
-        Stream<Long> times = those.collect(Collectors.groupingBy(
-                one -> one.event() == Event.LINKED ? one : (Object) one.edge(), HashMap::new, Collectors.minBy(Comparator.comparingLong(Seen::at))))
-                .values().stream().map(first -> first.orElseThrow().at());
+        Stream<Long> times = those
+                .collect(Collectors.groupingBy(
+                        one -> one.event() == Event.LINKED ? one : (Object) one.edge(),
+                        HashMap::new,
+                        Collectors.minBy(Comparator.comparingLong(Seen::at))))
+                .values()
+                .stream()
+                .map(first -> first.orElseThrow().at());
         return times.map(at -> Math.max(0, at - beganAt) / 1e6).toList();
     }
 
@@ -278,27 +340,45 @@
         List<ProcessUse> used = used();
         ProcessUse own = ProcessUse.of(ProcessHandle.current().pid());
         double perEdge = plan.edges() * seconds;
-        double[] sorted = millis.stream().mapToDouble(Double::doubleValue).sorted().toArray();
-        out.printf(Locale.ROOT, "%-22s %8.2f %7d %12.2f %8.0f %8d %8.2f %8s %8s %8s %8s  %-18s %-15s %6d%n", part, seconds, edges.open(),
-                heard.announcements() / perEdge, heard.bytes() / perEdge, heard.answers(),
-                heard.answers() == 0 ? 0 : heard.bytes() / 1e3 / heard.answers(), at(sorted, 0.5), at(sorted, 0.99), at(sorted, 1),
+        double[] sorted =
+                millis.stream().mapToDouble(Double::doubleValue).sorted().toArray();
+        out.printf(
+                Locale.ROOT,
+                "%-22s %8.2f %7d %12.2f %8.0f %8d %8.2f %8s %8s %8s %8s  %-18s %-15s %6d%n",
+                part,
+                seconds,
+                edges.open(),
+                heard.announcements() / perEdge,
+                heard.bytes() / perEdge,
+                heard.answers(),
+                heard.answers() == 0 ? 0 : heard.bytes() / 1e3 / heard.answers(),
+                at(sorted, 0.5),
+                at(sorted, 0.99),
+                at(sorted, 1),
                 wanted == 0 ? "" : millis.size() + "/" + wanted,
-                IntStream.range(0, used.size()).mapToObj(i -> Long.toString(
-                        used.get(i).processorMillisSince(usedBefore.get(i)))).collect(Collectors.joining(" ")),
-                used.stream().map(one -> Long.toString(one.residentKb() / 1_000)).collect(Collectors.joining(" ")),
+                IntStream.range(0, used.size())
+                        .mapToObj(i -> Long.toString(used.get(i).processorMillisSince(usedBefore.get(i))))
+                        .collect(Collectors.joining(" ")),
+                used.stream()
+                        .map(one -> Long.toString(one.residentKb() / 1_000))
+                        .collect(Collectors.joining(" ")),
                 own.processorMillisSince(ownBefore));
         out.flush();
     }
 
     private static String at(double[] sorted, double part) {
-        return sorted.length == 0 ? "" : String.format(Locale.ROOT, "%.0f", sorted[(int) Math.min(sorted.length - 1, part * sorted.length)]);
+        return sorted.length == 0
+                ? ""
+                : String.format(Locale.ROOT, "%.0f", sorted[(int) Math.min(sorted.length - 1, part * sorted.length)]);
     }
 
     private long memoryErrors() throws IOException {
         long lines = 0;
         for (String name : names()) {
-            lines += new String(Files.readAllBytes(machines.log(name)), StandardCharsets.UTF_8).lines()
-                    .filter(line -> line.contains(MEMORY_ERROR)).count();
+            lines += new String(Files.readAllBytes(machines.log(name)), StandardCharsets.UTF_8)
+                    .lines()
+                    .filter(line -> line.contains(MEMORY_ERROR))
+                    .count();
         }
         return lines;
     }
@@ -329,22 +409,38 @@
         StringBuilder json = new StringBuilder("{\"rev\":" + version + ",\"routes\":[");
         for (int i = 0; i < plan.routes(); i++) {
             long timeout = 3_000 + (i == version % plan.routes() ? version : 0);
-            json.append(i == 0 ? "" : ",").append("{\"name\":\"route-").append(i).append("\",\"domain\":\"tenant-").append(i / 3)
-                    .append(".example\",\"prefix\":\"/booking/").append(i).append("/\",\"type\":\"")
-                    .append(i % 4 == 0 ? "mutating" : "idem").append("\",\"timeoutMs\":").append(timeout)
-                    .append(",\"targetMs\":600,\"prio\":").append(i % 3).append(",\"svc\":\"service-").append(i % services())
+            json.append(i == 0 ? "" : ",")
+                    .append("{\"name\":\"route-")
+                    .append(i)
+                    .append("\",\"domain\":\"tenant-")
+                    .append(i / 3)
+                    .append(".example\",\"prefix\":\"/booking/")
+                    .append(i)
+                    .append("/\",\"type\":\"")
+                    .append(i % 4 == 0 ? "mutating" : "idem")
+                    .append("\",\"timeoutMs\":")
+                    .append(timeout)
+                    .append(",\"targetMs\":600,\"prio\":")
+                    .append(i % 3)
+                    .append(",\"svc\":\"service-")
+                    .append(i % services())
                     .append("\",\"tries\":2}");
         }
         json.append("],\"svcs\":[");
         for (int i = 0; i < services(); i++) {
-            json.append(i == 0 ? "" : ",").append("{\"name\":\"service-").append(i).append("\"}");
+            json.append(i == 0 ? "" : ",")
+                    .append("{\"name\":\"service-")
+                    .append(i)
+                    .append("\"}");
         }
         return json.append("]}").toString();
     }
 
     private PaperHost host() {
         int number = nextHost++;
-        return new PaperHost(new StandInHost.Nature(id(number), "service-" + number % services(), "zone-" + number % ZONES, SLOTS, 0, 1, 1, 0),
+        return new PaperHost(
+                new StandInHost.Nature(
+                        id(number), "service-" + number % services(), "zone-" + number % ZONES, SLOTS, 0, 1, 1, 0),
                 new InetSocketAddress("10." + number / 65_536 + "." + number / 256 % 256 + "." + number % 256, 8_080));
     }
 
--- a/src/main/java/tinworks/demo/HollowEdges.java
+++ b/src/main/java/tinworks/demo/HollowEdges.java
@@ -31,12 +31,17 @@
 import tinworks.node.NodeProcess;
 
 /**
- * Many edges without clients and hosts in one process: each has its own links to the core machines and takes versions as any
- * edge does. What the bytes say is read once for all: the whole fleet's copies of a large version don't fit one machine.
+ * Many edges without clients and hosts in one process: each has its own links to the core machines and takes versions
+ * as any edge does. What the bytes say is read once for all: the whole fleet's copies of a large version don't fit one
+ * machine.
  */
 final class HollowEdges implements AutoCloseable {
     /** What an edge came to. */
-    enum Event { LINKED, CONFIGURED, LISTED }
+    enum Event {
+        LINKED,
+        CONFIGURED,
+        LISTED
+    }
 
     /**
      * Something that an edge came to.
@@ -45,7 +50,7 @@
      * @param rev what it holds now, for {@link Event#CONFIGURED}
      * @param at {@link System#nanoTime}
      */
-    record Seen(int edge, Event event, long rev, HostList list, long at) { }
+    record Seen(int edge, Event event, long rev, HostList list, long at) {}
 
     /** What all edges have heard so far; bytes with their frames, pings left out. */
     record Heard(long announcements, long answers, long bytes) {
@@ -55,7 +60,9 @@
     }
 
     private static final long TICK_MILLIS = 250;
-    private static final int ZONES = 10, FEWEST_LOOPS = 2, KEPT_VERSIONS = 8;
+    private static final int ZONES = 10;
+    private static final int FEWEST_LOOPS = 2;
+    private static final int KEPT_VERSIONS = 8;
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(
             Math.max(FEWEST_LOOPS, Runtime.getRuntime().availableProcessors() / 4), NioIoHandler.newFactory());
@@ -119,7 +126,8 @@
         HollowEdge(EventLoop loop, int number) {
             this.loop = loop;
             this.number = number;
-            links = new TcpLinks(loop, new Hello(Part.EDGE, number + 1, "", "hollow-" + number, "zone-" + number % ZONES), this);
+            links = new TcpLinks(
+                    loop, new Hello(Part.EDGE, number + 1, "", "hollow-" + number, "zone-" + number % ZONES), this);
             follower = new CoreFollower(this);
         }
 
@@ -164,20 +172,24 @@
                 return;
             }
             bytes.add(size(signal));
-            if (signal instanceof HostsChanged s && s.change().base().is(follower.list().version())) {
-                follower.received(from, new Hosts(shared(s.change().version(), () -> s.change().appliedTo(follower.list()))));
+            if (signal instanceof HostsChanged s
+                    && s.change().base().is(follower.list().version())) {
+                follower.received(
+                        from,
+                        new Hosts(shared(s.change().version(), () -> s.change().appliedTo(follower.list()))));
             } else {
                 follower.received(from, signal);
             }
         }
 
         private HostList shared(HostListVersion version, Supplier<HostList> read) {
-            lists.keySet().removeIf(old -> old.term() == version.term() && old.count() + KEPT_VERSIONS < version.count());
+            lists.keySet()
+                    .removeIf(old -> old.term() == version.term() && old.count() + KEPT_VERSIONS < version.count());
             return lists.computeIfAbsent(version, any -> read.get());
         }
 
         private static long size(Signal signal) {
-            return Integer.BYTES + SignalCodec.write(signal).remaining();
+            return (long) Integer.BYTES + SignalCodec.write(signal).remaining();
         }
 
         @Override
--- a/src/main/java/tinworks/demo/Machines.java
+++ b/src/main/java/tinworks/demo/Machines.java
@@ -16,7 +16,10 @@
  * started again after a short delay, as the platform does. Safe for use by several threads.
  */
 final class Machines implements AutoCloseable {
-    private static final long RESTART_MILLIS = 500, WATCH_MILLIS = 50, END_MILLIS = 8_000, KILL_MILLIS = 2_000;
+    private static final long RESTART_MILLIS = 500;
+    private static final long WATCH_MILLIS = 50;
+    private static final long END_MILLIS = 8_000;
+    private static final long KILL_MILLIS = 2_000;
 
     /** One machine. */
     private static final class Machine {
@@ -70,7 +73,8 @@
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         javaOptions.forEach(option -> command.add(option.replace("{node}", name)));
         command.addAll(List.of("-cp", System.getProperty("java.class.path"), "tinworks.Main", machine.role));
-        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true)
+        ProcessBuilder builder = new ProcessBuilder(command)
+                .redirectErrorStream(true)
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(machine.log.toFile()))
                 .redirectInput(ProcessBuilder.Redirect.from(new File("/dev/null")));
         builder.environment().put(BootSettings.VARIABLE, machine.settings.toString());
@@ -97,7 +101,9 @@
     /** What the processes of a role have cost since each one's last start. */
     synchronized ProcessCosts costs(String role) {
         ProcessCosts costs = new ProcessCosts();
-        machines.values().stream().filter(machine -> machine.role.equals(role)).forEach(machine -> costs.add(machine.process.pid()));
+        machines.values().stream()
+                .filter(machine -> machine.role.equals(role))
+                .forEach(machine -> costs.add(machine.process.pid()));
         return costs;
     }
 
@@ -108,7 +114,9 @@
 
     /** How often processes were started, the first time of each left out. */
     synchronized int restarts() {
-        return machines.values().stream().mapToInt(machine -> machine.starts - 1).sum();
+        return machines.values().stream()
+                .mapToInt(machine -> machine.starts - 1)
+                .sum();
     }
 
     private void watch() {
--- a/src/main/java/tinworks/demo/Operator.java
+++ b/src/main/java/tinworks/demo/Operator.java
@@ -16,7 +16,10 @@
     private static final long PAUSE_MILLIS = 100;
     private static final int OK = 200;
 
-    private final HttpClient client = HttpClient.newBuilder().connectTimeout(PATIENCE).version(HttpClient.Version.HTTP_1_1).build();
+    private final HttpClient client = HttpClient.newBuilder()
+            .connectTimeout(PATIENCE)
+            .version(HttpClient.Version.HTTP_1_1)
+            .build();
     private final List<String> cores;
 
     /** An operator who knows the {@code ctl} addresses of core machines. */
@@ -28,8 +31,10 @@
     boolean replace(long base, String configuration, long longestMillis) throws InterruptedException {
         long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(longestMillis);
         for (int i = 0; System.nanoTime() < until; i++) {
-            HttpRequest request = request(cores.get(i % cores.size()), "/-/config/replace").header("Base-Rev", Long.toString(base))
-                    .POST(HttpRequest.BodyPublishers.ofString(configuration)).build();
+            HttpRequest request = request(cores.get(i % cores.size()), "/-/config/replace")
+                    .header("Base-Rev", Long.toString(base))
+                    .POST(HttpRequest.BodyPublishers.ofString(configuration))
+                    .build();
             if (ask(request).filter(answer -> answer.statusCode() == OK).isPresent()) {
                 return true;
             }
@@ -39,14 +44,16 @@
     }
 
     /**
-     * Sends a configuration to one machine after another, from this one on, until it is taken; how many calls that took, or 0
-     * when it takes too long.
+     * Sends a configuration to one machine after another, from this one on, until it is taken; how many calls that
+     * took, or 0 when it takes too long.
      */
     int replace(long base, byte[] configuration, int first, long longestMillis) throws InterruptedException {
         long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(longestMillis);
         for (int i = 0; System.nanoTime() < until; i++) {
-            HttpRequest request = request(cores.get((first + i) % cores.size()), "/-/config/replace").header("Base-Rev", Long.toString(base))
-                    .POST(HttpRequest.BodyPublishers.ofByteArray(configuration)).build();
+            HttpRequest request = request(cores.get((first + i) % cores.size()), "/-/config/replace")
+                    .header("Base-Rev", Long.toString(base))
+                    .POST(HttpRequest.BodyPublishers.ofByteArray(configuration))
+                    .build();
             if (ask(request).filter(answer -> answer.statusCode() == OK).isPresent()) {
                 return i + 1;
             }
@@ -57,7 +64,9 @@
 
     /** The newest configuration as one machine shows it, or nothing. */
     Optional<String> show(int core) throws InterruptedException {
-        return ask(request(cores.get(core), "/-/config/show").build()).filter(answer -> answer.statusCode() == OK).map(HttpResponse::body);
+        return ask(request(cores.get(core), "/-/config/show").build())
+                .filter(answer -> answer.statusCode() == OK)
+                .map(HttpResponse::body);
     }
 
     /** What a core machine says of itself, or nothing where it is silent. */
@@ -67,7 +76,9 @@
 
     /** Whether an edge calls itself ready. */
     boolean isReady(String readyz) throws InterruptedException {
-        return ask(request(readyz, "/-/readyz").build()).filter(answer -> answer.statusCode() == OK).isPresent();
+        return ask(request(readyz, "/-/readyz").build())
+                .filter(answer -> answer.statusCode() == OK)
+                .isPresent();
     }
 
     private static HttpRequest.Builder request(String address, String path) {
--- a/src/main/java/tinworks/demo/ProcessCosts.java
+++ b/src/main/java/tinworks/demo/ProcessCosts.java
@@ -10,8 +10,8 @@
 import java.util.stream.Stream;
 
 /**
- * What a process has cost since its start, by cause, as Linux tells under {@code /proc}: processor time by what its threads
- * are for, wake-ups, and calls and bytes of reading and writing.
+ * What a process has cost since its start, by cause, as Linux tells under {@code /proc}: processor time by what its
+ * threads are for, wake-ups, and calls and bytes of reading and writing.
  */
 final class ProcessCosts {
     /** What threads are for, by the beginnings of their names, which the system cuts off after 15 letters. */
@@ -45,7 +45,9 @@
             double woken = 0;
             for (Path thread : threads.toList()) {
                 String name = Files.readString(thread.resolve("comm")).strip();
-                double ran = Double.parseDouble(Files.readString(thread.resolve("schedstat")).split(" ")[0]) / 1e6;
+                double ran = Double.parseDouble(
+                                Files.readString(thread.resolve("schedstat")).split(" ")[0])
+                        / 1e6;
                 times.merge(cause(name), ran, Double::sum);
                 woken += field(thread.resolve("status"), "voluntary_ctxt_switches");
             }
@@ -64,14 +66,18 @@
     }
 
     private static String cause(String thread) {
-        return CAUSES.entrySet().stream().filter(cause -> cause.getValue().stream().anyMatch(thread::startsWith))
-                .map(Map.Entry::getKey).findFirst().orElseThrow();
+        return CAUSES.entrySet().stream()
+                .filter(cause -> cause.getValue().stream().anyMatch(thread::startsWith))
+                .map(Map.Entry::getKey)
+                .findFirst()
+                .orElseThrow();
     }
 
     private static double field(Path file, String name) throws IOException {
         for (String line : Files.readAllLines(file)) {
             if (line.startsWith(name + ":")) {
-                return Double.parseDouble(line.substring(name.length() + 1).strip().split(" ")[0]);
+                return Double.parseDouble(
+                        line.substring(name.length() + 1).strip().split(" ")[0]);
             }
         }
         return 0;
@@ -103,7 +109,8 @@
     static String heading() {
         StringBuilder line = new StringBuilder(String.format("%-8s", "ms each"));
         CAUSES.keySet().forEach(cause -> line.append(String.format("%10s", cause)));
-        return line.append(String.format("%10s%10s%10s", "wake-ups", "calls", "kB")).toString();
+        return line.append(String.format("%10s%10s%10s", "wake-ups", "calls", "kB"))
+                .toString();
     }
 
     /** A row: the mean of the processes added. */
@@ -111,6 +118,7 @@
         StringBuilder line = new StringBuilder(String.format("%-8s", role));
         meanMillis().values().forEach(ran -> line.append(String.format(Locale.ROOT, "%10.0f", ran)));
         int n = Math.max(1, processes);
-        return line.append(String.format(Locale.ROOT, "%10.0f%10.0f%10.0f", wakeUps / n, calls / n, kilobytes / n)).toString();
+        return line.append(String.format(Locale.ROOT, "%10.0f%10.0f%10.0f", wakeUps / n, calls / n, kilobytes / n))
+                .toString();
     }
 }
--- a/src/main/java/tinworks/demo/ProcessUse.java
+++ b/src/main/java/tinworks/demo/ProcessUse.java
@@ -13,7 +13,10 @@
  */
 record ProcessUse(long pid, long processorMillis, long residentKb) {
     static ProcessUse of(long pid) {
-        long millis = ProcessHandle.of(pid).flatMap(process -> process.info().totalCpuDuration()).map(Duration::toMillis).orElse(0L);
+        long millis = ProcessHandle.of(pid)
+                .flatMap(process -> process.info().totalCpuDuration())
+                .map(Duration::toMillis)
+                .orElse(0L);
         long resident = 0;
         try {
             for (String line : Files.readAllLines(Path.of("/proc", Long.toString(pid), "status"))) {
--- a/src/main/java/tinworks/edge/CoreFollower.java
+++ b/src/main/java/tinworks/edge/CoreFollower.java
@@ -7,6 +7,7 @@
 import tinworks.channel.ConfigurationCodec;
 import tinworks.channel.Conversation;
 import tinworks.channel.HostList;
+import tinworks.channel.Signal;
 import tinworks.channel.Signal.Announce;
 import tinworks.channel.Signal.ConfigurationBody;
 import tinworks.channel.Signal.ConfigurationChanged;
@@ -14,7 +15,6 @@
 import tinworks.channel.Signal.HostsChanged;
 import tinworks.channel.Signal.PullConfiguration;
 import tinworks.channel.Signal.PullHosts;
-import tinworks.channel.Signal;
 import tinworks.config.Configuration;
 import tinworks.config.Packed;
 
@@ -45,20 +45,28 @@
     }
 
     private static final int LARGEST_CONFIGURATION = 8 << 20;
-    private static final long PULL_AGAIN_MILLIS = 400, ALONE_MILLIS = 3_000, BEHIND_MILLIS = 10_000;
+    private static final long PULL_AGAIN_MILLIS = 400;
+    private static final long ALONE_MILLIS = 3_000;
+    private static final long BEHIND_MILLIS = 10_000;
 
     private final Owner owner;
     private final Newest newest = new Newest();
     private Configuration configuration;
     /** The version that is being read. */
     private long readingRev;
+
     private HostList list = HostList.NONE;
     private Set<String> cores = Set.of();
-    /** Core machines that were named by some that hear no leader: from one that is cut off the way leads on through these. */
+    /**
+     * Core machines that were named by some that hear no leader: from one that is cut off the way leads on through
+     * these.
+     */
     private final Set<String> rumoured = new TreeSet<>();
+
     private int edges = 1;
     /** The highest term that a leader has spoken in. */
     private long term;
+
     private final long startedAt;
     private long heardLeaderAt;
     private long pulledConfigurationAt;
@@ -99,8 +107,9 @@
     }
 
     /**
-     * Whether clients may be served with what is held: once that has been the newest; without the core's word while that can't
-     * be had, since an old configuration serves better than none; and at last where the newest can't be reached.
+     * Whether clients may be served with what is held: once that has been the newest; without the core's word while
+     * that can't be had, since an old configuration serves better than none; and at last where the newest can't be
+     * reached.
      */
     public boolean mayServe() {
         return configuration != null && (upToDate() || alone() || owner.millis() - startedAt > BEHIND_MILLIS);
@@ -198,8 +207,8 @@
     }
 
     /**
-     * Guards against the word of an old leader, or by its lease, that comes late. A term counts once its leader has spoken: a
-     * machine that is cut off from the others may raise its own term by itself.
+     * Guards against the word of an old leader, or by its lease, that comes late. A term counts once its leader has
+     * spoken: a machine that is cut off from the others may raise its own term by itself.
      */
     boolean isOld(Announce s) {
         return s.term() < term;
@@ -216,7 +225,10 @@
     private void changed(Conversation from, ConfigurationChanged s) {
         Configuration held = configuration;
         if (s.base() == rev()) {
-            read(s.rev(), () -> ConfigurationCodec.readChange(Packed.unpack(s.packed(), LARGEST_CONFIGURATION)).appliedTo(held));
+            read(
+                    s.rev(),
+                    () -> ConfigurationCodec.readChange(Packed.unpack(s.packed(), LARGEST_CONFIGURATION))
+                            .appliedTo(held));
         } else if (isNewer(s.rev())) {
             from.send(new PullConfiguration(rev()));
         }
--- a/src/main/java/tinworks/edge/Edge.java
+++ b/src/main/java/tinworks/edge/Edge.java
@@ -17,7 +17,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(Edge.class);
     private static final long KILL_MARGIN_MILLIS = 300;
 
-    private Edge() { }
+    private Edge() {}
 
     /** Runs until the process is asked to end. Bad settings end as an {@link IllegalArgumentException}. */
     public static void run(NodeProcess process) {
@@ -26,8 +26,10 @@
             throw new IllegalArgumentException("listen: an edge needs http and readyz");
         }
         // A life of its own: nothing of an earlier process is known to this one.
-        long id = new SplittableRandom(System.nanoTime() ^ Long.rotateLeft(System.currentTimeMillis(), 32)
-                ^ settings.node().hashCode()).nextLong();
+        long id = new SplittableRandom(System.nanoTime()
+                        ^ Long.rotateLeft(System.currentTimeMillis(), 32)
+                        ^ settings.node().hashCode())
+                .nextLong();
         EdgeNode node = process.call(() -> new EdgeNode(process.loop(), process.clock(), settings, id));
         List<ChannelFuture> bound = process.call(node::start);
         process.awaitBound(bound);
--- a/src/main/java/tinworks/edge/EdgeMetrics.java
+++ b/src/main/java/tinworks/edge/EdgeMetrics.java
@@ -9,12 +9,13 @@
 
 /** An edge's figures; docs/metrics.md explains each. */
 final class EdgeMetrics {
-    private EdgeMetrics() { }
+    private EdgeMetrics() {}
 
     /** What concerns the edge as a whole. */
     static MetricsPage page(boolean ready, long rev, int gateways, int hosts, int connections, double silentSeconds) {
-        return new MetricsPage().gauge("ready", "1 where clients may be sent here", ready ? 1 : 0)
-                .gauge("configuration_version", "The version in force", rev)
+        return new MetricsPage()
+                .gauge("ready", "1 where clients may be sent here", ready ? 1 : 0)
+                .gauge("configuration_version", "The version in force", (double) rev)
                 .gauge("edges", "Edges that the leader counts", gateways)
                 .gauge("hosts", "Hosts on the list", hosts)
                 .gauge("host_connections", "Connections to hosts, open or on their way", connections)
@@ -24,13 +25,34 @@
     /** What concerns one service. */
     static void add(MetricsPage page, String service, Forwarding forwarding) {
         Tally tally = forwarding.tally();
-        page.counter("requests", "Requests taken on", tally.requestsTaken(), "service", service)
-                .counter("requests_refused", "Requests given up without having run", tally.requestsRefused(), "service", service)
-                .counter("requests_failed", "Requests that failed and may have run", tally.requestsFailed(), "service", service)
-                .counter("attempt_seconds", "The time of all attempts together", tally.secondsOfAttempts(), "service", service)
+        page.counter("requests", "Requests taken on", (double) tally.requestsTaken(), "service", service)
+                .counter(
+                        "requests_refused",
+                        "Requests given up without having run",
+                        (double) tally.requestsRefused(),
+                        "service",
+                        service)
+                .counter(
+                        "requests_failed",
+                        "Requests that failed and may have run",
+                        (double) tally.requestsFailed(),
+                        "service",
+                        service)
+                .counter(
+                        "attempt_seconds",
+                        "The time of all attempts together",
+                        tally.secondsOfAttempts(),
+                        "service",
+                        service)
                 .gauge("requests_open", "Requests without their end", forwarding.open(), "service", service);
         for (Map.Entry<Outcome, Long> entry : tally.attemptsByOutcome().entrySet()) {
-            page.counter("attempts", "Attempts at hosts, by how they ended", entry.getValue(), "service", service, "outcome",
+            page.counter(
+                    "attempts",
+                    "Attempts at hosts, by how they ended",
+                    entry.getValue(),
+                    "service",
+                    service,
+                    "outcome",
                     entry.getKey().name().toLowerCase(Locale.ROOT));
         }
     }
--- a/src/main/java/tinworks/edge/EdgeNode.java
+++ b/src/main/java/tinworks/edge/EdgeNode.java
@@ -20,19 +20,19 @@
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import tinworks.channel.HostList.Host;
 import tinworks.channel.HostList;
-import tinworks.channel.TcpLinks;
+import tinworks.channel.HostList.Host;
 import tinworks.channel.Signal.Hello;
 import tinworks.channel.Signal.Part;
 import tinworks.channel.SteadyClock;
-import tinworks.config.Configuration.Limits;
+import tinworks.channel.TcpLinks;
 import tinworks.config.Configuration;
+import tinworks.config.Configuration.Limits;
 import tinworks.json.Address;
 import tinworks.metrics.MetricsPage;
+import tinworks.net.ClientServer;
 import tinworks.net.ClientServer.BadRequest;
 import tinworks.net.ClientServer.Reply;
-import tinworks.net.ClientServer;
 import tinworks.net.Forwarding;
 import tinworks.net.GatewayClock;
 import tinworks.net.HostPool;
@@ -48,17 +48,26 @@
 import tinworks.policy.Protocol.ServerInfo;
 
 /**
- * An edge gateway at work. It keeps a link to every core machine and follows them ({@link CoreFollower}); what it knows it
- * goes on serving on, whether or not a core machine can be reached. All on one event loop.
+ * An edge gateway at work. It keeps a link to every core machine and follows them ({@link CoreFollower}); what it knows
+ * it goes on serving on, whether or not a core machine can be reached. All on one event loop.
  */
 public final class EdgeNode implements CoreFollower.Owner, Forwarding.Owner {
     private static final Logger LOG = LoggerFactory.getLogger(EdgeNode.class);
-    private static final String READYZ = "/-/readyz", METRICS = "/-/metrics";
-    private static final int PROBES = 32, PROBE_HEAD = 4_096, LARGEST_ANSWER = 8 << 20, LARGEST_REQUEST = 8 << 20;
+    private static final String READYZ = "/-/readyz";
+    private static final String METRICS = "/-/metrics";
+    private static final int PROBES = 32;
+    private static final int PROBE_HEAD = 4_096;
+    private static final int LARGEST_ANSWER = 8 << 20;
+    private static final int LARGEST_REQUEST = 8 << 20;
     private static final long TICK_MILLIS = 250;
-    private static final long DIAL_NANOS = TimeUnit.MILLISECONDS.toNanos(400), HOST_IDLE_NANOS = TimeUnit.SECONDS.toNanos(9);
+    private static final long DIAL_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
+    private static final long HOST_IDLE_NANOS = TimeUnit.SECONDS.toNanos(9);
     /** The platform asks once a second and takes a gateway out when it has missed twice. */
-    private static final long LAST_ANSWERS_MILLIS = 1_300, STOP_MILLIS = 2_700, END_MARGIN_MILLIS = 500, END_CHECK_MILLIS = 20;
+    private static final long LAST_ANSWERS_MILLIS = 1_300;
+
+    private static final long STOP_MILLIS = 2_700;
+    private static final long END_MARGIN_MILLIS = 500;
+    private static final long END_CHECK_MILLIS = 20;
 
     private final EventLoop loop;
     private final BootSettings settings;
@@ -83,9 +92,11 @@
     private BootSettings current;
     /** The hosts by their ids as last told, by a core machine or by the platform itself. */
     private Map<String, Host> known = Map.of();
+
     private final Drained drained = new Drained();
     /** The classes of each service under the present configuration. */
     private Map<String, List<RequestClass>> classes = Map.of();
+
     private boolean listed;
     private boolean ending;
     /** When what came since the word to end needs its answer at the latest; 0 before. */
@@ -102,12 +113,26 @@
         core = new CoreFollower(this);
         links = new TcpLinks(loop, new Hello(Part.EDGE, id, "", settings.node(), settings.zone()), core);
         poller = new HostPoller(loop, clock, settings.provider(), id, this::listed, this::log);
-        hosts = new HostPool(loop, Transport.TCP, clock,
-                new HostPool.Bounds(DIAL_NANOS, HOST_IDLE_NANOS, connections(), LARGEST_ANSWER), style);
+        hosts = new HostPool(
+                loop,
+                Transport.TCP,
+                clock,
+                new HostPool.Bounds(DIAL_NANOS, HOST_IDLE_NANOS, connections(), LARGEST_ANSWER),
+                style);
         requests = new Requests(clock, random, style, services);
         clients = new ClientServer(loop, Transport.TCP, clock, clientBounds(Limits.USUAL), requests);
-        probes = new ClientServer(loop, Transport.TCP, clock, new ClientServer.Bounds(PROBES, TimeUnit.SECONDS.toNanos(2),
-                TimeUnit.SECONDS.toNanos(5), PROBE_HEAD, PROBE_HEAD, READYZ), new Probes());
+        probes = new ClientServer(
+                loop,
+                Transport.TCP,
+                clock,
+                new ClientServer.Bounds(
+                        PROBES,
+                        TimeUnit.SECONDS.toNanos(2),
+                        TimeUnit.SECONDS.toNanos(5),
+                        PROBE_HEAD,
+                        PROBE_HEAD,
+                        READYZ),
+                new Probes());
     }
 
     /** Half of the descriptors for each side, less those for probes. */
@@ -118,8 +143,13 @@
     private ClientServer.Bounds clientBounds(Limits limits) {
         long body = Math.min(LARGEST_REQUEST, limits.bodyMaxBytes());
         // Clients keep to the idle time too; whoever closes first at the same moment may lose a request.
-        return new ClientServer.Bounds(connections(), 2 * TimeUnit.MILLISECONDS.toNanos(limits.hdrMs()),
-                TimeUnit.MILLISECONDS.toNanos(limits.idleMs() * 5 / 4), limits.hdrBytes(), (int) body, null);
+        return new ClientServer.Bounds(
+                connections(),
+                2 * TimeUnit.MILLISECONDS.toNanos(limits.hdrMs()),
+                TimeUnit.MILLISECONDS.toNanos(limits.idleMs() * 5 / 4),
+                limits.hdrBytes(),
+                (int) body,
+                null);
     }
 
     /** Starts to listen and to dial; on the event loop. */
@@ -128,8 +158,16 @@
         tick();
         if (settings.bootstrap()) {
             // No client can be there yet: time to meet the code before they do.
-            new EdgeRehearsal(loop, clock, clients::holdsAny, played -> LOG.info("rehearsed {} requests in {} ms: {}",
-                    played.answered(), played.millis(), played.why())).start();
+            new EdgeRehearsal(
+                            loop,
+                            clock,
+                            clients::holdsAny,
+                            played -> LOG.info(
+                                    "rehearsed {} requests in {} ms: {}",
+                                    played.answered(),
+                                    played.millis(),
+                                    played.why()))
+                    .start();
         }
         return List.of(probes.listen(settings.readyz()), clients.listen(settings.http()));
     }
@@ -151,10 +189,13 @@
             endsAtMillis = SteadyClock.millis() + within;
             services.values().forEach(this::tellOfEnd);
             loop.schedule(clients::lastAnswers, Math.min(LAST_ANSWERS_MILLIS, within / 4), TimeUnit.MILLISECONDS);
-            loop.schedule(() -> {
-                clients.stopAccepting();
-                endWhenIdle();
-            }, Math.min(STOP_MILLIS, within / 2), TimeUnit.MILLISECONDS);
+            loop.schedule(
+                    () -> {
+                        clients.stopAccepting();
+                        endWhenIdle();
+                    },
+                    Math.min(STOP_MILLIS, within / 2),
+                    TimeUnit.MILLISECONDS);
         }
         return ended;
     }
@@ -187,8 +228,8 @@
 
     private MetricsPage metrics() {
         double silent = (double) core.silentMillis() / TimeUnit.SECONDS.toMillis(1);
-        MetricsPage page = EdgeMetrics.page(ready(), core.rev(), core.edges(), known.size(),
-                hosts.connections(), silent);
+        MetricsPage page =
+                EdgeMetrics.page(ready(), core.rev(), core.edges(), known.size(), hosts.connections(), silent);
         services.forEach((service, forwarding) -> EdgeMetrics.add(page, service, forwarding));
         return page;
     }
@@ -233,7 +274,10 @@
         clients.rebound(clientBounds(configuration.limits()));
         style.mutating(prepared.mutating());
         reconfigure();
-        LOG.info("configuration {} with {} routes", configuration.rev(), configuration.routes().size());
+        LOG.info(
+                "configuration {} with {} routes",
+                configuration.rev(),
+                configuration.routes().size());
     }
 
     private void reconfigure() {
@@ -247,8 +291,14 @@
             if (there != null) {
                 there.tell(new Reconfigured(itsClasses, core.edges()));
             } else if (!itsClasses.isEmpty()) {
-                Forwarding made = new Forwarding(loop, clock, ServiceSettings.settings(itsClasses, core.edges(), settings.zone()),
-                        random.nextLong(), hosts, style, this);
+                Forwarding made = new Forwarding(
+                        loop,
+                        clock,
+                        ServiceSettings.settings(itsClasses, core.edges(), settings.zone()),
+                        random.nextLong(),
+                        hosts,
+                        style,
+                        this);
                 services.put(service, made);
                 made.tell(new ListReceived(ListKind.WHOLE, servers(service)));
                 if (ending) {
@@ -266,8 +316,8 @@
     // ---- the hosts
 
     /**
-     * A list that a core machine told or, while none does, one that this edge fetched itself. Only what is not as it was
-     * is passed on: a release changes some hosts a second, of hundreds.
+     * A list that a core machine told or, while none does, one that this edge fetched itself. Only what is not as it
+     * was is passed on: a release changes some hosts a second, of hundreds.
      */
     private void listed(List<Host> found) {
         Map<String, Host> next = new LinkedHashMap<>();
@@ -278,18 +328,23 @@
             Host old = known.get(host.id());
             next.put(host.id(), host);
             if (old != null && !old.service().equals(host.service())) {
-                changed.computeIfAbsent(old.service(), service -> new ArrayList<>()).add(server(old, Readiness.GONE));
+                changed.computeIfAbsent(old.service(), service -> new ArrayList<>())
+                        .add(server(old, Readiness.GONE));
             }
             if (old == null || !old.sameAs(host)) {
                 startedAt.computeIfAbsent(host.id(), id -> startOf(host));
-                places.add(new HostPool.Place(host.id(), Address.read(host.address()), startedAt.get(host.id()), !host.draining(), false));
-                changed.computeIfAbsent(host.service(), service -> new ArrayList<>()).add(server(host));
+                places.add(new HostPool.Place(
+                        host.id(), Address.read(host.address()), startedAt.get(host.id()), !host.draining(), false));
+                changed.computeIfAbsent(host.service(), service -> new ArrayList<>())
+                        .add(server(host));
             }
         }
         for (Host old : known.values()) {
             if (!next.containsKey(old.id())) {
-                places.add(new HostPool.Place(old.id(), Address.read(old.address()), startedAt.get(old.id()), false, true));
-                changed.computeIfAbsent(old.service(), service -> new ArrayList<>()).add(server(old, Readiness.GONE));
+                places.add(new HostPool.Place(
+                        old.id(), Address.read(old.address()), startedAt.get(old.id()), false, true));
+                changed.computeIfAbsent(old.service(), service -> new ArrayList<>())
+                        .add(server(old, Readiness.GONE));
             }
         }
         startedAt.keySet().retainAll(next.keySet());
@@ -359,10 +414,14 @@
         @Override
         public void requested(FullHttpRequest request, long at, Reply reply) throws BadRequest {
             if (!request.uri().equals(METRICS)) {
-                throw new BadRequest(HttpResponseStatus.NOT_FOUND, "only " + READYZ + " and " + METRICS + " are asked here");
+                throw new BadRequest(
+                        HttpResponseStatus.NOT_FOUND, "only " + READYZ + " and " + METRICS + " are asked here");
             }
-            reply.write(HttpResponseStatus.OK, new DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, MetricsPage.CONTENT_TYPE),
-                    Unpooled.wrappedBuffer(metrics().text()), 0);
+            reply.write(
+                    HttpResponseStatus.OK,
+                    new DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, MetricsPage.CONTENT_TYPE),
+                    Unpooled.wrappedBuffer(metrics().text()),
+                    0);
         }
     }
 }
--- a/src/main/java/tinworks/edge/EdgeRehearsal.java
+++ b/src/main/java/tinworks/edge/EdgeRehearsal.java
@@ -27,7 +27,6 @@
 import tinworks.config.Configuration.Route;
 import tinworks.config.Configuration.Service;
 import tinworks.config.Configuration.Split;
-import tinworks.config.Configuration.Type;
 import tinworks.net.ClientServer;
 import tinworks.net.FarSide;
 import tinworks.net.Forwarding;
@@ -42,19 +41,29 @@
 
 /**
  * Made-up requests through parts of an edge's own, over loopback, while the whole system starts for the first time and
- * nobody can ask yet. Guards against meeting the first clients with code that is not compiled, which on a small part of a
- * core costs more than all requests of the first seconds. It ends as soon as a client is there, after some seconds at the
- * latest, or when its requests are through; nothing of it outlives it. All on the edge's event loop.
+ * nobody can ask yet. Guards against meeting the first clients with code that is not compiled, which on a small part of
+ * a core costs more than all requests of the first seconds. It ends as soon as a client is there, after some seconds at
+ * the latest, or when its requests are through; nothing of it outlives it. All on the edge's event loop.
  */
 final class EdgeRehearsal implements Forwarding.Owner {
     private static final Logger LOG = LoggerFactory.getLogger(EdgeRehearsal.class);
-    private static final int REQUESTS = 150, CLIENTS = 2, HOSTS = 24, CONNECTIONS = 32, FRESH_EVERY = 4;
-    private static final long LONGEST_MILLIS = 8_000, PAUSE_MILLIS = 5, TARGET_MILLIS = 2_000, TIMEOUT_MILLIS = 5_000;
-    private static final String SERVICE = "rehearsed", DOMAIN = "rehearsal.example", READS = "/reads/", JOBS = "/jobs/";
+    private static final int REQUESTS = 150;
+    private static final int CLIENTS = 2;
+    private static final int HOSTS = 24;
+    private static final int CONNECTIONS = 32;
+    private static final int FRESH_EVERY = 4;
+    private static final long LONGEST_MILLIS = 8_000;
+    private static final long PAUSE_MILLIS = 5;
+    private static final long TARGET_MILLIS = 2_000;
+    private static final long TIMEOUT_MILLIS = 5_000;
+    private static final String SERVICE = "rehearsed";
+    private static final String DOMAIN = "rehearsal.example";
+    private static final String READS = "/reads/";
+    private static final String JOBS = "/jobs/";
     private static final String LOOPBACK = "127.0.0.1";
 
     /** What was played: answers that came, those by a host among them, how long it took, and why it ended. */
-    record Played(int answered, long served, long millis, String why) { }
+    record Played(int answered, long served, long millis, String why) {}
 
     private final EventLoop loop;
     private final GatewayClock clock;
@@ -72,23 +81,46 @@
     private int answered;
     private boolean over;
 
-    /** {@code wanted} tells whether a client is there, and the loop is theirs; {@code told} is told of the end, once. */
+    /**
+     * {@code wanted} tells whether a client is there, and the loop is theirs; {@code told} is told of the end, once.
+     */
     EdgeRehearsal(EventLoop loop, GatewayClock clock, BooleanSupplier wanted, Consumer<Played> told) {
         this.loop = loop;
         this.told = told;
         this.clock = clock;
         this.wanted = wanted;
-        pool = new HostPool(loop, Transport.TCP, clock, new HostPool.Bounds(TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS),
-                TimeUnit.MILLISECONDS.toNanos(LONGEST_MILLIS), CONNECTIONS, 1 << 16), style);
+        pool = new HostPool(
+                loop,
+                Transport.TCP,
+                clock,
+                new HostPool.Bounds(
+                        TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS),
+                        TimeUnit.MILLISECONDS.toNanos(LONGEST_MILLIS),
+                        CONNECTIONS,
+                        1 << 16),
+                style);
         requests = new Requests(clock, new SplittableRandom(1), style, services);
-        clients = new ClientServer(loop, Transport.TCP, clock, new ClientServer.Bounds(CONNECTIONS,
-                TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS), 0, Limits.USUAL.hdrBytes(), 1 << 16, null), requests);
+        clients = new ClientServer(
+                loop,
+                Transport.TCP,
+                clock,
+                new ClientServer.Bounds(
+                        CONNECTIONS,
+                        TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS),
+                        0,
+                        Limits.USUAL.hdrBytes(),
+                        1 << 16,
+                        null),
+                requests);
     }
 
     /** Begins; on the event loop. */
     void start() {
-        ChannelFuture hosts = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-                .childHandler(handler(Host::new)).bind(new InetSocketAddress(LOOPBACK, 0));
+        ChannelFuture hosts = new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
+                .childHandler(handler(Host::new))
+                .bind(new InetSocketAddress(LOOPBACK, 0));
         channels.add(hosts.channel());
         hosts.addListener(bound -> {
             if (bound.isSuccess()) {
@@ -106,10 +138,19 @@
             servers.add(new ServerInfo("host-" + i, "", "", 0, Readiness.READY, 1, 0));
             places.add(new HostPool.Place("host-" + i, hosts, 0, true, false));
         }
-        Configuration made = new Configuration(1, List.of(route(READS, Type.IDEM), route(JOBS, Type.MUTATING)),
-                Map.of(SERVICE, new Service(SERVICE, "/", CONNECTIONS)), Limits.USUAL);
-        Forwarding forwarding = new Forwarding(loop, clock,
-                ServiceSettings.settings(ServiceSettings.classes(made).get(SERVICE), 1, ""), 1, pool, style, this);
+        Configuration made = new Configuration(
+                1,
+                List.of(route(READS, Configuration.Type.IDEM), route(JOBS, Configuration.Type.MUTATING)),
+                Map.of(SERVICE, new Service(SERVICE, "/", CONNECTIONS)),
+                Limits.USUAL);
+        Forwarding forwarding = new Forwarding(
+                loop,
+                clock,
+                ServiceSettings.settings(ServiceSettings.classes(made).get(SERVICE), 1, ""),
+                1,
+                pool,
+                style,
+                this);
         services.put(SERVICE, forwarding);
         pool.update(places, true);
         forwarding.tell(new ListReceived(ListKind.WHOLE, servers));
@@ -126,14 +167,19 @@
         });
     }
 
-    private static Route route(String prefix, Type type) {
-        return new Route(prefix, DOMAIN, prefix, type, TIMEOUT_MILLIS, TARGET_MILLIS, 1, List.of(new Split(SERVICE, 1)), 2);
+    private static Route route(String prefix, Configuration.Type type) {
+        return new Route(
+                prefix, DOMAIN, prefix, type, TIMEOUT_MILLIS, TARGET_MILLIS, 1, List.of(new Split(SERVICE, 1)), 2);
     }
 
     private void dial() {
         if (!over) {
-            channels.add(new Bootstrap().group(loop).channel(NioSocketChannel.class).handler(handler(Client::new))
-                    .connect(stage).channel());
+            channels.add(new Bootstrap()
+                    .group(loop)
+                    .channel(NioSocketChannel.class)
+                    .handler(handler(Client::new))
+                    .connect(stage)
+                    .channel());
         }
     }
 
@@ -149,12 +195,15 @@
     private void end(String why) {
         if (!over) {
             over = true;
-            long served = services.values().stream().mapToLong(s -> s.tally().attemptsByOutcome().getOrDefault(Outcome.SERVED, 0L)).sum();
+            long served = services.values().stream()
+                    .mapToLong(s -> s.tally().attemptsByOutcome().getOrDefault(Outcome.SERVED, 0L))
+                    .sum();
             services.values().forEach(Forwarding::close);
             clients.close();
             pool.close();
             channels.forEach(Channel::close);
-            told.accept(new Played(answered, served, TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedAt), why));
+            told.accept(
+                    new Played(answered, served, TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedAt), why));
         }
     }
 
@@ -194,7 +243,8 @@
             int number = asked++;
             boolean reads = number % 3 > 0;
             String head = (reads ? "GET " + READS : "POST " + JOBS) + number + " HTTP/1.1\r\nHost: " + DOMAIN + "\r\n"
-                    + EdgeStyle.ID + ": rehearsal-" + number + "\r\n" + EdgeStyle.DEADLINE + ": " + TIMEOUT_MILLIS + "\r\n";
+                    + EdgeStyle.ID + ": rehearsal-" + number + "\r\n" + EdgeStyle.DEADLINE + ": " + TIMEOUT_MILLIS
+                    + "\r\n";
             write(ctx, reads ? head : head + "Content-Length: " + BODY.length + "\r\n", reads ? NOTHING : BODY);
         }
 
@@ -213,11 +263,14 @@
                 ctx.close();
                 loop.schedule(EdgeRehearsal.this::dial, PAUSE_MILLIS, TimeUnit.MILLISECONDS);
             } else {
-                loop.schedule(() -> {
-                    if (!isOver()) {
-                        ask(ctx);
-                    }
-                }, PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+                loop.schedule(
+                        () -> {
+                            if (!isOver()) {
+                                ask(ctx);
+                            }
+                        },
+                        PAUSE_MILLIS,
+                        TimeUnit.MILLISECONDS);
             }
         }
     }
@@ -238,8 +291,11 @@
         @Override
         protected void came(ChannelHandlerContext ctx) {
             boolean full = asked % FULL_EVERY == 0;
-            write(ctx, "HTTP/1.1 " + (full ? "503 Full\r\nNot-Run: 1\r\n" : "200 OK\r\nOrigin-Seal: rehearsed\r\n")
-                    + EdgeStyle.ID + ": " + id + "\r\nContent-Length: " + BODY.length + "\r\n", BODY);
+            write(
+                    ctx,
+                    "HTTP/1.1 " + (full ? "503 Full\r\nNot-Run: 1\r\n" : "200 OK\r\nOrigin-Seal: rehearsed\r\n")
+                            + EdgeStyle.ID + ": " + id + "\r\nContent-Length: " + BODY.length + "\r\n",
+                    BODY);
         }
     }
 }
--- a/src/main/java/tinworks/edge/EdgeStyle.java
+++ b/src/main/java/tinworks/edge/EdgeStyle.java
@@ -26,16 +26,18 @@
 
 /** How requests and answers look in the system's protocol. */
 class EdgeStyle implements Forwarding.Style, HostPool.Dialect {
-    static final AsciiString ID = AsciiString.cached("Attempt-Id"), DEADLINE = AsciiString.cached("Deadline-Ms");
-    private static final AsciiString WANT = AsciiString.cached("Want-Host"), SEAL = AsciiString.cached("Origin-Seal"),
-            NOT_RUN = AsciiString.cached("Not-Run");
+    static final AsciiString ID = AsciiString.cached("Attempt-Id");
+    static final AsciiString DEADLINE = AsciiString.cached("Deadline-Ms");
+    private static final AsciiString WANT = AsciiString.cached("Want-Host");
+    private static final AsciiString SEAL = AsciiString.cached("Origin-Seal");
+    private static final AsciiString NOT_RUN = AsciiString.cached("Not-Run");
     /** Statuses that promise that the request has not run. */
     private static final Set<Integer> PROMISES = Set.of(408, 421, 429, 503);
     /** Those with which a host may say so: {@code Not-Run} beside any other proves nothing. */
     private static final Set<Integer> TURNED_AWAY = Set.of(400, 429, 503);
     /**
-     * Hosts forget connections that rest, without a word, and what is sent on one then may have run as far as
-     * anyone here can tell. A request that must not run twice goes on one that has hardly rested, or on a new one.
+     * Hosts forget connections that rest, without a word, and what is sent on one then may have run as far as anyone
+     * here can tell. A request that must not run twice goes on one that has hardly rested, or on a new one.
      */
     private static final long HARDLY_RESTED_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
     /** Where there is nothing to wait for, tries are spread a little. */
@@ -61,8 +63,13 @@
         if (request.content().isReadable() || !request.method().equals(HttpMethod.GET)) {
             headers.setInt(HttpHeaderNames.CONTENT_LENGTH, request.content().readableBytes());
         }
-        return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, request.method(), request.uri(),
-                request.content().retainedDuplicate(), headers, EmptyHttpHeaders.INSTANCE);
+        return new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                request.method(),
+                request.uri(),
+                request.content().retainedDuplicate(),
+                headers,
+                EmptyHttpHeaders.INSTANCE);
     }
 
     @Override
@@ -75,7 +82,8 @@
         HttpHeaders headers = EndToEnd.of(answer.head().headers());
         String length = answer.head().headers().get(HttpHeaderNames.CONTENT_LENGTH);
         if (length != null) {
-            headers.set(HttpHeaderNames.CONTENT_LENGTH, length); // counts where a HEAD is answered, is made anew elsewhere
+            headers.set(
+                    HttpHeaderNames.CONTENT_LENGTH, length); // counts where a HEAD is answered, is made anew elsewhere
         }
         reply.write(answer.head().status(), headers, answer.body().retain(), 0);
     }
@@ -84,14 +92,15 @@
     @Override
     public void refused(Reply reply, long pauseNanos) {
         long pause = Math.max(pauseNanos, LEAST_PAUSE_NANOS);
-        reply.plain(HttpResponseStatus.SERVICE_UNAVAILABLE, "not run: come back later",
-                pause + random.nextLong(pause));
+        reply.plain(HttpResponseStatus.SERVICE_UNAVAILABLE, "not run: come back later", pause + random.nextLong(pause));
     }
 
     /** Guards against a status that promises that the request has not run, where it may have. */
     @Override
     public void failed(Reply reply, Answer last) {
-        if (last != null && !PROMISES.contains(last.head().status().code()) && last.head().status().code() >= 300) {
+        if (last != null
+                && !PROMISES.contains(last.head().status().code())
+                && last.head().status().code() >= 300) {
             served(reply, last);
         } else {
             reply.write(HttpResponseStatus.BAD_GATEWAY, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER, 0);
--- a/src/main/java/tinworks/edge/Prepared.java
+++ b/src/main/java/tinworks/edge/Prepared.java
@@ -6,25 +6,29 @@
 import java.util.Set;
 import tinworks.config.Configuration;
 import tinworks.config.Configuration.Route;
-import tinworks.config.Configuration.Type;
 import tinworks.policy.Protocol.RequestClass;
 
 /**
- * A version of the configuration with all that an edge makes of it. Made off the event loop: with a thousand routes it is
- * a second's work on a small part of a core, in which clients would wait.
+ * A version of the configuration with all that an edge makes of it. Made off the event loop: with a thousand routes it
+ * is a second's work on a small part of a core, in which clients would wait.
  *
  * @param mutating the classes whose requests must not run twice
  * @param classes the classes of each service
  */
-record Prepared(Configuration configuration, RouteTable routes, Set<String> mutating, Map<String, List<RequestClass>> classes) {
+record Prepared(
+        Configuration configuration, RouteTable routes, Set<String> mutating, Map<String, List<RequestClass>> classes) {
     /** Makes all of a version. */
     static Prepared of(Configuration configuration) {
         Set<String> mutating = new HashSet<>();
         for (Route route : configuration.routes()) {
-            if (route.type() == Type.MUTATING) {
+            if (route.type() == Configuration.Type.MUTATING) {
                 mutating.add(ServiceSettings.className(route));
             }
         }
-        return new Prepared(configuration, new RouteTable(configuration.routes()), mutating, ServiceSettings.classes(configuration));
+        return new Prepared(
+                configuration,
+                new RouteTable(configuration.routes()),
+                mutating,
+                ServiceSettings.classes(configuration));
     }
 }
--- a/src/main/java/tinworks/edge/Requests.java
+++ b/src/main/java/tinworks/edge/Requests.java
@@ -66,16 +66,24 @@
             throw new BadRequest(HttpResponseStatus.BAD_REQUEST, "wanted one " + EdgeStyle.ID);
         }
         long now = clock.nanos();
-        long left = TimeUnit.MILLISECONDS.toNanos(Math.min(route.timeoutMs(), deadline(request, route))) - (now - arrivedAt);
+        long left = TimeUnit.MILLISECONDS.toNanos(Math.min(route.timeoutMs(), deadline(request, route)))
+                - (now - arrivedAt);
         if (left <= 0) {
             style.refused(reply, 0);
             return;
         }
-        services.get(draw(route)).begin(now, new RequestArrived(ids.get(0), target.className(), null, null, left, 0, false),
-                request, reply);
+        services.get(draw(route))
+                .begin(
+                        now,
+                        new RequestArrived(ids.get(0), target.className(), null, null, left, 0, false),
+                        request,
+                        reply);
     }
 
-    /** Guards against a path that would reach a host as another: bytes outside of printable ASCII are read and written in two ways. */
+    /**
+     * Guards against a path that would reach a host as another: bytes outside of printable ASCII are read and written
+     * in two ways.
+     */
     private static boolean isUnchangedOnItsWay(String target) {
         for (int i = 0; i < target.length(); i++) {
             if (target.charAt(i) <= ' ' || target.charAt(i) >= 0x7f) {
--- a/src/main/java/tinworks/edge/RouteTable.java
+++ b/src/main/java/tinworks/edge/RouteTable.java
@@ -12,7 +12,7 @@
  */
 final class RouteTable {
     /** Where a request goes; the name is the decision module's for the route. */
-    record Target(Route route, String className) { }
+    record Target(Route route, String className) {}
 
     private final Map<String, Map<String, Target>> byDomain = new HashMap<>();
 
--- a/src/main/java/tinworks/edge/ServiceSettings.java
+++ b/src/main/java/tinworks/edge/ServiceSettings.java
@@ -8,7 +8,6 @@
 import tinworks.config.Configuration;
 import tinworks.config.Configuration.Route;
 import tinworks.config.Configuration.Split;
-import tinworks.config.Configuration.Type;
 import tinworks.policy.Protocol.Allowed;
 import tinworks.policy.Protocol.Effect;
 import tinworks.policy.Protocol.Group;
@@ -20,7 +19,9 @@
 final class ServiceSettings {
     /** A fresh host is slow at first; the list tells for how long, at most this. */
     static final long WARM_UP_NANOS = TimeUnit.SECONDS.toNanos(3);
-    private static final double COLD_FROM = 0.5, LATE_WORTH = 0.5;
+
+    private static final double COLD_FROM = 0.5;
+    private static final double LATE_WORTH = 0.5;
     /** The cold rule of the earlier protocol isn't one here: a fresh host is slow and not to be spared. */
     private static final double NO_COLD_BUDGET = 1e9;
     /**
@@ -30,10 +31,12 @@
     private static final double FURTHER_ARRIVALS = 30;
     /** Of a hundred requests one needs three times the work or more, wherever it runs: nearly all of its aim. */
     private static final double LONG_WORK = 2.5;
-    private static final int MOST_TRIES = 32, NO_NUMBER = -1;
+
+    private static final int MOST_TRIES = 32;
+    private static final int NO_NUMBER = -1;
     private static final int MIDDLE_PRIO = 2;
 
-    private ServiceSettings() { }
+    private ServiceSettings() {}
 
     /** The module's name for a route. */
     static String className(Route route) {
@@ -48,7 +51,8 @@
             RequestClass made = requestClass(route);
             for (Split part : route.split()) {
                 List<RequestClass> there = classes.get(part.service());
-                boolean twice = !there.isEmpty() && there.get(there.size() - 1) == made;
+                boolean twice =
+                        !there.isEmpty() && there.get(there.size() - 1).name().equals(made.name());
                 if (part.weight() > 0 && !twice) {
                     there.add(made);
                 }
@@ -60,16 +64,42 @@
 
     private static RequestClass requestClass(Route route) {
         long timeout = TimeUnit.MILLISECONDS.toNanos(route.timeoutMs());
-        return new RequestClass(className(route), route.type() == Type.MUTATING ? Effect.UNSAFE : Effect.SAFE, Group.ALL, 0,
-                TimeUnit.MILLISECONDS.toNanos(route.targetMs()), timeout, Math.pow(2, MIDDLE_PRIO - route.prio()),
-                LATE_WORTH, false, route.tries(), timeout);
+        return new RequestClass(
+                className(route),
+                route.type() == Configuration.Type.MUTATING ? Effect.UNSAFE : Effect.SAFE,
+                Group.ALL,
+                0,
+                TimeUnit.MILLISECONDS.toNanos(route.targetMs()),
+                timeout,
+                Math.pow(2, MIDDLE_PRIO - route.prio()),
+                LATE_WORTH,
+                false,
+                route.tries(),
+                timeout);
     }
 
     /** What a service's module starts with. */
     static Settings settings(List<RequestClass> classes, int gateways, String zone) {
-        Rules rules = new Rules(0, 0, Long.MAX_VALUE, COLD_FROM, WARM_UP_NANOS, NO_COLD_BUDGET, TimeUnit.SECONDS.toNanos(1),
-                FURTHER_ARRIVALS, LONG_WORK);
-        return new Settings(gateways, NO_NUMBER, zone, false, TimeUnit.MILLISECONDS.toNanos(1), classes, List.of(), 1,
-                new Allowed(MOST_TRIES, true, false), rules);
+        Rules rules = new Rules(
+                0,
+                0,
+                Long.MAX_VALUE,
+                COLD_FROM,
+                WARM_UP_NANOS,
+                NO_COLD_BUDGET,
+                TimeUnit.SECONDS.toNanos(1),
+                FURTHER_ARRIVALS,
+                LONG_WORK);
+        return new Settings(
+                gateways,
+                NO_NUMBER,
+                zone,
+                false,
+                TimeUnit.MILLISECONDS.toNanos(1),
+                classes,
+                List.of(),
+                1,
+                new Allowed(MOST_TRIES, true, false),
+                rules);
     }
 }
--- a/src/main/java/tinworks/json/Json.java
+++ b/src/main/java/tinworks/json/Json.java
@@ -43,8 +43,8 @@
     }
 
     /**
-     * Reads one text that holds one object and tells of it as it comes; false where the text holds another value. What can't
-     * be read is an {@link IOException}, at times after much has been told.
+     * Reads one text that holds one object and tells of it as it comes; false where the text holds another value. What
+     * can't be read is an {@link IOException}, at times after much has been told.
      */
     public static boolean read(Reader text, Pieces told) throws IOException {
         try (JsonParser parser = FACTORY.createParser(text)) {
@@ -130,26 +130,32 @@
         return entries;
     }
 
+    /** Whether the value is an object. */
     public boolean isObject() {
         return value instanceof Map;
     }
 
+    /** Whether the value is an array. */
     public boolean isArray() {
         return value instanceof List;
     }
 
+    /** Whether the value is a string. */
     public boolean isText() {
         return value instanceof String;
     }
 
+    /** Whether the value is the literal true. */
     public boolean isTrue() {
         return Boolean.TRUE.equals(value);
     }
 
+    /** The value as text, empty where there is none. */
     public String text() {
         return value == null ? "" : value.toString();
     }
 
+    /** The value as a number, or what is given where it is none. */
     public Number number(Number absent) {
         return value instanceof Number number ? number : absent;
     }
--- a/src/main/java/tinworks/load/LoadClients.java
+++ b/src/main/java/tinworks/load/LoadClients.java
@@ -27,9 +27,9 @@
 import tinworks.policy.Protocol.Outcome;
 
 /**
- * Clients by the published protocol, in an open loop: when a request is due does not depend on how earlier ones fare, so
- * a gateway that stalls is charged for all who wait. Repeatable requests are tried again after any failure, others only
- * after a promise that they have not run; {@code Retry-After} is heeded. All on one event loop.
+ * Clients by the published protocol, in an open loop: when a request is due does not depend on how earlier ones fare,
+ * so a gateway that stalls is charged for all who wait. Repeatable requests are tried again after any failure, others
+ * only after a promise that they have not run; {@code Retry-After} is heeded. All on one event loop.
  */
 public final class LoadClients {
     /** Told of each try, so that what hosts ran can be set against it. */
@@ -37,10 +37,10 @@
         /** Whom nothing is told. */
         Watcher NOBODY = new Watcher() {
             @Override
-            public void sent(String attemptId, boolean once) { }
+            public void sent(String attemptId, boolean once) {}
 
             @Override
-            public void promisedNotRun(String attemptId) { }
+            public void promisedNotRun(String attemptId) {}
         };
 
         /** A try is about to be sent; its request may run {@code once} at most, or again and again. */
@@ -50,10 +50,14 @@
         void promisedNotRun(String attemptId);
     }
 
-    private static final int MOST_TRIES = 5, MOST_OPEN = 20_000, ANSWER_BYTES = 8 << 20;
-    private static final long CONNECT_NANOS = TimeUnit.SECONDS.toNanos(1), IDLE_NANOS = TimeUnit.SECONDS.toNanos(5),
-            FIRST_PAUSE_MILLIS = 50;
-    private static final Set<Integer> PROMISES = Set.of(408, 421, 429, 503), FINAL = Set.of(400, 401, 404, 413, 431);
+    private static final int MOST_TRIES = 5;
+    private static final int MOST_OPEN = 20_000;
+    private static final int ANSWER_BYTES = 8 << 20;
+    private static final long CONNECT_NANOS = TimeUnit.SECONDS.toNanos(1);
+    private static final long IDLE_NANOS = TimeUnit.SECONDS.toNanos(5);
+    private static final long FIRST_PAUSE_MILLIS = 50;
+    private static final Set<Integer> PROMISES = Set.of(408, 421, 429, 503);
+    private static final Set<Integer> FINAL = Set.of(400, 401, 404, 413, 431);
 
     private final EventLoop loop;
     private final GatewayClock clock = new GatewayClock();
@@ -72,7 +76,11 @@
         this.watcher = watcher;
         random = new SplittableRandom(seed);
         kinds.forEach(kind -> results.put(kind, new Results()));
-        pool = new HostPool(loop, Transport.TCP, clock, new HostPool.Bounds(CONNECT_NANOS, IDLE_NANOS, MOST_OPEN, ANSWER_BYTES),
+        pool = new HostPool(
+                loop,
+                Transport.TCP,
+                clock,
+                new HostPool.Bounds(CONNECT_NANOS, IDLE_NANOS, MOST_OPEN, ANSWER_BYTES),
                 new ClientDialect());
     }
 
@@ -121,12 +129,15 @@
     /** Exponential pauses, summed from the due time of the one before. */
     private void next(RequestKind kind, long after) {
         long due = after + (long) (-Math.log(1 - random.nextDouble()) / kind.perSecond() * TimeUnit.SECONDS.toNanos(1));
-        loop.schedule(() -> {
-            if (due < untilNanos) {
-                begin(kind, due);
-                next(kind, due);
-            }
-        }, Math.max(0, due - clock.nanos()), TimeUnit.NANOSECONDS);
+        loop.schedule(
+                () -> {
+                    if (due < untilNanos) {
+                        begin(kind, due);
+                        next(kind, due);
+                    }
+                },
+                Math.max(0, due - clock.nanos()),
+                TimeUnit.NANOSECONDS);
     }
 
     private void begin(RequestKind kind, long due) {
@@ -162,15 +173,25 @@
             }
             String id = name + "-" + ++tries;
             watcher.sent(id, kind.once());
-            FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, kind.once() ? HttpMethod.POST : HttpMethod.GET,
-                    kind.prefix() + name, Unpooled.EMPTY_BUFFER);
-            request.headers().set(HttpHeaderNames.HOST, kind.domain()).set("Attempt-Id", id)
+            FullHttpRequest request = new DefaultFullHttpRequest(
+                    HttpVersion.HTTP_1_1,
+                    kind.once() ? HttpMethod.POST : HttpMethod.GET,
+                    kind.prefix() + name,
+                    Unpooled.EMPTY_BUFFER);
+            request.headers()
+                    .set(HttpHeaderNames.HOST, kind.domain())
+                    .set("Attempt-Id", id)
                     .set("Deadline-Ms", Math.max(1, TimeUnit.NANOSECONDS.toMillis(left)));
             if (kind.once()) {
                 request.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, 0);
             }
             // Only a client's first try uses a connection that it has kept.
-            pool.send(gateways.get(random.nextInt(gateways.size())), id, request, left, tries == 1 ? Long.MAX_VALUE : -1,
+            pool.send(
+                    gateways.get(random.nextInt(gateways.size())),
+                    id,
+                    request,
+                    left,
+                    tries == 1 ? Long.MAX_VALUE : -1,
                     (attempt, outcome, at, load, answer) -> ended(id, outcome, at, answer));
         }
 
@@ -185,7 +206,7 @@
             if (promised) {
                 watcher.promisedNotRun(id);
             }
-            boolean mayRepeat = !kind.once() || promised || answer == null && outcome.provesItNeverRan();
+            boolean mayRepeat = !kind.once() || promised || (answer == null && outcome.provesItNeverRan());
             if (mayRepeat && !FINAL.contains(status) && tries < MOST_TRIES) {
                 again(promised, answer == null ? 0 : pauseMillis(answer.head().headers()));
             } else {
@@ -194,7 +215,9 @@
         }
 
         private void again(boolean refused, long advisedMillis) {
-            long pause = advisedMillis > 0 ? advisedMillis : FIRST_PAUSE_MILLIS / 2 + random.nextLong(FIRST_PAUSE_MILLIS << tries);
+            long pause = advisedMillis > 0
+                    ? advisedMillis
+                    : FIRST_PAUSE_MILLIS / 2 + random.nextLong(FIRST_PAUSE_MILLIS << tries);
             if (clock.nanos() + TimeUnit.MILLISECONDS.toNanos(pause) >= deadline) {
                 end(refused);
             } else {
@@ -210,7 +233,8 @@
 
     private static long pauseMillis(HttpHeaders headers) {
         try {
-            return (long) (Double.parseDouble(headers.get(HttpHeaderNames.RETRY_AFTER, "0")) * TimeUnit.SECONDS.toMillis(1));
+            return (long)
+                    (Double.parseDouble(headers.get(HttpHeaderNames.RETRY_AFTER, "0")) * TimeUnit.SECONDS.toMillis(1));
         } catch (NumberFormatException e) {
             return 0;
         }
@@ -219,7 +243,9 @@
     private static final class ClientDialect implements HostPool.Dialect {
         @Override
         public Outcome outcome(String request, HttpResponse head, boolean framed) {
-            boolean served = framed && head.status().equals(HttpResponseStatus.OK) && head.headers().contains("Origin-Seal");
+            boolean served = framed
+                    && head.status().equals(HttpResponseStatus.OK)
+                    && head.headers().contains("Origin-Seal");
             return served ? Outcome.SERVED : Outcome.ERROR;
         }
 
--- a/src/main/java/tinworks/load/RequestKind.java
+++ b/src/main/java/tinworks/load/RequestKind.java
@@ -11,5 +11,11 @@
  * @param aimMillis the time within which an answer earns its full worth
  * @param deadlineMillis how long its client waits in all
  */
-public record RequestKind(String name, String domain, String prefix, boolean once, double perSecond, long aimMillis,
-                          long deadlineMillis) { }
+public record RequestKind(
+        String name,
+        String domain,
+        String prefix,
+        boolean once,
+        double perSecond,
+        long aimMillis,
+        long deadlineMillis) {}
