--- /dev/null
+++ b/src/test/java/tinworks/edge/FaultyDecisionTest.java
@@ -0,0 +1,71 @@
+package tinworks.edge;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import tinworks.config.Configuration;
+import tinworks.edge.EdgeFixture.Client;
+import tinworks.invariant.BreaksInvariants;
+import tinworks.invariant.Invariant;
+import tinworks.net.ClientServer.Reply;
+import tinworks.net.HostPool.Answer;
+import tinworks.net.ScriptedHost;
+
+/**
+ * A fault of the program in the decision on an answer. Its request had no answer until the check of once a second found
+ * it forgotten, a second after its time was over: here 11 s after the fault, which the log shows at once
+ * ({@code invariant NO_FAULT violated: the decision on AttemptEnded}).
+ */
+@Timeout(value = 60, unit = TimeUnit.SECONDS)
+@BreaksInvariants(Invariant.NO_FAULT)
+class FaultyDecisionTest {
+    private static final long DEADLINE_MILLIS = 10_000;
+    private static final long AT_ONCE_MILLIS = 3_000;
+
+    /** Each first time that a request is to be failed ends in a fault. */
+    private final EdgeProtocol style = new EdgeProtocol(1) {
+        private boolean faulty;
+
+        @Override
+        public void failed(Reply reply, Answer answer) {
+            faulty = !faulty;
+            if (faulty) {
+                throw new IllegalStateException("a fault");
+            }
+            super.failed(reply, answer);
+        }
+    };
+
+    private final EdgeFixture edge = new EdgeFixture(style);
+
+    @AfterEach
+    void stop() {
+        edge.close();
+    }
+
+    @Test
+    void itsRequestIsFailedAtOnceAndTheNextOneIsServed() throws Exception {
+        try (ScriptedHost host = new ScriptedHost((socket, request) -> ScriptedHost.write(
+                        socket,
+                        request.firstLine().contains("good")
+                                ? "HTTP/1.1 200 OK\r\nAttempt-Id: good\r\nOrigin-Seal: s\r\nContent-Length: 0\r\n\r\n"
+                                : "HTTP/1.1 500 no\r\nContent-Length: 0\r\n\r\n"));
+                Client client = edge.client()) {
+            edge.host("h-1", host.address(), true);
+            edge.route("r", Configuration.Type.MUTATING, 2, "h-1");
+            long before = Invariant.NO_FAULT.violations();
+            long asked = System.nanoTime();
+            client.write(EdgeFixture.request("bad", "r", "body", DEADLINE_MILLIS, false));
+            assertEquals(502, client.read().status());
+            long took = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - asked);
+            assertTrue(took < AT_ONCE_MILLIS, took + " ms");
+            assertEquals(before + 1, Invariant.NO_FAULT.violations());
+            client.write(EdgeFixture.request("good", "r", "body", DEADLINE_MILLIS, false));
+            assertEquals(200, client.read().status());
+        }
+    }
+}
--- a/src/test/java/tinworks/logging/FatalTest.java
+++ b/src/test/java/tinworks/logging/FatalTest.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.slf4j.LoggerFactory;
 
 /** A process that can't go on ends. */
 @Timeout(value = 60, unit = TimeUnit.SECONDS)
@@ -32,6 +33,11 @@
                 late.join();
                 System.exit(IN_ORDER);
             }
+            if (args[0].equals("unread")) {
+                for (int i = 0; i < UNREAD_LINES; i++) {
+                    LoggerFactory.getLogger(Failing.class).warn("line {} of more than a pipe holds", i);
+                }
+            }
             Thread thread = new Thread(args[0].equals("heap") ? Failing::fillHeap : () -> overflowStack(0));
             thread.start();
             TimeUnit.SECONDS.sleep(50);
@@ -57,9 +63,10 @@
     }
 
     private static final int IN_ORDER = 5;
+    private static final int UNREAD_LINES = 20_000;
 
-    private static String said(String how) throws IOException, InterruptedException {
-        Process process = new ProcessBuilder(
+    private static Process failing(String how) throws IOException {
+        return new ProcessBuilder(
                         Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                         "-Xmx16m",
                         "-Xss256k",
@@ -69,6 +76,10 @@
                         how)
                 .redirectErrorStream(true)
                 .start();
+    }
+
+    private static String said(String how) throws IOException, InterruptedException {
+        Process process = failing(how);
         String said = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
         assertEquals(how.equals("refused") ? IN_ORDER : Fatal.EXIT_CODE, process.waitFor(), said);
         return said;
@@ -81,6 +92,18 @@
         assertEquals("", said("refused"), "work that came after the event loop's end");
     }
 
+    /** Whose log nobody reads ends all the same: it could wait in the writing of its last line for good. */
+    @Test
+    void aReaderOfTheLogWhoHasStoppedKeepsNoProcessFromItsEnd() throws IOException, InterruptedException {
+        Process process = failing("unread");
+        try {
+            assertTrue(process.waitFor(20, TimeUnit.SECONDS), "it waits for the reader");
+            assertEquals(Fatal.EXIT_CODE, process.exitValue());
+        } finally {
+            process.destroyForcibly();
+        }
+    }
+
     @Test
     void anErrorIsFoundBelowWhatALibraryMadeOfIt() {
         OutOfMemoryError error = new OutOfMemoryError("test");
