Write the log on a thread of its own, so that nobody who logs waits for its reader

Symptom: an edge whose log is a pipe that nobody empties took connections and answered none. Cause: JsonLog wrote on the event loop, and a write to a full pipe waits. Loss: one thread more a process, and lines are lost where nobody reads.

--- a/src/main/java/tinworks/control/OperatorServer.java
+++ b/src/main/java/tinworks/control/OperatorServer.java
@@ -197,6 +197,7 @@
         Raft raft = machine.agreement().raft();
         return new MetricsPage()
                 .violations()
+                .log()
                 .gauge("leads", "1 at the leader", raft.role() == Raft.Role.LEADER ? 1 : 0)
                 .gauge("in_touch", "1 where the leader's lease vouches for the state", machine.fresh() ? 1 : 0)
                 .gauge("term", "The present term of the agreement", (double) raft.term())
--- a/src/main/java/tinworks/edge/EdgeNode.java
+++ b/src/main/java/tinworks/edge/EdgeNode.java
@@ -269,7 +269,7 @@
         EdgeMetrics.add(page, requests);
         EdgeMetrics.add(page, stalls);
         EdgeMetrics.add(page, memory);
-        return page.violations();
+        return page.violations().log();
     }
 
     // ---- CoreFollower.Owner
--- a/src/main/java/tinworks/logging/Fatal.java
+++ b/src/main/java/tinworks/logging/Fatal.java
@@ -4,7 +4,9 @@
 import java.io.FileOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
 import org.slf4j.LoggerFactory;
 
 /**
@@ -22,6 +24,10 @@
 
     private static final FileOutputStream OUT = new FileOutputStream(FileDescriptor.err);
     private static final int DEEPEST = 20;
+    /** So long the last lines may take: nobody may be there to read them. */
+    private static final long LAST_LINES_MILLIS = 500;
+
+    private static final CountDownLatch ENDING = new CountDownLatch(1);
 
     private Fatal() {}
 
@@ -30,6 +36,7 @@
      * loop refuses since it has ended: then the process is about to end in order.
      */
     public static void install() {
+        startHalter();
         Thread.setDefaultUncaughtExceptionHandler((thread, thrown) -> {
             if (!(thrown instanceof RejectedExecutionException)) {
                 end(thrown);
@@ -37,6 +44,23 @@
         });
     }
 
+    /** Guards against an end that waits for a reader of the log. Started beforehand: there may be no memory later. */
+    private static void startHalter() {
+        Thread halter = new Thread(
+                () -> {
+                    try {
+                        ENDING.await();
+                        TimeUnit.MILLISECONDS.sleep(LAST_LINES_MILLIS);
+                        Runtime.getRuntime().halt(EXIT_CODE);
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
+                    }
+                },
+                "halter");
+        halter.setDaemon(true);
+        halter.start();
+    }
+
     /** The error that something thrown is, or that caused it; null where it is none. */
     public static Error in(Throwable thrown) {
         Throwable cause = thrown;
@@ -69,10 +93,13 @@
 
     private static void end(Throwable thrown) {
         try {
+            ENDING.countDown();
             if (in(thrown) == null) {
                 LoggerFactory.getLogger(Fatal.class).error("nobody has caught", thrown);
             }
             OUT.write(thrown instanceof OutOfMemoryError ? HEAP : thrown instanceof StackOverflowError ? STACK : OTHER);
+            // Behind the line above: it may want memory.
+            JsonLog.flush(LAST_LINES_MILLIS);
         } catch (IOException e) {
             // Nobody reads what this process says.
             return;
--- a/src/main/java/tinworks/logging/JsonLog.java
+++ b/src/main/java/tinworks/logging/JsonLog.java
@@ -9,14 +9,16 @@
 import org.slf4j.helpers.MessageFormatter;
 
 /**
- * Writes one line of JSON to standard error for each record. Small on purpose: the runtime's own logging and its
- * formats cost a start on a part of a core as much as reading the settings.
+ * Writes one line of JSON to standard error for each record, through a {@link LogWriter}. Small on purpose: the
+ * runtime's own logging and its formats cost a start on a part of a core as much as reading the settings.
  */
 public final class JsonLog extends LegacyAbstractLogger {
     private static final long serialVersionUID = 1L;
     private static final int FIRST_PRINTED = 0x20;
     private static final String HEX = "0123456789abcdef";
 
+    private static final LogWriter WRITER = new LogWriter("log", () -> System.err, JsonLog::droppedLine);
+
     private static volatile String node = "";
     private static volatile int least = Level.INFO.toInt();
 
@@ -33,6 +35,21 @@
         least = level.toInt();
     }
 
+    /** Waits until all lines so far have been written, or for so long: at the end of a process. */
+    public static void flush(long millis) {
+        WRITER.flush(millis);
+    }
+
+    /** How many lines were dropped since the process started, as nobody read the log. */
+    public static long dropped() {
+        return WRITER.dropped();
+    }
+
+    private static String droppedLine(long lines) {
+        String said = lines + " lines were dropped: nobody read the log";
+        return line(System.currentTimeMillis(), Level.WARN, node, "JsonLog", said, null);
+    }
+
     /** One record as a line; {@code thrown} may be null. */
     static String line(long epochMillis, Level level, String node, String part, String said, Throwable thrown) {
         StringBuilder line = new StringBuilder(160).append("{\"at\":\"");
@@ -87,7 +104,7 @@
     protected void handleNormalizedLoggingCall(
             Level level, Marker marker, String pattern, Object[] arguments, Throwable thrown) {
         String said = arguments == null ? pattern : MessageFormatter.basicArrayFormat(pattern, arguments);
-        System.err.print(line(System.currentTimeMillis(), level, node, part, String.valueOf(said), thrown));
+        WRITER.write(line(System.currentTimeMillis(), level, node, part, String.valueOf(said), thrown));
     }
 
     @Override
--- a/src/main/java/tinworks/metrics/MetricsPage.java
+++ b/src/main/java/tinworks/metrics/MetricsPage.java
@@ -14,6 +14,7 @@
 import java.util.Locale;
 import java.util.Map;
 import tinworks.invariant.Invariant;
+import tinworks.logging.JsonLog;
 
 /** Collects figures at one moment and writes them as one page. Names come without the prefix that all share. */
 public final class MetricsPage {
@@ -60,6 +61,12 @@
         return this;
     }
 
+    /** Adds how many lines of the log were dropped. */
+    public MetricsPage log() {
+        return counter("log_lines_dropped", "Lines of the log that found no room, as nobody read it", (double)
+                JsonLog.dropped());
+    }
+
     /** The page, in UTF-8. */
     public byte[] text() {
         MetricSnapshots.Builder all = MetricSnapshots.builder();
--- a/src/main/java/tinworks/net/Server.java
+++ b/src/main/java/tinworks/net/Server.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import tinworks.logging.LogWriter;
 
 /** The process round a {@link Gateway}: its thread, its start, its signals and its end. */
 public final class Server {
@@ -18,8 +19,16 @@
 
     private static final long LOOP_END_MILLIS = 100;
 
+    /** Guards against a reader of the output who has stopped: it would hold up the event loop. */
+    private static final LogWriter OUTPUT =
+            new LogWriter("output", () -> System.out, lines -> lines + " lines were dropped: nobody read the output\n");
+
     private Server() {}
 
+    private static void log(String line) {
+        OUTPUT.write(line + "\n");
+    }
+
     /**
      * Starts the gateway that the environment describes and returns when it listens; it runs until the process is asked
      * to end. A bad environment or configuration is an {@link IllegalArgumentException}.
@@ -31,8 +40,7 @@
         onHangUp(() -> started.thenAccept(gateway -> reload(gateway, environment)));
         GatewayConfig config = GatewayConfig.read(environment);
         GatewayLoop loop = GatewayLoop.watched();
-        Gateway gateway =
-                Gateway.open(loop, config, Transport.TCP, System.out::println).join();
+        Gateway gateway = Gateway.open(loop, config, Transport.TCP, Server::log).join();
         started.complete(gateway);
         // While discovery thinks about its first answer.
         Rehearsal.run(config, Rehearsal.LONGEST_MILLIS);
--- a/src/main/java/tinworks/node/NodeProcess.java
+++ b/src/main/java/tinworks/node/NodeProcess.java
@@ -32,6 +32,9 @@
     private static final Logger LOG = LoggerFactory.getLogger(NodeProcess.class);
     private static final long WATCH_MILLIS = 2_500;
     private static final long LOOP_END_MILLIS = 50;
+    /** So long an end waits for the last lines of the log to be written. */
+    private static final long LAST_LINES_MILLIS = 150;
+
     private static final String LEVEL = "TINWORKS_LOG";
 
     private final Map<String, String> environment;
@@ -158,6 +161,7 @@
                             } catch (CompletionException e) {
                                 LOG.error("did not end in order", e);
                             }
+                            JsonLog.flush(LAST_LINES_MILLIS);
                         },
                         "end"));
     }
