Leave out the entries of the platform's list that can't be read, and take in the others

Symptom: with one bad entry an edge went on sending to hosts that were gone, and new ones got nothing. Cause: the list was taken whole or not at all, in three places, and an edge took its version first. Change: HostListReader reads it entry by entry, bounded in pages and hosts; an edge leaves out what it can't read; addresses are numbers, so that no name is looked up on an event loop. Loss: settings and lists that name machines by host names are refused, as the platform has none.

--- a/src/main/java/tinworks/cli/Arguments.java
+++ b/src/main/java/tinworks/cli/Arguments.java
@@ -30,7 +30,7 @@
         @Override
         public InetSocketAddress convert(String text) {
             try {
-                return Address.read(text);
+                return Address.resolve(text);
             } catch (IllegalArgumentException e) {
                 throw new TypeConversionException(e.getMessage());
             }
--- a/src/main/java/tinworks/edge/EdgeNode.java
+++ b/src/main/java/tinworks/edge/EdgeNode.java
@@ -97,6 +97,9 @@
     /** The classes of each service under the present configuration. */
     private Map<String, List<RequestClass>> classes = Map.of();
 
+    /** Hosts of the newest list whose addresses can't be read. */
+    private int leftOut;
+
     private boolean listed;
     private boolean ending;
     private boolean saidReady;
@@ -357,13 +360,14 @@
 
     /**
      * A list that a core machine told or, while none does, one that this edge fetched itself. Only what is not as it
-     * was is passed on: a release changes some hosts a second, of hundreds.
+     * was is passed on: a release changes some hosts a second, of hundreds. A host whose address can't be read is as
+     * good as gone, and keeps none of the others out.
      */
     private void listed(List<Host> found) {
         Map<String, Host> next = new LinkedHashMap<>();
         Map<String, List<ServerInfo>> changed = new HashMap<>();
         List<HostPool.Place> places = new ArrayList<>();
-        for (Host told : found) {
+        for (Host told : readable(found)) {
             Host host = drained.kept(told);
             Host old = known.get(host.id());
             next.put(host.id(), host);
@@ -402,6 +406,22 @@
         listed = true;
     }
 
+    private List<Host> readable(List<Host> found) {
+        List<Host> readable = new ArrayList<>(found.size());
+        for (Host host : found) {
+            Host before = known.get(host.id());
+            if ((before != null && before.address().equals(host.address())) || Address.isOne(host.address())) {
+                readable.add(host);
+            }
+        }
+        int left = found.size() - readable.size();
+        if (left != leftOut) {
+            leftOut = left;
+            LOG.warn("left out {} hosts whose addresses can't be read", left);
+        }
+        return readable;
+    }
+
     /** In this edge's clock; 0 where the start is long ago. */
     private long startOf(Host host) {
         long warm = Math.min(ServiceSettings.WARM_UP_NANOS, TimeUnit.MILLISECONDS.toNanos(host.warmupMs()));
--- a/src/main/java/tinworks/net/GatewayConfig.java
+++ b/src/main/java/tinworks/net/GatewayConfig.java
@@ -36,8 +36,8 @@
     static GatewayConfig read(Map<String, String> environment) {
         return read(
                 file(environment),
-                Address.read(variable(environment, "LB_LISTEN")),
-                Address.read(variable(environment, "LB_DISCOVERY")));
+                Address.resolve(variable(environment, "LB_LISTEN")),
+                Address.resolve(variable(environment, "LB_DISCOVERY")));
     }
 
     /** What may change while a gateway runs: discovery's address, which the file has and not the environment. */
@@ -46,7 +46,7 @@
         if (!address.isText()) {
             throw new IllegalArgumentException("the configuration lacks discovery");
         }
-        return Address.read(address.text());
+        return Address.resolve(address.text());
     }
 
     private static Json file(Map<String, String> environment) {
--- a/src/main/java/tinworks/platform/HostPoller.java
+++ b/src/main/java/tinworks/platform/HostPoller.java
@@ -14,8 +14,6 @@
 import java.net.InetSocketAddress;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
@@ -39,7 +37,6 @@
     private static final long PERIOD_MILLIS = 1_000;
     private static final long LONGEST_PAUSE_MILLIS = 4_000;
     private static final long TIMEOUT_MILLIS = 1_500;
-    private static final int MOST_PAGES = 1_000;
     private static final int LARGEST_PAGE = 4 << 20;
     /** Longer than a period: the one connection to the platform is kept. */
     private static final long IDLE_NANOS = TimeUnit.SECONDS.toNanos(20);
@@ -52,8 +49,8 @@
     private final SplittableRandom random;
     private InetSocketAddress address;
     private long moves = 1;
-    private List<Host> gathered = new ArrayList<>();
-    private int pages;
+    private HostListReader reader = new HostListReader();
+    private int leftOut;
     private int failures;
     private boolean on;
     private long run;
@@ -107,8 +104,7 @@
 
     private void begin(long itsRun) {
         if (on && itsRun == run) {
-            gathered = new ArrayList<>();
-            pages = 0;
+            reader = new HostListReader();
             fetch(itsRun, "");
         }
     }
@@ -139,19 +135,21 @@
                     answer == null ? outcome.toString() : answer.head().status().toString());
             return;
         }
+        List<Host> hosts;
         try {
-            String next = page(Json.read(answer.body().toString(StandardCharsets.UTF_8)));
-            if (!next.isEmpty() && ++pages < MOST_PAGES) {
+            String next = reader.page(Json.read(answer.body().toString(StandardCharsets.UTF_8)));
+            if (!next.isEmpty()) {
                 fetch(itsRun, next);
                 return;
             }
+            hosts = reader.hosts();
         } catch (IOException | IllegalArgumentException e) {
             failed(itsRun, "can't be read: " + e.getMessage());
             return;
         }
         failures = 0;
-        gathered.sort(Comparator.comparing(Host::id));
-        listener.accept(gathered);
+        tellLeftOut();
+        listener.accept(hosts);
         long passed = TimeUnit.NANOSECONDS.toMillis(clock.nanos() - started);
         loop.schedule(() -> begin(itsRun), Math.max(1, PERIOD_MILLIS - passed), TimeUnit.MILLISECONDS);
     }
@@ -166,22 +164,13 @@
         loop.schedule(() -> begin(itsRun), pause / 2 + random.nextLong(pause), TimeUnit.MILLISECONDS);
     }
 
-    /** Takes in one page and returns where the next is, empty where there is none. */
-    private String page(Json page) {
-        if (!page.field("hosts").isArray()) {
-            throw new IllegalArgumentException("no hosts in it");
+    /** A line where another number of entries can't be read than before: the list comes every second. */
+    private void tellLeftOut() {
+        if (reader.leftOut() != leftOut) {
+            leftOut = reader.leftOut();
+            log.accept("the platform's list: left out " + leftOut + " entries that can't be read"
+                    + (leftOut == 0 ? "" : ", the last for " + reader.why()));
         }
-        for (Json entry : page.field("hosts").entries()) {
-            gathered.add(new Host(
-                    entry.required("id").text(),
-                    entry.required("svc").text(),
-                    entry.required("addr").text(),
-                    entry.field("az").text(),
-                    entry.field("slots").number(1).intValue(),
-                    !entry.field("status").text().equals("ready"),
-                    entry.field("warmupMs").number(0).longValue()));
-        }
-        return page.field("nextCursor").text();
     }
 
     private static final class ListDialect implements HostPool.Dialect {
