Fail the request of a faulty decision at once, and go on with the steps after a fault in one

Symptom: a fault in the decision on an answer left its client without an answer until a second after the request's time; one in a step of the shares was the last step. Cause: only the decision on an arrival failed its request; the next step's timer was set at a step's end. Change: the request that the event is about, or that was last acted on, is failed; timers are set whatever comes.

--- a/src/main/java/tinworks/net/Forwarding.java
+++ b/src/main/java/tinworks/net/Forwarding.java
@@ -67,6 +67,9 @@
     private final Tally tally = new Tally();
     private long last = Long.MIN_VALUE;
     private boolean deciding;
+    /** The request that the module last acted on in the decision under way, or null. */
+    private String acting;
+
     private boolean closed;
 
     private record Stamped(long at, Event event) {}
@@ -165,22 +168,37 @@
         }
     }
 
-    /** Guards against one request's fault ending the process. */
+    /** Guards against one request's fault ending the process, or leaving its client to wait. */
     private void decide(Event event) {
+        acting = null;
         try {
             choice.on(last, event);
         } catch (RuntimeException e) {
             StackTraceElement[] trace = e.getStackTrace();
             Invariant.NO_FAULT.violated("the decision on " + event.getClass().getSimpleName() + ": " + e + " at "
                     + (trace.length == 0 ? "an unknown place" : trace[0]));
-            if (event instanceof RequestArrived arrived && open.containsKey(arrived.id())) {
-                fail(arrived.id(), Reason.FAULT);
+            String faulty = acting;
+            if (event instanceof RequestArrived arrived) {
+                failFaulty(arrived.id());
+            } else if (event instanceof AttemptEnded ended) {
+                failFaulty(ended.id());
             }
+            failFaulty(faulty);
+        }
+    }
+
+    /** Fails a request whose decision broke off, and has the module let go of it. */
+    private void failFaulty(String id) {
+        OpenRequest r = open.get(id);
+        if (r != null && !r.reply.isDone()) {
+            fail(id, Reason.FAULT);
+            tell(new ClientLeft(id));
         }
     }
 
     @Override
     public void send(String request, String server, long timeoutNanos) {
+        acting = request;
         open.get(request).send(server, timeoutNanos);
     }
 
@@ -191,6 +209,7 @@
 
     @Override
     public void refuse(String request, long pauseNanos, Reason reason) {
+        acting = request;
         OpenRequest r = open.get(request);
         if (r != null) {
             tally.refused(reason);
@@ -208,6 +227,7 @@
 
     @Override
     public void fail(String request, Reason reason) {
+        acting = request;
         OpenRequest r = open.get(request);
         if (r != null) {
             tally.failed(reason);
@@ -222,6 +242,7 @@
 
     @Override
     public void cancel(String request, int attempt) {
+        acting = request;
         OpenRequest r = open.get(request);
         if (r != null) {
             r.attempts.get(attempt).cancel();
--- a/src/main/java/tinworks/policy/Choice.java
+++ b/src/main/java/tinworks/policy/Choice.java
@@ -297,11 +297,16 @@
 
     private void timer(long token) {
         if (token == STEP_TOKEN) {
+            // Before the step: a fault in one must not be the last.
+            actions.setTimer(TICK_NANOS, STEP_TOKEN);
             step();
         } else if (token == SWEEP_TOKEN) {
             sweepAt = now >= sweepAt ? Long.MAX_VALUE : sweepAt;
-            sweep();
-            sweepLater();
+            try {
+                sweep();
+            } finally {
+                sweepLater();
+            }
         } else if (token == ASK_TOKEN) {
             actions.subscribe();
         }
@@ -1018,7 +1023,6 @@
         answers = 0;
         refusals = 0;
         tickStart = now;
-        actions.setTimer(TICK_NANOS, STEP_TOKEN);
     }
 
     /**
