Bound the memory that heads of all requests take, and spare who still reads an answer

Causes: heads were bounded one by one, not together, and a header of 5 bytes takes 140; the longest idle connection was one whose answer was still being read. Loss: a head of thousands of lines is refused where several come at once.

--- a/src/main/java/tinworks/edge/EdgeMetrics.java
+++ b/src/main/java/tinworks/edge/EdgeMetrics.java
@@ -112,6 +112,8 @@
         String help = "Bytes of bodies that are held";
         page.gauge("body_bytes", help, (double) memory.shortRequests().taken(), "of", "short_requests")
                 .gauge("body_bytes", help, (double) memory.longRequests().taken(), "of", "long_requests")
-                .gauge("body_bytes", help, (double) memory.answers().taken(), "of", "long_answers");
+                .gauge("body_bytes", help, (double) memory.answers().taken(), "of", "long_answers")
+                .gauge("head_bytes", "Memory that heads of requests take", (double)
+                        memory.heads().taken());
     }
 }
--- a/src/main/java/tinworks/edge/EdgeNode.java
+++ b/src/main/java/tinworks/edge/EdgeNode.java
@@ -126,7 +126,8 @@
                 memory.answers(),
                 style);
         requests = new Requests(clock, random, style, services);
-        clients = new ClientServer(loop, Transport.TCP, clock, clientBounds(Limits.USUAL), memory.requests(), requests);
+        clients = new ClientServer(
+                loop, Transport.TCP, clock, clientBounds(Limits.USUAL), memory.requests(), memory.heads(), requests);
         clients.pressedWhile(memory.answers()::isAwaited);
         probes = new ClientServer(
                 loop,
--- a/src/main/java/tinworks/net/ClientServer.java
+++ b/src/main/java/tinworks/net/ClientServer.java
@@ -18,13 +18,10 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
@@ -43,6 +40,7 @@
 import java.util.function.BooleanSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import tinworks.invariant.Invariant;
 import tinworks.logging.Fatal;
 import tinworks.net.ClientTally.ConnectionEnd;
 
@@ -94,7 +92,6 @@
     private static final long FAULT_LINE_NANOS = TimeUnit.SECONDS.toNanos(1);
     private static final int BACKLOG = 512;
     private static final int MOST_PIPELINED = 16;
-    private static final int LONGEST_LINE = 4_096;
     private static final long SWEEP_MILLIS = 200;
     /** Who connects to ask does so within this time. */
     private static final long YOUNG_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
@@ -122,6 +119,7 @@
     private final Future<?> sweeper;
     private final ClientTally tally = new ClientTally();
     private final BodyBudget bodies;
+    private final ByteBudget heads;
     private Bounds bounds;
     private Channel acceptor;
     private BooleanSupplier pressed = () -> false;
@@ -131,7 +129,7 @@
 
     /** A server that doesn't listen yet, with room for all bodies. */
     public ClientServer(EventLoop loop, Transport transport, GatewayClock clock, Bounds bounds, Listener listener) {
-        this(loop, transport, clock, bounds, BodyBudget.whole(new ByteBudget(Long.MAX_VALUE)), listener);
+        this(loop, transport, clock, bounds, new ByteBudget(Long.MAX_VALUE), listener);
     }
 
     /** One whose bodies come out of one budget, those of unknown length with the largest. */
@@ -142,12 +140,12 @@
             Bounds bounds,
             ByteBudget bodies,
             Listener listener) {
-        this(loop, transport, clock, bounds, BodyBudget.whole(bodies), listener);
+        this(loop, transport, clock, bounds, BodyBudget.whole(bodies), new ByteBudget(Long.MAX_VALUE), listener);
     }
 
     /**
-     * A server that doesn't listen yet. Bodies come out of a budget, from a request's head until its listener has done
-     * with it; whoever finds no room gets a 503 that says when to come back.
+     * A server that doesn't listen yet. Heads and bodies come out of budgets, until the listener has done with their
+     * request; whoever finds no room gets a 503 that says when to come back.
      */
     public ClientServer(
             EventLoop loop,
@@ -155,8 +153,10 @@
             GatewayClock clock,
             Bounds bounds,
             BodyBudget bodies,
+            ByteBudget heads,
             Listener listener) {
         this.bodies = bodies;
+        this.heads = heads;
         this.loop = loop;
         this.transport = transport;
         this.clock = clock;
@@ -194,6 +194,11 @@
         return (InetSocketAddress) acceptor.localAddress();
     }
 
+    /** Whether it takes clients in. */
+    public boolean listens() {
+        return acceptor != null && acceptor.isActive();
+    }
+
     /** From now on these hold; the longest head and body for connections that come from now on. */
     public void rebound(Bounds changed) {
         bounds = changed;
@@ -217,7 +222,9 @@
     /** Closes all connections without a word, and is of no further use. */
     public void close() {
         sweeper.cancel(false);
-        acceptor.close();
+        if (listens()) {
+            acceptor.close();
+        }
         List.copyOf(connections).forEach(connection -> connection.drop(ConnectionEnd.SHUTDOWN));
     }
 
@@ -251,7 +258,7 @@
         }
         boolean room = connections.size() <= bounds.connections();
         acceptor.config().setAutoRead(room);
-        if (!room && !due.isEmpty() && !rechecking) {
+        if (!room && !rechecking) {
             rechecking = true;
             loop.schedule(
                     () -> {
@@ -263,16 +270,42 @@
         }
     }
 
-    /** One that is to be closed anyway, or has long been due; the longest idle only where no other is. */
+    /**
+     * One that is to be closed anyway, or has long been due; the longest idle only where no other is. One whose client
+     * is still reading an answer is spared no sooner than its client stops.
+     */
     private Connection leastUseful() {
-        if (!lingering.isEmpty()) {
-            return lingering.iterator().next();
+        Connection closing = firstRead(lingering);
+        if (closing != null) {
+            return closing;
         }
         if (!due.isEmpty()) {
             Connection longest = due.iterator().next();
             return clock.nanos() - longest.dueSince >= YOUNG_NANOS ? longest : null;
         }
-        return idle.isEmpty() ? null : idle.iterator().next();
+        Connection rests = firstRead(idle);
+        return rests != null ? rests : nonReader();
+    }
+
+    /** The first whose client has taken its answers, or null. */
+    private Connection firstRead(Set<Connection> among) {
+        for (Connection connection : among) {
+            if (!unread.contains(connection)) {
+                return connection;
+            }
+        }
+        return null;
+    }
+
+    /** One that has no request open, and whose client has taken nothing of its answer for long. */
+    private Connection nonReader() {
+        long before = clock.nanos() - LONG_IDLE_NANOS;
+        for (Connection connection : unread) {
+            if (connection.isFree() && connection.takesNothingSince() <= before) {
+                return connection;
+            }
+        }
+        return null;
     }
 
     /**
@@ -343,7 +376,8 @@
         private Runnable left = () -> {};
         private Runnable written = () -> {};
         private FullHttpRequest kept;
-        private Reservation taken = Reservation.NONE;
+        private Reservation head = Reservation.NONE;
+        private Reservation body = Reservation.NONE;
         private long heldUpNanos;
         private boolean done;
 
@@ -354,7 +388,8 @@
         }
 
         private void answers(Arrived arrived) {
-            taken = arrived.taken;
+            head = arrived.head;
+            body = arrived.body;
             heldUpNanos = arrived.heldUp;
         }
 
@@ -380,8 +415,10 @@
 
         /** Lets a body go that was kept. */
         public void dropBody() {
-            taken.release();
-            taken = Reservation.NONE;
+            head.release();
+            head = Reservation.NONE;
+            body.release();
+            body = Reservation.NONE;
             if (kept != null) {
                 kept.release();
                 kept = null;
@@ -446,40 +483,17 @@
      * A request, or what came in place of one, when its last byte was read, and how long that may have lain here
      * before.
      */
-    private record Arrived(FullHttpRequest request, long at, long heldUp, Reservation taken) {}
-
-    private static final class Decoder extends HttpRequestDecoder {
-        /** A part of a head has been read, and its end has not. */
-        private boolean amidstHead;
-
-        Decoder(int headBytes) {
-            super(new HttpDecoderConfig()
-                    .setMaxHeaderSize(headBytes)
-                    .setMaxInitialLineLength(Math.max(LONGEST_LINE, headBytes / 2)));
-        }
-
-        @Override
-        protected HttpMessage createMessage(String[] firstLine) throws Exception {
-            amidstHead = true;
-            return super.createMessage(firstLine);
-        }
-
-        @Override
-        protected void decode(ChannelHandlerContext ctx, ByteBuf bytes, List<Object> out) throws Exception {
-            int before = out.size();
-            super.decode(ctx, bytes, out);
-            amidstHead &= out.size() == before;
-        }
-
-        /** Whether a part of a head has come, and its end has not. */
-        boolean holdsBytes() {
-            return actualReadableBytes() > 0 || amidstHead;
+    private record Arrived(FullHttpRequest request, long at, long heldUp, Reservation head, Reservation body) {
+        void giveUp() {
+            head.release();
+            body.release();
+            request.release();
         }
     }
 
     private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> {
         private final Channel channel;
-        private final Decoder decoder = new Decoder(bounds.headBytes());
+        private final RequestDecoder decoder = new RequestDecoder(bounds.headBytes(), heads);
         private final RequestAssembler assembler = new RequestAssembler(this::isFree, bounds.bodyBytes(), bodies);
         /** Requests that came before the one ahead had its answer. */
         private final ArrayDeque<Arrived> pipelined = new ArrayDeque<>();
@@ -529,25 +543,27 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+            Arrived arrived =
+                    new Arrived(request, clock.nanos(), heldUpNanos(), decoder.handOver(), assembler.handOver());
             if (deaf) {
-                request.release();
+                arrived.giveUp();
                 return;
             }
             begun = false;
+            // Of one that there is no room for the rest is read past: its client sends all of it before it looks for an
+            // answer, or leaves, which is to be noticed.
+            boolean readsPast = request.decoderResult().cause() instanceof RequestAssembler.NoRoom;
             if (!request.decoderResult().isSuccess()) {
-                // Guards against spending time on the rest of what can't be read. Of one that there is no room for the
-                // rest is
-                // read past: its client sends a whole body before it looks for an answer.
+                // Guards against spending time on the rest of what can't be read.
                 deaf = true;
-                channel.config().setAutoRead(request.decoderResult().cause() instanceof RequestAssembler.NoRoom);
+                channel.config().setAutoRead(readsPast);
             }
-            Arrived arrived = new Arrived(request, clock.nanos(), heldUpNanos(), assembler.handOver());
             if (isFree() && channel.isWritable()) {
                 take(arrived);
             } else {
                 pipelined.add(arrived);
                 // Guards against piling up what one client sends ahead, without breaking off what is open.
-                channel.config().setAutoRead(!deaf && pipelined.size() < MOST_PIPELINED);
+                channel.config().setAutoRead(readsPast || (!deaf && pipelined.size() < MOST_PIPELINED));
             }
         }
 
@@ -616,6 +632,10 @@
             } catch (BadRequest e) {
                 tally.rejected(e.status);
                 reply.plain(e.status, e.getMessage(), 0);
+            } catch (RuntimeException e) {
+                // Guards against a fault of the program leaving its request without an answer.
+                Invariant.NO_FAULT.violated("a request for " + request.uri() + ": " + e);
+                reply.plain(HttpResponseStatus.INTERNAL_SERVER_ERROR, "a fault of the gateway", 0);
             } finally {
                 if (reply.kept == null) {
                     reply.dropBody();
@@ -628,7 +648,8 @@
         private void reject(Throwable cause, Reply reply) {
             if (cause instanceof RequestAssembler.NoRoom) {
                 tally.rejected(HttpResponseStatus.SERVICE_UNAVAILABLE);
-                reply.plain(HttpResponseStatus.SERVICE_UNAVAILABLE, "no room for the body at present", NO_ROOM_NANOS);
+                reply.plain(
+                        HttpResponseStatus.SERVICE_UNAVAILABLE, "no room for the request at present", NO_ROOM_NANOS);
                 return;
             }
             boolean tooLong = cause instanceof TooLongHttpContentException;
@@ -778,10 +799,8 @@
             tally.ended(end);
             forget();
             assembler.giveUp();
-            pipelined.forEach(arrived -> {
-                arrived.taken.release();
-                arrived.request.release();
-            });
+            decoder.handOver().release();
+            pipelined.forEach(Arrived::giveUp);
             pipelined.clear();
             bound();
             Reply unanswered = open;
--- a/src/test/java/tinworks/net/BodiesTest.java
+++ b/src/test/java/tinworks/net/BodiesTest.java
@@ -24,10 +24,12 @@
 @Timeout(value = 60, unit = TimeUnit.SECONDS)
 class BodiesTest {
     private static final int LONGEST = 1 << 20;
+    private static final int HEADS = 400_000;
 
     private final ClosingEventLoopGroup group = new ClosingEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private final ByteBudget bodies = new ByteBudget(2 * LONGEST);
+    private final ByteBudget heads = new ByteBudget(HEADS);
     private ClientServer server;
 
     /**
@@ -67,6 +69,7 @@
                         new GatewayClock(),
                         new ClientServer.Bounds(50, TimeUnit.SECONDS.toNanos(20), 0, 8_192, LONGEST, "/ready"),
                         budget,
+                        heads,
                         listener));
         NodeProcess.call(loop, () -> server.listen(new InetSocketAddress("127.0.0.1", 0)))
                 .syncUninterruptibly();
@@ -254,4 +257,78 @@
         }
         assertEquals(requests, taken.get());
     }
+
+    /** A head of many short lines, without its end. */
+    private static String longHead(String path) {
+        return "GET " + path + " HTTP/1.1\r\nHost: x\r\n" + "a:b\r\n".repeat(1_500);
+    }
+
+    private Socket send(String text) throws IOException {
+        Socket socket = new Socket();
+        socket.connect(server.address(), 2_000);
+        socket.setSoTimeout(10_000);
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+        return socket;
+    }
+
+    private void awaitHeads(boolean taken) throws InterruptedException {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
+        while (NodeProcess.call(loop, () -> heads.taken() > 0) != taken) {
+            assertTrue(System.nanoTime() < until, "taken: " + heads.taken());
+            TimeUnit.MILLISECONDS.sleep(5);
+        }
+    }
+
+    /** Whether its head comes whole, in parts, or never. */
+    @Test
+    void aHeadThatThereIsNoRoomForIsToldToComeBackAndTheRoomIsHadAgain() throws Exception {
+        start(bodies);
+        try (Socket unfinished = send(longHead("/a"))) {
+            awaitHeads(true);
+            try (Socket whole = send(longHead("/a") + "\r\n");
+                    Socket never = send(longHead("/a"));
+                    Socket usual = send("GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")) {
+                for (Socket refused : List.of(whole, never)) {
+                    String told = answer(refused);
+                    assertTrue(told.startsWith("HTTP/1.1 503 "), told);
+                    assertTrue(told.toLowerCase(java.util.Locale.ROOT).contains("retry-after: 0.2"), told);
+                }
+                assertTrue(answer(usual).endsWith("took 0\n"), "there is room for a usual one");
+            }
+            unfinished.getOutputStream().write("Connection: close\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            assertTrue(answer(unfinished).endsWith("took 0\n"));
+        }
+        awaitHeads(false);
+    }
+
+    /** A request that is sent ahead holds its room until its turn; a client that leaves gives all of it back. */
+    @Test
+    void headsThatWaitForTheirTurnHoldTheirRoom() throws Exception {
+        start(BodyBudget.whole(bodies), new ClientServer.Listener() {
+            @Override
+            public boolean ready() {
+                return true;
+            }
+
+            @Override
+            public void requested(FullHttpRequest request, long arrivedAt, ClientServer.Reply reply) {
+                reply.keepBody(request);
+                reply.onLeft(reply::dropBody);
+            }
+        });
+        String small = "GET /a HTTP/1.1\r\nHost: x\r\n" + "a:b\r\n".repeat(600) + "\r\n";
+        try (Socket ahead = send(small + small);
+                Socket third = send(small + small)) {
+            assertTrue(ahead.isConnected());
+            awaitHeads(true);
+            third.setSoTimeout(2_000);
+            long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
+            while (NodeProcess.call(loop, heads::taken) < 3 * 600 * RequestDecoder.BYTES_PER_LINE) {
+                assertTrue(System.nanoTime() < until, "taken: " + heads.taken());
+                TimeUnit.MILLISECONDS.sleep(5);
+            }
+            assertTrue(NodeProcess.call(loop, heads::taken) <= HEADS);
+        }
+        awaitHeads(false);
+    }
 }
