Bound what peers at the inner port may hold before they have said who they are

Symptom, by reading: four strangers that each begin a frame of 16 MiB fill a core machine's memory. Cause: frames of any peer were taken at the length of the longest that core machines exchange, for as long as a byte came now and then, on any number of connections. Measured: StrayPeersTest, by tests of its own alone; the bounds didn't exist before.

--- a/src/main/java/tinworks/channel/TcpConversation.java
+++ b/src/main/java/tinworks/channel/TcpConversation.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import tinworks.channel.Signal.Hello;
+import tinworks.channel.Signal.Part;
 import tinworks.channel.Signal.Ping;
 import tinworks.logging.Fatal;
 
@@ -26,12 +27,17 @@
      * heap.
      */
     static final int MOST_WAITING = 4 << 20;
+    /** A Hello has three texts of 4,096 bytes at most. */
+    static final int LONGEST_HELLO = 16 << 10;
+    /** What edges say is short: only core machines send entries, snapshots and calls of operators to each other. */
+    static final int LONGEST_OF_EDGE = 64 << 10;
 
     private final Hello own;
     private final boolean dialled;
     private final Listener listener;
     private Channel channel;
     private Hello peer;
+    private long openedAt;
     private long heardAt;
     private long saidAt;
     private boolean closed;
@@ -90,7 +96,8 @@
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
         channel = ctx.channel();
-        heardAt = SteadyClock.millis();
+        openedAt = SteadyClock.millis();
+        heardAt = openedAt;
         send(own);
         channel.eventLoop().schedule(this::watch, PING_MILLIS, TimeUnit.MILLISECONDS);
     }
@@ -104,6 +111,10 @@
             close("silent for " + (now - heardAt) + " ms");
             return;
         }
+        if (peer == null && now - openedAt > SILENCE_MILLIS) {
+            close("no Hello");
+            return;
+        }
         if (now - saidAt >= PING_MILLIS) {
             send(new Ping());
         }
@@ -115,7 +126,7 @@
         heardAt = SteadyClock.millis();
         while (in.readableBytes() >= Integer.BYTES && channel.isActive()) {
             int length = in.getInt(in.readerIndex());
-            if (length <= 0 || length > SignalCodec.LONGEST) {
+            if (length <= 0 || length > longest()) {
                 in.skipBytes(in.readableBytes());
                 close("a frame of " + length + " bytes");
                 return;
@@ -130,6 +141,14 @@
         }
     }
 
+    /** Guards against a memory full of frames that aren't whole yet, of peers who need none as long. */
+    private int longest() {
+        if (peer == null) {
+            return LONGEST_HELLO;
+        }
+        return peer.part() == Part.EDGE ? LONGEST_OF_EDGE : SignalCodec.LONGEST;
+    }
+
     private void take(ByteBuffer bytes) {
         try {
             Signal signal = SignalCodec.read(bytes);
--- a/src/main/java/tinworks/channel/TcpLinks.java
+++ b/src/main/java/tinworks/channel/TcpLinks.java
@@ -38,6 +38,7 @@
     private final SplittableRandom random;
     private final Map<String, Link> links = new HashMap<>();
     private Channel acceptor;
+    private int accepted;
     private boolean closed;
 
     /** Nothing is dialled yet. */
@@ -48,8 +49,11 @@
         random = new SplittableRandom(own.id());
     }
 
-    /** Takes connections at an address; the future fails where it can't be had. */
-    public ChannelFuture listen(InetSocketAddress address) {
+    /**
+     * Takes connections at an address, so many at a time at most; the future fails where the address can't be had.
+     * Whoever comes beyond that is closed, and dials again.
+     */
+    public ChannelFuture listen(InetSocketAddress address, int mostAccepted) {
         ChannelFuture bound = new ServerBootstrap()
                 .group(loop)
                 .channel(NioServerSocketChannel.class)
@@ -58,6 +62,12 @@
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
+                        if (accepted >= mostAccepted) {
+                            channel.close();
+                            return;
+                        }
+                        accepted++;
+                        channel.closeFuture().addListener(done -> accepted--);
                         channel.pipeline().addLast(new TcpConversation(own, false, listener));
                     }
                 })
--- a/src/main/java/tinworks/control/CoreNode.java
+++ b/src/main/java/tinworks/control/CoreNode.java
@@ -23,6 +23,8 @@
 public final class CoreNode implements CoreMachine.Environment {
     private static final Logger LOG = LoggerFactory.getLogger(CoreNode.class);
 
+    private static final int OTHER_DESCRIPTORS = 512;
+
     private final EventLoop loop;
     private final BootSettings settings;
     private final DiskThread disk;
@@ -57,11 +59,17 @@
 
     /** Starts to listen and to dial; on the event loop. */
     public List<ChannelFuture> start() {
-        List<ChannelFuture> bound = List.of(links.listen(settings.inner()), operator.listen(settings.ctl()));
+        List<ChannelFuture> bound =
+                List.of(links.listen(settings.inner(), mostLinks()), operator.listen(settings.ctl()));
         tick();
         return bound;
     }
 
+    /** All descriptors but some for operators, the platform and the dialled links. */
+    private int mostLinks() {
+        return settings.descriptors() - Math.min(OTHER_DESCRIPTORS, settings.descriptors() / 2);
+    }
+
     private void tick() {
         loop.schedule(this::tick, CoreMachine.TICK_MILLIS, TimeUnit.MILLISECONDS);
         long late = stalls.came(millis());
--- /dev/null
+++ b/src/test/java/tinworks/channel/StrayPeersTest.java
@@ -0,0 +1,165 @@
+package tinworks.channel;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import tinworks.channel.Signal.Hello;
+import tinworks.channel.Signal.Part;
+import tinworks.net.ClosingEventLoopGroup;
+import tinworks.node.NodeProcess;
+
+/**
+ * Peers at the inner port that aren't ours, or speak at greater length than ours do. Each connection could hold up to
+ * 16 MiB of a frame that was not whole yet, for as long as a byte came every two seconds, and there was no bound on
+ * their number: four of them fill a core machine's memory outside the heap.
+ */
+@Timeout(value = 60, unit = TimeUnit.SECONDS)
+class StrayPeersTest {
+    private static final int MOST = 4;
+    private static final int SOON_MILLIS = 2_000;
+    /** A second more than the silence after which a link is given up. */
+    private static final int GIVEN_UP_MILLIS = 5_000;
+
+    private final ClosingEventLoopGroup group = new ClosingEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final CountDownLatch greeted = new CountDownLatch(1);
+    private final Conversation.Listener listener = new Conversation.Listener() {
+        @Override
+        public void opened(Conversation conversation) {
+            greeted.countDown();
+        }
+
+        @Override
+        public void received(Conversation from, Signal signal) {
+            // Nothing is asked.
+        }
+
+        @Override
+        public void closed(Conversation conversation) {
+            // Nothing is kept.
+        }
+
+        @Override
+        public void log(String line) {
+            // It is told to nobody.
+        }
+    };
+    private final TcpLinks links = NodeProcess.call(
+            loop, () -> new TcpLinks(loop, new Hello(Part.CORE, 1, "127.0.0.1:1", "c", "z"), listener));
+    private final List<Socket> sockets = new ArrayList<>();
+    private InetSocketAddress address;
+
+    @BeforeEach
+    void listen() {
+        address = (InetSocketAddress) NodeProcess.call(
+                        loop, () -> links.listen(new InetSocketAddress("127.0.0.1", 0), MOST))
+                .syncUninterruptibly()
+                .channel()
+                .localAddress();
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+        NodeProcess.run(loop, links::close);
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly(5_000);
+    }
+
+    private Socket connect() throws IOException {
+        Socket socket = new Socket();
+        sockets.add(socket);
+        socket.connect(address, SOON_MILLIS);
+        return socket;
+    }
+
+    private static void announce(Socket socket, int frameBytes) throws IOException {
+        new DataOutputStream(socket.getOutputStream()).writeInt(frameBytes);
+    }
+
+    private static void greet(Socket socket, Part part) throws IOException {
+        ByteBuffer hello = SignalCodec.write(new Hello(part, 2, "", "peer", "z"));
+        byte[] bytes = new byte[hello.remaining()];
+        hello.get(bytes);
+        announce(socket, bytes.length);
+        socket.getOutputStream().write(bytes);
+    }
+
+    /** Whether the far side closes the connection within this time. */
+    private static boolean isClosed(Socket socket, int millis) throws IOException {
+        socket.setSoTimeout(millis);
+        try {
+            while (socket.getInputStream().read() >= 0) {
+                // What it says first.
+            }
+            return true;
+        } catch (java.net.SocketTimeoutException e) {
+            return false;
+        } catch (IOException e) {
+            return true;
+        }
+    }
+
+    @Test
+    void aLongFrameBeforeTheHelloIsNotAwaited() throws IOException {
+        Socket stray = connect();
+        announce(stray, 15 << 20);
+        assertTrue(isClosed(stray, SOON_MILLIS));
+    }
+
+    @Test
+    void aLongFrameOfAnEdgeIsNotAwaitedAndOneOfACoreMachineIs() throws Exception {
+        Socket edge = connect();
+        greet(edge, Part.EDGE);
+        announce(edge, 15 << 20);
+        assertTrue(isClosed(edge, SOON_MILLIS));
+        Socket core = connect();
+        greet(core, Part.CORE);
+        assertTrue(greeted.await(SOON_MILLIS, TimeUnit.MILLISECONDS));
+        announce(core, 15 << 20);
+        assertEquals(false, isClosed(core, 500));
+    }
+
+    @Test
+    void whoDripsAndSaysNoHelloIsClosed() throws Exception {
+        Socket drip = connect();
+        Thread dripping = new Thread(() -> {
+            try {
+                announce(drip, 10_000);
+                while (true) {
+                    drip.getOutputStream().write(1);
+                    TimeUnit.MILLISECONDS.sleep(300);
+                }
+            } catch (IOException | InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        dripping.setDaemon(true);
+        dripping.start();
+        assertTrue(isClosed(drip, GIVEN_UP_MILLIS));
+    }
+
+    @Test
+    void moreThanSoManyAreNotTaken() throws IOException {
+        for (int i = 0; i < MOST; i++) {
+            connect();
+        }
+        assertTrue(isClosed(connect(), SOON_MILLIS));
+    }
+}
