Take SIGHUP and SIGTERM from the first moment of a start

Cause: the handlers were set once the process listened; SIGHUP's own effect on a Java process is its end, and a SIGTERM in between cut its first requests off. Change: SIGHUP is taken before all else, and both roles know how to end before they listen.

--- a/src/main/java/tinworks/control/Core.java
+++ b/src/main/java/tinworks/control/Core.java
@@ -46,10 +46,10 @@
             long id = identity(store, settings);
             Stored stored = store.load();
             CoreNode node = process.call(() -> new CoreNode(process.loop(), settings, store, id, stored));
-            List<ChannelFuture> bound = process.call(node::start);
-            process.awaitBound(bound);
             process.onChange(node::changed);
             process.onEnd(() -> end(process, node));
+            List<ChannelFuture> bound = process.call(node::start);
+            process.awaitBound(bound);
         } catch (IOException | CoreStore.Damaged e) {
             throw new IllegalArgumentException("datadir " + settings.dataDir() + ": " + e.getMessage(), e);
         }
--- a/src/main/java/tinworks/edge/Edge.java
+++ b/src/main/java/tinworks/edge/Edge.java
@@ -32,10 +32,10 @@
                         ^ settings.node().hashCode())
                 .nextLong();
         EdgeNode node = process.call(() -> new EdgeNode(process.loop(), process.clock(), settings, id));
-        List<ChannelFuture> bound = process.call(node::start);
-        process.awaitBound(bound);
         process.onChange(node::changed);
         process.onEnd(() -> end(process, node, SteadyClock.millis(), settings.graceMillis() - KILL_MARGIN_MILLIS));
+        List<ChannelFuture> bound = process.call(node::start);
+        process.awaitBound(bound);
     }
 
     private static void end(NodeProcess process, EdgeNode node, long signalledAtMillis, long longestMillis)
--- a/src/main/java/tinworks/edge/EdgeNode.java
+++ b/src/main/java/tinworks/edge/EdgeNode.java
@@ -162,6 +162,9 @@
 
     /** Starts to listen and to dial; on the event loop. */
     public List<ChannelFuture> start() {
+        if (ending) {
+            return List.of();
+        }
         links.want(current.seeds());
         tick();
         if (settings.bootstrap()) {
@@ -194,7 +197,10 @@
      *     where the event loop was at other work
      */
     public CompletableFuture<Void> end(long signalledAtMillis) {
-        if (!ending) {
+        if (!ending && !clients.listens()) {
+            ending = true;
+            ended.complete(null);
+        } else if (!ending) {
             ending = true;
             long within = settings.graceMillis() - END_MARGIN_MILLIS;
             endsAtMillis = signalledAtMillis + within;
--- a/src/main/java/tinworks/node/NodeProcess.java
+++ b/src/main/java/tinworks/node/NodeProcess.java
@@ -55,12 +55,14 @@
 
     /** A process with the settings that the environment names; bad ones are an {@link IllegalArgumentException}. */
     public static NodeProcess start(Map<String, String> environment) {
+        HangUp.install();
         Fatal.install();
         // Guards against a search for logging libraries that aren't there, which costs a start as much as a list.
         InternalLoggerFactory.setDefaultFactory(Slf4JLoggerFactory.INSTANCE);
         String text = BootSettings.text(environment);
         BootSettings settings = BootSettings.read(environment, text);
         JsonLog.install(settings.node(), level(environment.getOrDefault(LEVEL, "INFO")));
+        LOG.info("starts");
         return new NodeProcess(environment, text, settings);
     }
 
@@ -128,7 +130,7 @@
 
     /** Tells of changed settings, on the event loop: after SIGHUP, and when the file has changed without a signal. */
     public void onChange(Consumer<BootSettings> changed) {
-        sun.misc.Signal.handle(new sun.misc.Signal("HUP"), signal -> loop.execute(() -> reload(changed)));
+        HangUp.then(() -> loop.execute(() -> reload(changed)));
         loop.scheduleWithFixedDelay(() -> reload(changed), WATCH_MILLIS, WATCH_MILLIS, TimeUnit.MILLISECONDS);
     }
 
@@ -146,23 +148,29 @@
         }
     }
 
-    /** What SIGTERM does. */
+    /**
+     * What SIGTERM does. To be called before the process takes anybody in, so that none is cut off by a signal that
+     * comes as it starts.
+     */
     public void onEnd(Ending ending) {
-        Runtime.getRuntime()
-                .addShutdownHook(new Thread(
-                        () -> {
-                            LOG.info("asked to end");
-                            try {
-                                ending.end();
-                                group.shutdownGracefully(0, LOOP_END_MILLIS, TimeUnit.MILLISECONDS)
-                                        .await(LOOP_END_MILLIS);
-                            } catch (InterruptedException e) {
-                                Thread.currentThread().interrupt();
-                            } catch (CompletionException e) {
-                                LOG.error("did not end in order", e);
-                            }
-                            JsonLog.flush(LAST_LINES_MILLIS);
-                        },
-                        "end"));
+        try {
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> end(ending), "end"));
+        } catch (IllegalStateException e) {
+            // It is ending already, and holds nothing yet.
+            LOG.info("asked to end as it started");
+        }
+    }
+
+    private void end(Ending ending) {
+        LOG.info("asked to end");
+        try {
+            ending.end();
+            group.shutdownGracefully(0, LOOP_END_MILLIS, TimeUnit.MILLISECONDS).await(LOOP_END_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (CompletionException e) {
+            LOG.error("did not end in order", e);
+        }
+        JsonLog.flush(LAST_LINES_MILLIS);
     }
 }
