Wait at a process's end for the line that tells of dropped lines too

Symptom: LogWriterTest failed at a load of 20, twice in three runs: a flush came back before the line that tells how many were dropped. Cause: flush looked at what waits and what is being written, and that line is made only once nothing waits. Change: flush looks at the count too.

--- a/src/main/java/tinworks/logging/LogWriter.java
+++ b/src/main/java/tinworks/logging/LogWriter.java
@@ -56,11 +56,11 @@
         notifyAll();
     }
 
-    /** Waits until all that was taken has been written, or for so long; whether it has. */
+    /** Waits until all that was taken has been written, and what was dropped told, or for so long; whether it has. */
     public synchronized boolean flush(long millis) {
         long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
         try {
-            while (writing || !waiting.isEmpty()) {
+            while (writing || !waiting.isEmpty() || droppedUntold > 0) {
                 long left = until - System.nanoTime();
                 if (left <= 0) {
                     return false;
