--- a/review/harness/Deployment.java
+++ b/review/harness/Deployment.java
@@ -30,15 +30,14 @@
     private static final String[] INHERITED = {"PATH", "HOME", "JAVA_HOME", "LANG"};
     static final int CORES = 3;
 
-    /** The end of a process; {@code asked} says whether this test had signalled it. */
-    record End(String node, int code, boolean asked, long atMillis) {}
+    /** The end of a process by itself: no case signals one before it closes the deployment. */
+    record End(String node, int code, long atMillis) {}
 
     private static final class Node {
         final String name;
         final String role;
         final String address;
         Process process;
-        boolean asked;
         long endedAt;
 
         Node(String name, String role, String address) {
@@ -65,6 +64,8 @@
     Deployment(Path recordFile, String platformAddress) throws IOException {
         record = new PrintWriter(Files.newBufferedWriter(recordFile), true);
         platform = platformAddress;
+        // Ends the processes even if this process is told to end early.
+        Runtime.getRuntime().addShutdownHook(new Thread(this::kill));
         Thread watch = new Thread(this::watch, "watch");
         watch.setDaemon(true);
         watch.start();
@@ -176,10 +177,11 @@
                 .redirectErrorStream(true)
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve(node.name + ".log").toFile()))
                 .redirectInput(ProcessBuilder.Redirect.from(new File("/dev/null")));
-        synchronized (node) {
-            node.asked = false;
-            node.endedAt = 0;
-            node.process = builder.start();
+        synchronized (nodes) {
+            if (!closed) {
+                node.endedAt = 0;
+                node.process = builder.start();
+            }
         }
     }
 
@@ -192,9 +194,9 @@
                     }
                     if (node.endedAt == 0) {
                         node.endedAt = System.nanoTime();
-                        ends.add(new End(node.name, node.process.exitValue(), node.asked, millis()));
+                        ends.add(new End(node.name, node.process.exitValue(), millis()));
                         note(node.name + " ended with code " + node.process.exitValue()
-                                + (node.asked ? ", as asked" : ", by itself") + "; last line of its log: "
+                                + ", by itself; last line of its log: "
                                 + lastLine(node.name));
                     } else if (System.nanoTime() - node.endedAt > TimeUnit.MILLISECONDS.toNanos(RESTART_MILLIS)
                             && !closed) {
@@ -215,10 +217,10 @@
         return List.copyOf(ends);
     }
 
-    /** How often a process ended without having been signalled. */
+    /** How often a process ended by itself. */
     long ownEnds(String node) {
         return ends().stream()
-                .filter(end -> end.node().equals(node) && !end.asked())
+                .filter(end -> end.node().equals(node))
                 .count();
     }
 
@@ -232,14 +234,6 @@
         return last;
     }
 
-    /** Sends a signal, such as TERM or HUP, to the process of a machine. */
-    void signal(String name, String signal) throws IOException, InterruptedException {
-        Node node = nodes.get(name);
-        node.asked = true;
-        new ProcessBuilder("kill", "-" + signal, Long.toString(node.process.pid())).start().waitFor();
-        note("SIG" + signal + " to " + name);
-    }
-
     /** Whether an edge answers the platform's readiness probe with 200. */
     boolean ready(int edge) {
         return Http.call(edgeAddress(edge), readyPort, "GET", "/-/readyz", "", new byte[0], 1_000).status() == 200;
@@ -259,17 +253,25 @@
         note("all edges are ready");
     }
 
-    @Override
-    public void close() throws IOException {
-        closed = true;
-        for (Node node : nodes.values()) {
-            if (node.process != null) {
-                node.process.destroyForcibly();
+    private void kill() {
+        synchronized (nodes) {
+            closed = true;
+            for (Node node : nodes.values()) {
+                if (node.process != null) {
+                    node.process.destroyForcibly();
+                }
             }
         }
+    }
+
+    @Override
+    public void close() throws IOException {
+        kill();
         for (Node node : nodes.values()) {
             try {
-                node.process.waitFor(5, TimeUnit.SECONDS);
+                if (node.process != null) {
+                    node.process.waitFor(5, TimeUnit.SECONDS);
+                }
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
--- a/review/harness/Http.java
+++ b/review/harness/Http.java
@@ -44,10 +44,23 @@
     /** One call on a new connection. */
     static Answer call(
             String address, int port, String method, String path, String headers, byte[] body, int timeoutMillis) {
+        return call(address, port, method, path, address + ":" + port, headers, body, timeoutMillis);
+    }
+
+    /** The same with a {@code Host} header of its own. */
+    static Answer call(
+            String address,
+            int port,
+            String method,
+            String path,
+            String host,
+            String headers,
+            byte[] body,
+            int timeoutMillis) {
         try (Socket socket = new Socket()) {
             socket.connect(new InetSocketAddress(address, port), 1_000);
             socket.setSoTimeout(timeoutMillis);
-            return exchange(socket, address + ":" + port, method, path, headers, body);
+            return exchange(socket, host, method, path, headers, body);
         } catch (IOException e) {
             return new Answer(0, "", new byte[0], e.toString());
         }
--- a/review/harness/NestedConfiguration.java
+++ b/review/harness/InvalidConfiguration.java
@@ -1,28 +1,30 @@
 import java.nio.file.Path;
 
 /**
- * Case: an operator sends one invalid configuration, cut short within a field that is nested many levels deep. Each
- * core machine that receives it must answer with a 4xx. Rule Fault: processes that end by themselves three times on
- * half of the core.
+ * Cases: an operator sends one invalid configuration. Each core machine that receives it must answer with a 4xx. Rule
+ * Fault: processes that end by themselves three times on half of the core. The first argument names the kind of the
+ * invalid configuration: {@code nested} has a field that is nested many levels deep, {@code export} is another JSON
+ * document, with many rows in a list below its top level.
  */
-public final class NestedConfiguration {
+public final class InvalidConfiguration {
     private static final int NESTING = 990;
     private static final int ROUTES = 200;
+    private static final int ROWS = 150_000;
     private static final int ENDS_OF_RULE = 3;
     private static final String SERVICE = "\"svc\":\"cueview\"";
 
-    private NestedConfiguration() {}
+    private InvalidConfiguration() {}
 
     public static void main(String[] arguments) throws Exception {
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         int exit = 2;
         try (Platform platform = new Platform();
                 Host host = new Host("i-1", 4, 100);
-                Deployment deployment = new Deployment(Path.of(arguments[0]), platform.address())) {
+                Deployment deployment = new Deployment(Path.of(arguments[1]), platform.address())) {
             platform.add(host, "cueview");
             try {
                 deployment.start(1);
-                exit = play(deployment, trouble);
+                exit = play(deployment, arguments[0], trouble);
             } catch (Exception e) {
                 deployment.note("could not run: " + e);
             }
@@ -31,7 +33,7 @@
         System.exit(exit);
     }
 
-    private static int play(Deployment deployment, boolean trouble) throws Exception {
+    private static int play(Deployment deployment, String kind, boolean trouble) throws Exception {
         Operator operator = new Operator(deployment);
         if (operator.replace("version 1, valid", 0, configuration(1, 2500, SERVICE), 10_000).status() != 200) {
             deployment.note("the first configuration was not acknowledged");
@@ -40,15 +42,16 @@
         deployment.awaitReady(1);
         // Calm for longer than contactMs.
         Thread.sleep(4_500);
-        int nesting = trouble ? NESTING : 3;
-        // The parts of the split are objects within objects where a list of them is due.
-        String split = "\"split\":" + "{\"svc\":".repeat(nesting) + "\"cueview\"" + "}".repeat(nesting);
-        String invalid = configuration(2, 2500, split);
+        boolean nested = kind.equals("nested");
+        int size = nested ? (trouble ? NESTING : 3) : (trouble ? ROWS : 100);
+        String invalid = nested ? nested(size) : export(size);
         Http.Answer answer = operator.replace(
-                "version 2, invalid: a split nested " + nesting + " levels, " + invalid.length() + " bytes",
+                "invalid: "
+                        + (nested ? "a split nested " + size + " levels, " : "an export of " + size + " rows, ")
+                        + invalid.length() + " bytes",
                 1,
                 invalid,
-                20_000);
+                45_000);
         deployment.note("the invalid configuration ended with: " + answer);
         Thread.sleep(1_500);
         long machines = 0;
@@ -73,6 +76,21 @@
         return broken ? 1 : 0;
     }
 
+    /** A configuration whose last route has objects within objects where a list of the split's parts is due. */
+    private static String nested(int levels) {
+        return configuration(
+                2, 2500, "\"split\":" + "{\"svc\":".repeat(levels) + "\"cueview\"" + "}".repeat(levels));
+    }
+
+    /** A JSON document that is no configuration: the rows of some export. */
+    private static String export(int rows) {
+        StringBuilder json = new StringBuilder("{\"export\":{\"table\":\"routes\",\"rows\":[");
+        for (int i = 1; i <= rows; i++) {
+            json.append(i > 1 ? "," : "").append("{\"id\":").append(i).append(",\"svc\":\"cueview\",\"weight\":90}");
+        }
+        return json + "]}}";
+    }
+
     /** A configuration with many routes, of which the last leads to its service by this field. */
     private static String configuration(int rev, int timeoutMs, String lastTarget) {
         StringBuilder routes = new StringBuilder();
--- a/review/harness/Operator.java
+++ b/review/harness/Operator.java
@@ -8,6 +8,10 @@
  */
 final class Operator {
     private static final int SILENCE_MILLIS = 1_000;
+    /** "A second of silence (more for large bodies)". */
+    private static final int LARGE_BODY_SILENCE_MILLIS = 4_000;
+
+    private static final int LARGE_BODY_CHARS = 1_000_000;
     private static final long MAX_PAUSE_MILLIS = 800;
 
     private final Deployment deployment;
@@ -31,7 +35,7 @@
                     "/-/config/replace",
                     "Base-Rev: " + base + "\r\nContent-Type: application/json\r\n",
                     json.getBytes(StandardCharsets.UTF_8),
-                    SILENCE_MILLIS);
+                    json.length() < LARGE_BODY_CHARS ? SILENCE_MILLIS : LARGE_BODY_SILENCE_MILLIS);
             deployment.note("operator: " + what + " to core-" + core + ": " + answer + " " + shorten(answer.text()));
             boolean unclear = answer.status() == 0
                     || answer.status() >= 500
--- a/review/harness/Platform.java
+++ b/review/harness/Platform.java
@@ -24,8 +24,12 @@
     }
 
     void add(Host host, String service) {
-        entries.add("{\"id\":\"" + host.id() + "\",\"svc\":\"" + service + "\",\"addr\":\"" + host.address()
-                + "\",\"az\":\"fortitude\",\"rev\":\"v1\",\"slots\":" + host.slots()
+        add(host.id(), host.address(), service, host.slots());
+    }
+
+    void add(String id, String address, String service, int slots) {
+        entries.add("{\"id\":\"" + id + "\",\"svc\":\"" + service + "\",\"addr\":\"" + address
+                + "\",\"az\":\"fortitude\",\"rev\":\"v1\",\"slots\":" + slots
                 + ",\"status\":\"ready\",\"warmupMs\":0}");
     }
 
