Treat a request of which any byte was sent to a host as possibly run

Cause: HostPool.Connection.onClosed ended an attempt as CONNECT_FAILED, which proves that nothing ran, unless the last byte of the request had been passed to the socket. The users' pages count a request as run "once a host has begun work on it", and no sentence says that a host needs all of it for that.

Change: WriteProgressHandler sees the first byte that is passed to the socket; from then on an attempt without an answer is a RESET. A write that fails before its first byte still proves that nothing ran, so that a request on a connection that was just reset goes elsewhere as before.

--- a/src/main/java/tinworks/net/HostPool.java
+++ b/src/main/java/tinworks/net/HostPool.java
@@ -281,7 +281,12 @@
                         @Override
                         protected void initChannel(Channel channel) {
                             ResponseReader reader = new ResponseReader(connection, bounds.maxBodyBytes(), budget);
-                            channel.pipeline().addLast(reader.decoder(), new HttpRequestEncoder(), reader);
+                            channel.pipeline()
+                                    .addLast(
+                                            new WriteProgressHandler(connection::onBytesSent),
+                                            reader.decoder(),
+                                            new HttpRequestEncoder(),
+                                            reader);
                         }
                     })
                     .connect(address);
@@ -355,6 +360,12 @@
             });
         }
 
+        private void onBytesSent() {
+            if (attempt != null) {
+                attempt.bytesSent = true;
+            }
+        }
+
         @Override
         public boolean isAwaitingResponse() {
             return attempt != null && attempt.writeStarted;
@@ -406,7 +417,10 @@
             }
         }
 
-        /** Runs after the write future completes, so that it is known whether the request was written completely. */
+        /**
+         * Runs after the write future completes, so that it is known whether any byte of the request was sent. A host
+         * may begin work on a request before it has all of it, so only one of which nothing was sent has not run.
+         */
         private void onClosed() {
             connections--;
             host.open.remove(this);
@@ -414,7 +428,7 @@
             Attempt broken = attempt;
             attempt = null;
             if (broken != null) {
-                broken.end(broken.writeCompleted ? Outcome.RESET : Outcome.CONNECT_FAILED, null, null);
+                broken.end(broken.bytesSent ? Outcome.RESET : Outcome.CONNECT_FAILED, null, null);
             }
         }
     }
@@ -429,6 +443,9 @@
         private Connection connection;
         private Future<?> timer;
         private boolean writeStarted;
+        /** At least one byte of the request was passed to the socket. */
+        private boolean bytesSent;
+
         private boolean writeCompleted;
         private Outcome outcome;
         private long endedAtNanos;
