Apply changed limits of heads and bodies to kept connections

Cause: ClientServer.Connection created its decoder and its aggregator when it was accepted, and Netty fixes the limits of both at their creation. updateBounds changed them for later connections alone. The same held for hdrBytes, and lowered limits stayed without effect.

Change: RequestInput owns both handlers of a connection and replaces them between two requests once the limits differ: at once where no request is being read, else after its end. The new decoder gets what the old one held of the next request. A request being read keeps its limits. Why this works: a request sent later than applyMs has its first line decoded after the version is in use.

--- a/src/main/java/tinworks/net/ClientServer.java
+++ b/src/main/java/tinworks/net/ClientServer.java
@@ -196,9 +196,9 @@
                         Connection connection = new Connection(channel);
                         channel.pipeline()
                                 .addLast(
-                                        connection.decoder,
+                                        connection.input.decoder(),
                                         new HttpResponseEncoder(),
-                                        connection.aggregator,
+                                        connection.input.aggregator(),
                                         connection);
                     }
                 })
@@ -217,9 +217,13 @@
         return acceptor != null && acceptor.isActive();
     }
 
-    /** Replaces the limits. Those for heads and bodies apply to connections that are accepted from now on. */
+    /**
+     * Replaces the limits, on all connections. Those for heads and bodies do not apply to requests that are being read,
+     * but to the next one of each connection.
+     */
     public void updateBounds(Bounds changed) {
         bounds = changed;
+        List.copyOf(connections).forEach(Connection::applyRequestLimits);
     }
 
     /** Closes each connection after its next response, unless pipelined requests follow that have been read. */
@@ -517,9 +521,8 @@
 
     private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> {
         private final Channel channel;
-        private final RequestDecoder decoder = new RequestDecoder(bounds.maxHeadBytes(), headBudget);
-        private final RequestAggregator aggregator =
-                new RequestAggregator(this::hasNoRequest, bounds.maxBodyBytes(), bodyBudget);
+        private final RequestInput input = new RequestInput(
+                bounds.maxHeadBytes(), bounds.maxBodyBytes(), headBudget, bodyBudget, this::hasNoRequest);
         /** Pipelined requests, which wait for the response to an earlier one. */
         private final ArrayDeque<ReceivedRequest> pipelined = new ArrayDeque<>();
 
@@ -572,8 +575,8 @@
                     request,
                     clock.nanos(),
                     queueingDelayNanos(),
-                    decoder.detachReservation(),
-                    aggregator.detachReservation());
+                    input.detachHeadReservation(),
+                    input.detachBodyReservation());
             if (readingStopped) {
                 received.release();
                 return;
@@ -595,6 +598,14 @@
                 channel.config()
                         .setAutoRead(discardsRest || (!readingStopped && pipelined.size() < MAX_PIPELINED_REQUESTS));
             }
+            // Last, since it may pass on the next request.
+            applyRequestLimits();
+        }
+
+        private void applyRequestLimits() {
+            if (!readingStopped && channel.isActive()) {
+                input.applyLimits(channel.pipeline(), bounds.maxHeadBytes(), bounds.maxBodyBytes());
+            }
         }
 
         /** Upper bound; for the first request it includes the time that its connection waited to be accepted. */
@@ -609,7 +620,7 @@
         /** The receive timeout counts from a request's first byte, and later bytes do not extend it. */
         @Override
         public void channelReadComplete(ChannelHandlerContext ctx) {
-            boolean incomplete = decoder.hasPartialHead() || aggregator.isInBody();
+            boolean incomplete = input.isInRequest();
             if (incomplete && !requestStarted) {
                 awaitingSince = hasSentRequest ? clock.nanos() : awaitingSince;
             }
@@ -832,8 +843,7 @@
         public void channelInactive(ChannelHandlerContext ctx) {
             counters.connectionClosed(closeReason);
             deregister();
-            aggregator.releaseReservation();
-            decoder.detachReservation().release();
+            input.releaseReservations();
             pipelined.forEach(ReceivedRequest::release);
             pipelined.clear();
             enforceConnectionLimit();
--- a/src/main/java/tinworks/net/RequestDecoder.java
+++ b/src/main/java/tinworks/net/RequestDecoder.java
@@ -166,6 +166,11 @@
         return detached;
     }
 
+    /** Whether no line of a request has been decoded whose end has not been; bytes of a first line may be held. */
+    boolean isBetweenRequests() {
+        return !inHead && !inBody && !discarding;
+    }
+
     /** Whether part of a head has been received, but not its end. */
     boolean hasPartialHead() {
         return actualReadableBytes() > 0 || inHead;
