--- a/src/test/java/tinworks/edge/AtMostOnceSweep.java
+++ b/src/test/java/tinworks/edge/AtMostOnceSweep.java
@@ -292,7 +292,7 @@
                     && ("s" + id).equals(response.headers().get("origin-seal"))
                     && FaultInjectingHost.body(id).equals(response.body());
             if (!isOwn) {
-                failures.add("MIXED: " + response + " for " + id + ", " + what);
+                failures.add("MIXED: " + response + " for " + id + ", " + what + "; " + edge.whyUnserved(id));
             }
         }
 
@@ -317,7 +317,7 @@
                     : expectedStatus(known, testCase.mutating, status);
             if (status != expected) {
                 failures.add("got status " + status + ", not " + expected + ": " + testCase + " on a "
-                        + (fault.reused ? "used" : "new") + " connection");
+                        + (fault.reused ? "used" : "new") + " connection; " + edge.whyUnserved(fault.id));
             }
             boolean mustNotRetry = testCase.mutating && known != Known.NOT_RUN;
             if (mustNotRetry && count(fault.id, true) > 1) {
--- a/src/test/java/tinworks/edge/EdgeFixture.java
+++ b/src/test/java/tinworks/edge/EdgeFixture.java
@@ -16,6 +16,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import tinworks.config.Configuration;
 import tinworks.config.Configuration.Limits;
@@ -29,6 +30,7 @@
 import tinworks.net.LoopLag;
 import tinworks.net.MonotonicClock;
 import tinworks.net.Transport;
+import tinworks.net.UnservedRequest;
 import tinworks.node.NodeProcess;
 import tinworks.policy.LoadBalancerApi.Event;
 import tinworks.policy.LoadBalancerApi.Readiness;
@@ -57,6 +59,8 @@
     private final RequestRouter requests;
     private final List<Route> routes = new ArrayList<>();
     private final Set<String> mutating = new HashSet<>();
+    /** The lines of requests that ended without success, by id. */
+    private final Map<String, String> unserved = new ConcurrentHashMap<>();
     /** Hosts that must receive no new requests; to be used on the event loop. */
     final Set<String> drained = new HashSet<>();
 
@@ -169,6 +173,16 @@
     @Override
     public void log(String line) {}
 
+    @Override
+    public void requestEnded(UnservedRequest request) {
+        unserved.put(request.id(), request.line());
+    }
+
+    /** Why a request ended without success, for the message of a failed check; empty if it did not. */
+    String whyUnserved(String id) {
+        return unserved.getOrDefault(id, "");
+    }
+
     @Override
     public boolean isReady(String host) {
         return !drained.contains(host);
