--- a/src/main/java/tinworks/net/RequestDecoder.java
+++ b/src/main/java/tinworks/net/RequestDecoder.java
@@ -166,7 +166,7 @@
         return detached;
     }
 
-    /** Whether no line of a request has been decoded whose end has not been; bytes of a first line may be held. */
+    /** Whether the next line to be decoded is the first one of a request; a part of it may have been received. */
     boolean isBetweenRequests() {
         return !inHead && !inBody && !discarding;
     }
